--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+
+.PHONY: install test lint unit demo serve bench bench-relay bench-state soak clean
+
+$(VENV)/.installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --editable '.[dev]'
+	touch $@
+
+install: $(VENV)/.installed
+
+lint: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+unit: install
+	$(BIN)/python bin/run_tests.py
+
+test: lint unit
+
+demo: install
+	$(BIN)/python bin/demo.py
+
+serve: install
+	$(BIN)/python bin/demo.py --serve
+
+bench: install
+	$(BIN)/python bin/bench.py
+
+bench-relay: install
+	$(BIN)/python bin/bench_relay.py
+
+bench-state: install
+	$(BIN)/python bin/bench_state.py
+
+soak: install
+	$(BIN)/python bin/soak.py
+
+clean:
+	rm -rf build $(VENV) .ruff_cache .hypothesis
--- /dev/null
+++ b/catkintrack/__init__.py
@@ -0,0 +1,1 @@
+"""Route language-model traffic with long shared prompts."""
--- /dev/null
+++ b/catkintrack/agent/feeds.py
@@ -0,0 +1,194 @@
+"""Follow the load and the cache events of the model engines."""
+
+from __future__ import annotations
+
+import logging
+import time
+from dataclasses import dataclass
+from typing import TypeVar
+
+import curio
+import msgspec
+
+from catkintrack.config import Upstream
+from catkintrack.http import HttpError, Request, open_exchange
+from catkintrack.links import CacheEvents, LoadReport
+
+from .routers import collect_loads, send_to_routers
+from .state import Agent, EngineFeed
+
+logger = logging.getLogger(__name__)
+
+CALL_TIMEOUT_S = 1.0
+EVENT_POLL_S = 1.0
+RETRY_S = 0.5
+
+Decoded = TypeVar("Decoded")
+
+
+class EngineLoad(msgspec.Struct, frozen=True):
+    """Describe an engine's load as the engine reports it."""
+
+    incarnation: str
+    weights: str = ""
+    running: int = 0
+    waiting: int = 0
+    prefill_tokens: int = 0
+    capacity_blocks: int = 0
+    is_loading: bool = False
+
+
+class EngineEvents(msgspec.Struct, frozen=True):
+    """Carry an engine's cache events as (sequence, kind, block hash in hex)."""
+
+    incarnation: str
+    last_sequence: int
+    events: tuple[tuple[int, str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CacheChange:
+    """Hold what a batch of events says; `is_reset` when some were lost."""
+
+    is_reset: bool
+    stored: tuple[int, ...]
+    evicted: tuple[int, ...]
+
+
+def read_events(sequence: int, batch: EngineEvents) -> CacheChange:
+    """Return what `batch` says to someone who has followed up to `sequence`.
+
+    After a gap nothing older is trusted: only what is told after the last gap.
+    """
+    is_reset = False
+    expected = sequence + 1
+    is_stored_by_block: dict[int, bool] = {}
+    for number, kind, block in batch.events:
+        if number != expected or kind == "cleared":
+            is_reset = True
+            is_stored_by_block.clear()
+        expected = number + 1
+        if kind != "cleared":
+            is_stored_by_block[int(block, 16)] = kind == "stored"
+    if expected <= batch.last_sequence:
+        # The newest events are lost: what they evicted is not known.
+        return CacheChange(True, (), ())
+    stored = tuple(b for b, is_stored in is_stored_by_block.items() if is_stored)
+    evicted = tuple(b for b, is_stored in is_stored_by_block.items() if not is_stored)
+    return CacheChange(is_reset, stored, evicted)
+
+
+async def sync_feeds(agent: Agent) -> None:
+    """Follow exactly the model engines in the configuration."""
+    upstreams = agent.tables.upstream_by_name
+    wanted = {name for name, upstream in upstreams.items() if upstream.models}
+    for name in set(agent.feed_by_upstream) - wanted:
+        feed = agent.feed_by_upstream.pop(name)
+        for task in feed.tasks:
+            await task.cancel(blocking=False)
+    for name in wanted - set(agent.feed_by_upstream):
+        feed = EngineFeed(name)
+        agent.feed_by_upstream[name] = feed
+        feed.tasks = [
+            await curio.spawn(follow_load, agent, feed, daemon=True),
+            await curio.spawn(follow_events, agent, feed, daemon=True),
+        ]
+
+
+async def follow_load(agent: Agent, feed: EngineFeed) -> None:
+    """Poll an engine's load until cancelled."""
+    while True:
+        body = await _call(agent, feed, "/load", CALL_TIMEOUT_S)
+        load = _decode(body, EngineLoad)
+        if load is not None:
+            _take_load(feed, load)
+        await curio.sleep(agent.settings.agent.load_interval_s)
+
+
+def _take_load(feed: EngineFeed, load: EngineLoad) -> None:
+    feed.load_at = time.monotonic()
+    feed.load = LoadReport(
+        upstream=feed.upstream,
+        incarnation=load.incarnation,
+        weights=load.weights,
+        running=load.running,
+        waiting=load.waiting,
+        prefill_tokens=load.prefill_tokens,
+        capacity_blocks=load.capacity_blocks,
+        is_loading=load.is_loading,
+        age_s=0.0,
+    )
+
+
+async def push_loads(agent: Agent) -> None:
+    """Send the loads to the routers until cancelled."""
+    while True:
+        await curio.sleep(agent.settings.agent.load_interval_s)
+        await send_to_routers(agent, collect_loads(agent))
+
+
+async def follow_events(agent: Agent, feed: EngineFeed) -> None:
+    """Follow an engine's cache events until cancelled."""
+    while True:
+        path = f"/events?after={feed.sequence}&timeout_s={EVENT_POLL_S}"
+        body = await _call(agent, feed, path, EVENT_POLL_S + CALL_TIMEOUT_S)
+        batch = _decode(body, EngineEvents)
+        if batch is None:
+            await curio.sleep(RETRY_S)
+            continue
+        await _take_events(agent, feed, batch)
+
+
+async def _take_events(agent: Agent, feed: EngineFeed, batch: EngineEvents) -> None:
+    is_new_life = batch.incarnation != feed.incarnation
+    if is_new_life:
+        # Its sequence starts again; what was asked for doesn't fit it.
+        feed.incarnation = batch.incarnation
+        feed.sequence = 0
+        feed.blocks.clear()
+        if batch.events and batch.events[0][0] != 1:
+            return
+    change = read_events(feed.sequence, batch)
+    feed.sequence = batch.last_sequence
+    if not (is_new_life or change.is_reset or change.stored or change.evicted):
+        return
+    if change.is_reset:
+        agent.metrics.event_gaps.inc({"upstream": feed.upstream})
+        feed.blocks.clear()
+    feed.blocks.update(change.stored)
+    feed.blocks.difference_update(change.evicted)
+    is_reset = change.is_reset or is_new_life
+    events = CacheEvents(
+        feed.upstream, feed.incarnation, is_reset, change.stored, change.evicted
+    )
+    await send_to_routers(agent, events)
+
+
+async def _call(
+    agent: Agent, feed: EngineFeed, path: str, timeout_s: float
+) -> bytes | None:
+    upstream: Upstream | None = agent.tables.upstream_by_name.get(feed.upstream)
+    if upstream is None:
+        return None
+    host = (b"host", str(upstream.address).encode())
+    try:
+        async with open_exchange(agent.upstream_pool, upstream.address) as exchange:
+            await exchange.send(Request(b"GET", path.encode(), (host,)))
+            head = await exchange.read_head(timeout_s)
+            body = await exchange.read_body(timeout_s)
+    except HttpError as error:
+        logger.debug(
+            "engine did not answer",
+            extra={"upstream": feed.upstream, "reason": str(error)},
+        )
+        return None
+    return body if head.status == 200 else None
+
+
+def _decode(body: bytes | None, kind: type[Decoded]) -> Decoded | None:
+    if body is None:
+        return None
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
--- /dev/null
+++ b/catkintrack/agent/main.py
@@ -0,0 +1,208 @@
+"""Run the agent: the part of an instance that acts together with the others."""
+
+from __future__ import annotations
+
+import logging
+import time
+from random import Random
+from typing import Any
+
+import curio
+import fire
+import zmq
+
+from catkintrack.http import Address, Pool
+from catkintrack.limits import Holder
+from catkintrack.links import (
+    MemberNews,
+    bind_authenticator,
+    bind_link,
+    open_context,
+    run_authenticator,
+)
+from catkintrack.membership import Members, leave, list_ring
+from catkintrack.platform import PlatformClient
+from catkintrack.processes import (
+    PauseGuard,
+    catch_stop_signals,
+    configure_logging,
+    load_settings_or_exit,
+    make_link_keys,
+    open_ops_server,
+    wait_for_stop,
+)
+from catkintrack.settings import Settings
+
+from .config_feed import CONFIG_HANDLER_BY_TYPE, poll_instances, watch_platform
+from .dump import dump_agent, is_agent_ready
+from .feeds import push_loads
+from .limit_service import (
+    LIMIT_HANDLER_BY_TYPE,
+    hand_over_shares,
+    keep_ledger,
+    repeat_grants,
+)
+from .mesh import (
+    MEMBERSHIP_HANDLER_BY_TYPE,
+    MeshHandler,
+    make_heartbeat,
+    make_mesh_receiver,
+    run_membership,
+    send_to_peer,
+)
+from .metrics import make_agent_metrics
+from .routers import drop_silent_sessions, make_router_receiver
+from .state import Agent, LimitState
+
+logger = logging.getLogger(__name__)
+
+# A new agent first hears of its peers, so that it doesn't count without them.
+FIRST_RECOUNT_AFTER_S = 0.5
+
+HANDLER_TABLES = (
+    MEMBERSHIP_HANDLER_BY_TYPE,
+    CONFIG_HANDLER_BY_TYPE,
+    LIMIT_HANDLER_BY_TYPE,
+)
+
+
+def make_agent(settings: Settings, context: zmq.Context) -> Agent:
+    """Return a new agent that knows nothing but its settings."""
+    incarnation = time.time_ns() // 1_000_000
+    now = time.monotonic()
+    own = MemberNews(
+        instance=settings.instance.id,
+        incarnation=incarnation,
+        version=0,
+        is_alive=True,
+        zone=settings.instance.zone,
+        mesh_host=str(settings.agent.mesh.host),
+        mesh_port=settings.agent.mesh.port,
+        routers_host=str(settings.agent.routers.host),
+        routers_port=settings.agent.routers.port,
+    )
+    endpoint = settings.platform.endpoint
+    platform = PlatformClient(
+        Address(str(endpoint.host), endpoint.port), settings.platform.timeout_s
+    )
+    return Agent(
+        settings=settings,
+        incarnation=incarnation,
+        context=context,
+        keys=make_link_keys(settings),
+        platform=platform,
+        members=Members(own),
+        limits=LimitState(
+            Holder(settings.instance.id, incarnation),
+            next_recount_at=now + FIRST_RECOUNT_AFTER_S,
+        ),
+        rng=Random(f"{settings.instance.id}/{incarnation}"),
+        metrics=make_agent_metrics(),
+        upstream_pool=Pool(),
+        pause_guard=PauseGuard(now),
+        started_at=now,
+    )
+
+
+def collect_mesh_handlers() -> dict[type, list[MeshHandler]]:
+    """Return the handlers of each message type, in the order of the tables."""
+    handlers_by_type: dict[type, list[MeshHandler]] = {}
+    for table in HANDLER_TABLES:
+        for kind, handler in table.items():
+            handlers_by_type.setdefault(kind, []).append(handler)
+    return handlers_by_type
+
+
+async def run_agent(settings: Settings) -> None:
+    """Run an agent until a stop signal, then leave in order."""
+    with catch_stop_signals() as signals, open_context() as context:
+        agent = make_agent(settings, context)
+        authenticator = bind_authenticator(context)
+        _bind_links(agent)
+        tasks: list[Any] = [
+            (run_authenticator, authenticator, agent.keys),
+            agent.mesh.run,
+            agent.routers.run,
+            (run_membership, agent),
+            (watch_platform, agent),
+            (poll_instances, agent),
+            (push_loads, agent),
+            (repeat_grants, agent),
+            (keep_ledger, agent),
+            (drop_silent_sessions, agent),
+        ]
+        for task in tasks:
+            call = task if isinstance(task, tuple) else (task,)
+            await curio.spawn(_run_task, *call, daemon=True)
+        ops = settings.agent.ops
+        async with open_ops_server(
+            str(ops.host),
+            ops.port,
+            agent.metrics.registry,
+            lambda: is_agent_ready(agent),
+            lambda: dump_agent(agent),
+        ):
+            logger.info("agent started", extra={"incarnation": agent.incarnation})
+            await wait_for_stop(signals)
+            await _leave(agent)
+        logger.info("agent stopped")
+
+
+def _bind_links(agent: Agent) -> None:
+    mesh = agent.settings.agent.mesh
+    routers = agent.settings.agent.routers
+    agent.mesh = bind_link(
+        agent.context,
+        agent.keys,
+        str(mesh.host),
+        mesh.port,
+        make_mesh_receiver(agent, collect_mesh_handlers()),
+    )
+    agent.routers = bind_link(
+        agent.context,
+        agent.keys,
+        str(routers.host),
+        routers.port,
+        make_router_receiver(agent),
+    )
+
+
+async def _run_task(function: Any, *arguments: Any) -> None:
+    """Run one of the agent's tasks; a failure in it must not pass unseen."""
+    while True:
+        try:
+            await function(*arguments)
+            return
+        except Exception:
+            logger.exception("task failed", extra={"task": function.__name__})
+            await curio.sleep(0.5)
+
+
+async def _leave(agent: Agent) -> None:
+    """Hand the shares over and tell the neighbours."""
+    agent.is_stopping = True
+    await hand_over_shares(agent)
+    leave(agent.members)
+    for instance in list_ring(agent.members):
+        await send_to_peer(agent, instance, make_heartbeat(agent))
+    await curio.sleep(0.1)
+
+
+def start(settings: str) -> None:
+    """Run an agent.
+
+    Args:
+        settings: Settings files, comma-separated, each laid over the one before.
+    """
+    loaded = load_settings_or_exit(settings)
+    configure_logging(loaded.logging.level, "agent", loaded.instance.id)
+    curio.run(run_agent, loaded)
+
+
+def main() -> None:
+    """Run the agent's command line."""
+    fire.Fire(start)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/catkintrack/agent/metrics.py
@@ -0,0 +1,49 @@
+"""Define an agent's metrics."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from aioprometheus import Counter, Gauge, Registry
+
+
+@dataclass(slots=True)
+class AgentMetrics:
+    """Hold an agent's metrics and their registry."""
+
+    registry: Registry
+    revision: Gauge
+    members_alive: Gauge
+    keys_current: Gauge
+    platform_calls: Counter
+    mesh_messages: Counter
+    mesh_bytes: Counter
+    reservations: Counter
+    recounts: Counter
+    refused_changes: Counter
+    event_gaps: Counter
+
+
+def make_agent_metrics() -> AgentMetrics:
+    """Return a new set of metrics in a registry of its own."""
+    registry = Registry()
+
+    def counter(name: str, doc: str) -> Counter:
+        return Counter(f"catkintrack_agent_{name}", doc, registry=registry)
+
+    def gauge(name: str, doc: str) -> Gauge:
+        return Gauge(f"catkintrack_agent_{name}", doc, registry=registry)
+
+    return AgentMetrics(
+        registry=registry,
+        revision=gauge("revision", "Configuration revision in force."),
+        members_alive=gauge("members_alive", "Members believed to live."),
+        keys_current=gauge("keys_current", "1 when withdrawn keys are known."),
+        platform_calls=counter("platform_calls_total", "Calls to the platform."),
+        mesh_messages=counter("mesh_messages_total", "Messages to and from peers."),
+        mesh_bytes=counter("mesh_bytes_total", "Bytes to and from peers."),
+        reservations=counter("reservations_total", "Token reservations by outcome."),
+        recounts=counter("recounts_total", "Recounts of shares by outcome."),
+        refused_changes=counter("refused_changes_total", "Changes not put in force."),
+        event_gaps=counter("event_gaps_total", "Gaps in engines' cache events."),
+    )
--- /dev/null
+++ b/catkintrack/claims/store.py
@@ -0,0 +1,106 @@
+"""Take and finish claims in the platform's object API."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from catkintrack.platform import (
+    AnswerLost,
+    NotFound,
+    PlatformClient,
+    PlatformError,
+    Rejected,
+    VersionMismatch,
+    get_object,
+    put_object,
+)
+
+from .claim import (
+    Claim,
+    ClaimVerdict,
+    decode_claim,
+    encode_claim,
+    finish_claim,
+    is_retakable,
+    judge_claim,
+)
+
+MAX_READ_BACKS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class TakenClaim:
+    """Hold the verdict on a claim and the claim that stands."""
+
+    verdict: ClaimVerdict
+    claim: Claim
+
+
+async def take_claim(
+    client: PlatformClient, name: str, owner: str, fingerprint: str
+) -> TakenClaim:
+    """Claim a call for `owner`, or say why it may not run.
+
+    UNAVAILABLE means that the platform could not tell, and that nothing may run.
+    """
+    wanted = Claim(owner, fingerprint)
+    unavailable = TakenClaim(ClaimVerdict.UNAVAILABLE, wanted)
+    expected_version = 0
+    for _ in range(MAX_READ_BACKS):
+        outcome = await put_object(client, name, encode_claim(wanted), expected_version)
+        match outcome:
+            case Success(_):
+                return TakenClaim(ClaimVerdict.RUN, wanted)
+            case Failure(VersionMismatch() | AnswerLost()):
+                pass
+            case _:
+                return unavailable
+        # Someone holds it, or this request's own write took effect unheard.
+        match await _read_claim(client, name):
+            case Success((version, found)):
+                if not is_retakable(found, fingerprint):
+                    verdict = judge_claim(found, owner, fingerprint)
+                    return TakenClaim(verdict, found)
+                expected_version = version
+            case Failure(NotFound()):
+                # The lost write may still arrive; a repeat can't create two.
+                expected_version = 0
+            case _:
+                return unavailable
+    return unavailable
+
+
+async def settle_claim(
+    client: PlatformClient, name: str, owner: str, has_run: bool, response: bytes
+) -> bool:
+    """Record the end of a claimed call; report whether that is known to be kept."""
+    for _ in range(MAX_READ_BACKS):
+        match await _read_claim(client, name):
+            case Success((version, found)):
+                if found.owner != owner:
+                    return False
+                done = finish_claim(found, has_run, response)
+                if found == done:
+                    return True
+                data = encode_claim(done)
+                outcome = await put_object(client, name, data, version)
+                if isinstance(outcome, Success):
+                    return True
+            case _:
+                return False
+    return False
+
+
+async def _read_claim(
+    client: PlatformClient, name: str
+) -> Result[tuple[int, Claim], PlatformError]:
+    match await get_object(client, name):
+        case Success(found):
+            claim = decode_claim(found.value)
+            if claim is None:
+                return Failure(Rejected(0))
+            return Success((found.version, claim))
+        case outcome:
+            return outcome
--- /dev/null
+++ b/catkintrack/cli/calls.py
@@ -0,0 +1,88 @@
+"""Reach the platform and processes' operator pages from the command line."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from ipaddress import ip_address
+from typing import Any, TypeVar
+
+import curio
+import msgspec
+from returns.result import Failure, Result, Success
+
+from catkintrack.config import InvalidKind, RevisionConflict, State
+from catkintrack.http import Address, HttpError, Pool, Request, open_exchange
+from catkintrack.platform import (
+    AnswerLost,
+    PlatformClient,
+    read_head,
+    read_state,
+)
+
+from .output import ExitStatus, fail
+
+PAGE_TIMEOUT_S = 3.0
+
+T = TypeVar("T")
+
+
+def parse_address(text: str) -> Address:
+    """Return the endpoint in `host:port`, the host by its IP number."""
+    host, _, port = str(text).rpartition(":")
+    try:
+        ip_address(host)
+        return Address(host, int(port))
+    except ValueError:
+        fail(ExitStatus.USAGE, [f"{text}: expected IP:PORT"])
+
+
+def run_with_platform(
+    platform: str, call: Callable[[PlatformClient], Awaitable[T]]
+) -> T:
+    """Return what `call` returns for a client of the platform."""
+    client = PlatformClient(parse_address(platform))
+    return curio.run(call, client)
+
+
+async def load_state(client: PlatformClient) -> Result[State, Any]:
+    """Return the newest accepted configuration."""
+    match await read_head(client):
+        case Success((_, head)):
+            return await read_state(client, State(), head)
+        case outcome:
+            return outcome
+
+
+def unwrap_or_fail(outcome: Result[T, Any], as_json: bool) -> T:
+    """Return the value of a call, or exit with the status that fits its failure."""
+    match outcome:
+        case Success(value):
+            return value
+        case Failure(RevisionConflict() as conflict):
+            fail(ExitStatus.REFUSED, [f"conflict: {conflict}"], as_json)
+        case Failure(tuple() as errors) if all(
+            isinstance(error, InvalidKind) for error in errors
+        ):
+            fail(ExitStatus.REFUSED, [str(error) for error in errors], as_json)
+        case Failure(AnswerLost()):
+            text = "unknown whether the change was accepted; look before repeating"
+            fail(ExitStatus.UNKNOWN, [text], as_json)
+        case Failure(error):
+            fail(ExitStatus.UNAVAILABLE, [f"platform: {error}"], as_json)
+
+
+def fetch_page(address: Address, path: str) -> Any:
+    """Return the JSON of an operators' page, or None when nobody answers."""
+    return curio.run(_fetch_page, address, path)
+
+
+async def _fetch_page(address: Address, path: str) -> Any:
+    request = Request(b"GET", path.encode(), ((b"host", str(address).encode()),))
+    try:
+        async with open_exchange(Pool(), address) as exchange:
+            await exchange.send(request)
+            await exchange.read_head(PAGE_TIMEOUT_S)
+            body = await exchange.read_body(PAGE_TIMEOUT_S)
+    except HttpError:
+        return None
+    return msgspec.json.decode(body)
--- /dev/null
+++ b/catkintrack/cli/config_commands.py
@@ -0,0 +1,166 @@
+"""Validate, compare and apply run-time configuration."""
+
+from __future__ import annotations
+
+import getpass
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from catkintrack.config import Change as ConfigChange
+from catkintrack.config import (
+    Delete,
+    Put,
+    State,
+    apply_change,
+    diff_states,
+    validate_state,
+)
+from catkintrack.platform import PlatformClient, submit_change
+from catkintrack.settings import read_document
+
+from .calls import load_state, run_with_platform, unwrap_or_fail
+from .output import ExitStatus, fail, print_result
+
+DEFAULT_PLATFORM = "127.0.0.1:8070"
+
+Edit = tuple[list[Put], list[Delete]]
+MakeEdit = Callable[[State], Edit]
+
+
+def read_kinds(path: str) -> dict[str, dict[str, Any]]:
+    """Return the kinds in a YAML file: a mapping of kind to name to value."""
+    match read_document(Path(path)):
+        case Success(document):
+            pass
+        case Failure(error):
+            fail(ExitStatus.REFUSED, [str(error)])
+    for kind, by_name in document.items():
+        if not isinstance(by_name, dict):
+            fail(ExitStatus.REFUSED, [f"{path}: {kind}: expected a mapping of names"])
+    return document
+
+
+def edit_to(state: State, kinds: dict[str, dict[str, Any]]) -> Edit:
+    """Return the edit that makes the kinds in a file what the file says.
+
+    Kinds that the file does not mention stay as they are.
+    """
+    puts = []
+    deletes = []
+    for kind, by_name in kinds.items():
+        current = state.value_by_name_by_kind.get(kind, {})
+        for name, value in by_name.items():
+            if current.get(name) != value:
+                puts.append(Put(kind, str(name), value))
+        deletes += [Delete(kind, name) for name in set(current) - set(by_name)]
+    return puts, deletes
+
+
+def preview(state: State, edit: Edit) -> State:
+    """Return the state after an edit."""
+    puts, deletes = edit
+    change = ConfigChange(
+        state.revision + 1, "preview", "", tuple(puts), tuple(deletes)
+    )
+    return apply_change(state, change).unwrap()
+
+
+def describe_diff(old: State, new: State) -> list[str]:
+    """Return a line for each entity that differs, without key digests."""
+    lines = []
+    for kind, name, before, after in diff_states(old, new):
+        if before is None:
+            lines.append(f"+ {kind}/{name}: {redact(after)}")
+        elif after is None:
+            lines.append(f"- {kind}/{name}")
+        else:
+            fields = sorted(set(before) | set(after))
+            for field in fields:
+                if before.get(field) != after.get(field):
+                    change = f"{before.get(field)!r} -> {after.get(field)!r}"
+                    lines.append(f"~ {kind}/{name}.{field}: {change}")
+    return lines
+
+
+def redact(value: dict[str, Any]) -> dict[str, Any]:
+    """Return an entity without salt and digest."""
+    return {k: v for k, v in value.items() if k not in ("salt", "digest")}
+
+
+def validate(file: str) -> None:
+    """Check a configuration file without the platform."""
+    kinds = read_kinds(file)
+    errors = validate_state(State(1, kinds))
+    if errors:
+        fail(ExitStatus.REFUSED, [f"{file}: {error}" for error in errors])
+    print(f"{file}: valid")
+
+
+def show(platform: str = DEFAULT_PLATFORM, json: bool = False) -> None:
+    """Show the accepted configuration."""
+    state = _load(platform, json)
+    kinds = {
+        kind: {name: redact(value) for name, value in by_name.items()}
+        for kind, by_name in state.value_by_name_by_kind.items()
+    }
+    lines = [f"revision {state.revision}"]
+    for kind, by_name in sorted(kinds.items()):
+        lines += [f"{kind}/{name}: {value}" for name, value in sorted(by_name.items())]
+    value = {"revision": state.revision, "kinds": kinds}
+    print_result(value, json, "\n".join(lines))
+
+
+def diff(file: str, platform: str = DEFAULT_PLATFORM, json: bool = False) -> None:
+    """Show what applying a file would change."""
+    state = _load(platform, json)
+    lines = describe_diff(state, preview(state, edit_to(state, read_kinds(file))))
+    print_result(lines, json, "\n".join(lines) or "no difference")
+
+
+def apply(
+    file: str,
+    platform: str = DEFAULT_PLATFORM,
+    expect: int | None = None,
+    json: bool = False,
+) -> None:
+    """Show the difference, then apply a file on top of the revision it was made for.
+
+    Args:
+        file: YAML file of kinds.
+        platform: IP and port of the platform's object API.
+        expect: Revision that the file was made for; the newest when not given.
+        json: Print JSON.
+    """
+    kinds = read_kinds(file)
+    submit_edit(platform, lambda state: edit_to(state, kinds), expect, json)
+
+
+def submit_edit(
+    platform: str, make_edit: MakeEdit, expect: int | None, as_json: bool
+) -> State:
+    """Have an edit accepted, print its difference and return the state after it."""
+    before = _load(platform, as_json)
+    edit = make_edit(before)
+    lines = describe_diff(before, preview(before, edit))
+    if not lines:
+        print_result(
+            {"revision": before.revision, "diff": []}, as_json, "no difference"
+        )
+        return before
+    expected = before.revision if expect is None else int(expect)
+
+    async def call(client: PlatformClient) -> Result[State, Any]:
+        puts, deletes = edit
+        return await submit_change(client, expected, puts, deletes, getpass.getuser())
+
+    after = unwrap_or_fail(run_with_platform(platform, call), as_json)
+    text = "\n".join([*lines, f"accepted as revision {after.revision}"])
+    print_result({"revision": after.revision, "diff": lines}, as_json, text)
+    return after
+
+
+def _load(platform: str, as_json: bool) -> State:
+    return unwrap_or_fail(run_with_platform(platform, load_state), as_json)
--- /dev/null
+++ b/catkintrack/cli/entity_commands.py
@@ -0,0 +1,99 @@
+"""Change keys, workspaces, tiers and upstreams one at a time."""
+
+from __future__ import annotations
+
+import json as json_library
+import secrets
+
+from catkintrack.config import Put, State, hash_secret
+from catkintrack.config.keys import SALT_BYTES, SECRET_BYTES
+
+from .config_commands import DEFAULT_PLATFORM, Edit, submit_edit
+from .output import ExitStatus, fail
+
+KEY_ID_BYTES = 4
+
+
+def make_key_value(workspace: str, secret: str) -> dict[str, object]:
+    """Return the entity that keeps a secret as a salted hash."""
+    salt = secrets.token_bytes(SALT_BYTES).hex()
+    return {
+        "workspace": workspace,
+        "salt": salt,
+        "digest": hash_secret(secret, salt),
+    }
+
+
+def make_key(
+    workspace: str, platform: str = DEFAULT_PLATFORM, json: bool = False
+) -> None:
+    """Make a key for a workspace; it is shown once and kept only as a hash."""
+    key_id = secrets.token_bytes(KEY_ID_BYTES).hex()
+    secret = secrets.token_urlsafe(SECRET_BYTES)
+    value = make_key_value(workspace, secret)
+    submit_edit(platform, lambda state: ([Put("key", key_id, value)], []), None, json)
+    key = f"ck_{key_id}_{secret}"
+    print(json_library.dumps({"id": key_id, "key": key}) if json else f"key: {key}")
+
+
+def withdraw_key(id: str, platform: str = DEFAULT_PLATFORM, json: bool = False) -> None:
+    """Withdraw a key; it stops working everywhere within seconds."""
+    _update("key", str(id), {"is_withdrawn": True}, platform, json)
+
+
+def set_workspace(
+    name: str,
+    tier: str | None = None,
+    rate: int | None = None,
+    burst: int | None = None,
+    platform: str = DEFAULT_PLATFORM,
+    json: bool = False,
+) -> None:
+    """Change a workspace's tier, rate (tokens a second) or burst (tokens)."""
+    fields = {"tier": tier, "rate_tokens_per_s": rate, "burst_tokens": burst}
+    _update("workspace", str(name), fields, platform, json)
+
+
+def set_tier(
+    name: str,
+    weight: int | None = None,
+    priority: int | None = None,
+    queue_timeout_s: float | None = None,
+    platform: str = DEFAULT_PLATFORM,
+    json: bool = False,
+) -> None:
+    """Change a tier's weight, priority or longest wait."""
+    fields = {
+        "weight": weight,
+        "priority": priority,
+        "queue_timeout_s": queue_timeout_s,
+    }
+    _update("tier", str(name), fields, platform, json)
+
+
+def drain_upstream(
+    name: str, platform: str = DEFAULT_PLATFORM, json: bool = False
+) -> None:
+    """Give an upstream no new work; what runs there finishes."""
+    _update("upstream", str(name), {"state": "leaving"}, platform, json)
+
+
+def resume_upstream(
+    name: str, platform: str = DEFAULT_PLATFORM, json: bool = False
+) -> None:
+    """Give a drained upstream work again."""
+    _update("upstream", str(name), {"state": "active"}, platform, json)
+
+
+def _update(
+    kind: str, name: str, fields: dict[str, object], platform: str, as_json: bool
+) -> None:
+    wanted = {key: value for key, value in fields.items() if value is not None}
+
+    def make_edit(state: State) -> Edit:
+        value = state.find(kind, name)
+        if value is None:
+            fail(ExitStatus.REFUSED, [f"{kind}/{name}: no such entity"], as_json)
+        return [Put(kind, name, {**value, **wanted})], []
+
+    submit_edit(platform, make_edit, None, as_json)
--- /dev/null
+++ b/catkintrack/cli/main.py
@@ -0,0 +1,39 @@
+"""Run the operators' command line."""
+
+from __future__ import annotations
+
+import fire
+
+from . import config_commands, entity_commands, fleet_commands, link_commands
+from .settings_commands import check_settings
+
+COMMANDS = {
+    "config": {
+        "validate": config_commands.validate,
+        "show": config_commands.show,
+        "diff": config_commands.diff,
+        "apply": config_commands.apply,
+    },
+    "key": {
+        "make": entity_commands.make_key,
+        "withdraw": entity_commands.withdraw_key,
+    },
+    "workspace": {"set": entity_commands.set_workspace},
+    "tier": {"set": entity_commands.set_tier},
+    "upstream": {
+        "drain": entity_commands.drain_upstream,
+        "resume": entity_commands.resume_upstream,
+    },
+    "fleet": {"status": fleet_commands.status, "dump": fleet_commands.dump},
+    "links": {"keys": link_commands.make_link_keys},
+    "settings": {"check": check_settings},
+}
+
+
+def main() -> None:
+    """Run a command."""
+    fire.Fire(COMMANDS, name="catkintrack")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/catkintrack/config/__init__.py
@@ -0,0 +1,73 @@
+"""Hold run-time configuration: kinds, changes, snapshots and compiled tables."""
+
+from .errors import DamagedSnapshot, InvalidKind, OutOfOrder, RevisionConflict
+from .head import (
+    HEAD_NAME,
+    MAX_KEPT_CHANGES,
+    Head,
+    append_change,
+    decode_head,
+    decode_snapshot,
+    diff_states,
+    encode_head,
+    encode_snapshot,
+    follow_head,
+    is_snapshot_needed,
+)
+from .keys import PresentedKey, hash_secret, is_secret_valid, parse_key
+from .state import (
+    Change,
+    Delete,
+    Put,
+    State,
+    apply_change,
+    apply_changes,
+    validate_state,
+)
+from .tables import (
+    ConfigTables,
+    Key,
+    Model,
+    Route,
+    Tier,
+    Upstream,
+    Workspace,
+    compile_tables,
+)
+
+__all__ = [
+    "HEAD_NAME",
+    "MAX_KEPT_CHANGES",
+    "Change",
+    "ConfigTables",
+    "DamagedSnapshot",
+    "Delete",
+    "Head",
+    "InvalidKind",
+    "Key",
+    "Model",
+    "OutOfOrder",
+    "PresentedKey",
+    "Put",
+    "RevisionConflict",
+    "Route",
+    "State",
+    "Tier",
+    "Upstream",
+    "Workspace",
+    "append_change",
+    "apply_change",
+    "apply_changes",
+    "compile_tables",
+    "decode_head",
+    "decode_snapshot",
+    "diff_states",
+    "encode_head",
+    "encode_snapshot",
+    "follow_head",
+    "hash_secret",
+    "is_secret_valid",
+    "is_snapshot_needed",
+    "parse_key",
+    "validate_state",
+]
--- /dev/null
+++ b/catkintrack/config/state.py
@@ -0,0 +1,112 @@
+"""Fold accepted changes into the configuration in force."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+from pydantic import ValidationError
+from returns.result import Failure, Result, Success
+
+from .errors import InvalidKind, OutOfOrder
+from .kinds import MODEL_BY_KIND
+
+
+class Put(msgspec.Struct, frozen=True):
+    """Create or replace one entity."""
+
+    kind: str
+    name: str
+    value: dict[str, Any]
+
+
+class Delete(msgspec.Struct, frozen=True):
+    """Remove one entity."""
+
+    kind: str
+    name: str
+
+
+class Change(msgspec.Struct, frozen=True):
+    """Hold one accepted change; it applies whole or not at all."""
+
+    revision: int
+    change_id: str
+    author: str = ""
+    puts: tuple[Put, ...] = ()
+    deletes: tuple[Delete, ...] = ()
+
+
+class State(msgspec.Struct, frozen=True):
+    """Hold the configuration at one revision, keyed by kind and name."""
+
+    revision: int = 0
+    value_by_name_by_kind: dict[str, dict[str, dict[str, Any]]] = {}
+
+    def find(self, kind: str, name: str) -> dict[str, Any] | None:
+        """Return the value of one entity."""
+        return self.value_by_name_by_kind.get(kind, {}).get(name)
+
+
+def apply_change(state: State, change: Change) -> Result[State, OutOfOrder]:
+    """Return the state after `change`, which must be the next revision."""
+    if change.revision != state.revision + 1:
+        return Failure(OutOfOrder(state.revision, change.revision))
+    values = {kind: dict(by) for kind, by in state.value_by_name_by_kind.items()}
+    for put in change.puts:
+        values.setdefault(put.kind, {})[put.name] = put.value
+    for delete in change.deletes:
+        values.get(delete.kind, {}).pop(delete.name, None)
+    return Success(State(change.revision, values))
+
+
+def apply_changes(state: State, changes: Iterable[Change]) -> State:
+    """Return the state after those of `changes` that follow it in order."""
+    for change in sorted(changes, key=lambda change: change.revision):
+        state = apply_change(state, change).value_or(state)
+    return state
+
+
+def validate_state(state: State) -> list[InvalidKind]:
+    """Return everything wrong with `state`: fields first, then references."""
+    errors = []
+    for kind, value_by_name in state.value_by_name_by_kind.items():
+        for name, value in value_by_name.items():
+            errors += _validate_entity(kind, name, value)
+    return errors or list(_validate_references(state))
+
+
+def _validate_entity(kind: str, name: str, value: dict[str, Any]) -> list[InvalidKind]:
+    model = MODEL_BY_KIND.get(kind)
+    if model is None:
+        return [InvalidKind(kind, name, "kind", "unknown kind")]
+    try:
+        model.model_validate(value)
+    except ValidationError as error:
+        return [
+            InvalidKind(kind, name, ".".join(map(str, entry["loc"])), entry["msg"])
+            for entry in error.errors()
+        ]
+    return []
+
+
+def _validate_references(state: State) -> Iterable[InvalidKind]:
+    values = state.value_by_name_by_kind
+    tiers = values.get("tier", {})
+    workspaces = values.get("workspace", {})
+    models = values.get("model", {})
+    for name, value in workspaces.items():
+        if value["tier"] not in tiers:
+            yield InvalidKind("workspace", name, "tier", "no such tier")
+    for name, value in values.get("key", {}).items():
+        if value["workspace"] not in workspaces:
+            yield InvalidKind("key", name, "workspace", "no such workspace")
+    for name, value in values.get("route", {}).items():
+        for workspace in value.get("workspaces") or ():
+            if workspace not in workspaces:
+                yield InvalidKind("route", name, "workspaces", "no such workspace")
+    for name, value in values.get("upstream", {}).items():
+        for model in value.get("models", ()):
+            if model not in models:
+                yield InvalidKind("upstream", name, "models", "no such model")
--- /dev/null
+++ b/catkintrack/config/tables.py
@@ -0,0 +1,199 @@
+"""Compile a validated state into the data classes that processes use."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Result, Success
+
+from catkintrack.http import Address
+
+from .errors import InvalidKind
+from .kinds import KeyKind, ModelKind, RouteKind, TierKind, UpstreamKind, WorkspaceKind
+from .state import State, validate_state
+
+
+@dataclass(frozen=True, slots=True)
+class Tier:
+    """Hold a paid priority; times in seconds."""
+
+    name: str
+    weight: int
+    priority: int
+    queue_timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """Hold a tenant, its tier and its token limit over the fleet."""
+
+    name: str
+    tier: Tier
+    rate_tokens_per_s: int
+    burst_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Key:
+    """Hold a caller key's salted hash and its workspace."""
+
+    id: str
+    workspace: Workspace
+    salt: str
+    digest: str
+    is_withdrawn: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Model:
+    """Hold a model's weights version and its bounds."""
+
+    name: str
+    weights_version: str
+    prefill_tokens_per_s: int
+    default_max_tokens: int
+    max_prompt_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class Upstream:
+    """Hold one replica's address and place."""
+
+    name: str
+    address: Address
+    zone: str
+    instance: str
+    models: frozenset[str]
+    service: str | None
+    is_leaving: bool
+    max_running: int
+    checks_fencing: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Hold a path prefix: its target and who may call it."""
+
+    name: str
+    prefix: str
+    service: str | None
+    is_open: bool
+    workspaces: frozenset[str] | None
+    is_repeatable: bool
+    priority: int | None
+    timeout_s: float
+
+    def is_allowed(self, workspace: str) -> bool:
+        """Report whether `workspace` may use the route."""
+        return self.workspaces is None or workspace in self.workspaces
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigTables:
+    """Hold the configuration in force, each table keyed by name."""
+
+    revision: int = 0
+    tier_by_name: dict[str, Tier] = field(default_factory=dict)
+    workspace_by_name: dict[str, Workspace] = field(default_factory=dict)
+    key_by_id: dict[str, Key] = field(default_factory=dict)
+    model_by_name: dict[str, Model] = field(default_factory=dict)
+    upstream_by_name: dict[str, Upstream] = field(default_factory=dict)
+    routes: tuple[Route, ...] = ()
+
+    def find_route(self, path: str) -> Route | None:
+        """Return the route with the longest prefix of `path`."""
+        for route in self.routes:
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def compile_tables(state: State) -> Result[ConfigTables, list[InvalidKind]]:
+    """Return the tables of `state`, or everything that is wrong with it."""
+    errors = validate_state(state)
+    if errors:
+        return Failure(errors)
+    values = state.value_by_name_by_kind
+    tiers = {
+        name: _build_tier(name, TierKind.model_validate(value))
+        for name, value in values.get("tier", {}).items()
+    }
+    workspaces = {
+        name: _build_workspace(name, WorkspaceKind.model_validate(value), tiers)
+        for name, value in values.get("workspace", {}).items()
+    }
+    keys = {
+        name: _build_key(name, KeyKind.model_validate(value), workspaces)
+        for name, value in values.get("key", {}).items()
+    }
+    models = {
+        name: _build_model(name, ModelKind.model_validate(value))
+        for name, value in values.get("model", {}).items()
+    }
+    upstreams = {
+        name: _build_upstream(name, UpstreamKind.model_validate(value))
+        for name, value in values.get("upstream", {}).items()
+    }
+    routes = [
+        _build_route(name, RouteKind.model_validate(value))
+        for name, value in values.get("route", {}).items()
+    ]
+    routes.sort(key=lambda route: (-len(route.prefix), route.name))
+    return Success(
+        ConfigTables(
+            state.revision, tiers, workspaces, keys, models, upstreams, tuple(routes)
+        )
+    )
+
+
+def _build_tier(name: str, kind: TierKind) -> Tier:
+    return Tier(name, kind.weight, kind.priority, kind.queue_timeout_s)
+
+
+def _build_workspace(
+    name: str, kind: WorkspaceKind, tiers: dict[str, Tier]
+) -> Workspace:
+    return Workspace(name, tiers[kind.tier], kind.rate_tokens_per_s, kind.burst_tokens)
+
+
+def _build_key(name: str, kind: KeyKind, workspaces: dict[str, Workspace]) -> Key:
+    workspace = workspaces[kind.workspace]
+    return Key(name, workspace, kind.salt, kind.digest, kind.is_withdrawn)
+
+
+def _build_model(name: str, kind: ModelKind) -> Model:
+    return Model(
+        name,
+        kind.weights_version,
+        kind.prefill_tokens_per_s,
+        kind.default_max_tokens,
+        kind.max_prompt_bytes,
+    )
+
+
+def _build_upstream(name: str, kind: UpstreamKind) -> Upstream:
+    return Upstream(
+        name=name,
+        address=Address(str(kind.host), kind.port),
+        zone=kind.zone,
+        instance=kind.instance,
+        models=frozenset(kind.models),
+        service=kind.service,
+        is_leaving=kind.state == "leaving",
+        max_running=kind.max_running,
+        checks_fencing=kind.checks_fencing,
+    )
+
+
+def _build_route(name: str, kind: RouteKind) -> Route:
+    workspaces = None if kind.workspaces is None else frozenset(kind.workspaces)
+    return Route(
+        name=name,
+        prefix=kind.prefix,
+        service=kind.service,
+        is_open=kind.is_open,
+        workspaces=workspaces,
+        is_repeatable=kind.is_repeatable,
+        priority=kind.priority,
+        timeout_s=kind.timeout_s,
+    )
--- /dev/null
+++ b/catkintrack/decisions/__init__.py
@@ -0,0 +1,51 @@
+"""Decide where a request goes, when, and for whom, without any I/O."""
+
+from .placement import POLICY_BY_NAME, Placement, Policy
+from .prefix import CacheScope, estimate_tokens, hash_prefix
+from .residency import Residency
+from .systems import (
+    Decision,
+    Dispatch,
+    LoadRow,
+    Refusal,
+    RefusalReason,
+    apply_cache_events,
+    apply_load,
+    record_end,
+    record_failure,
+    record_first_token,
+    submit,
+    sync_upstreams,
+    tick,
+    withdraw,
+)
+from .tables import ModelRequest, RunningRow, Tables, UpstreamRow, WorkspaceRow
+
+__all__ = [
+    "POLICY_BY_NAME",
+    "CacheScope",
+    "Decision",
+    "Dispatch",
+    "LoadRow",
+    "ModelRequest",
+    "Placement",
+    "Policy",
+    "Refusal",
+    "RefusalReason",
+    "Residency",
+    "RunningRow",
+    "Tables",
+    "UpstreamRow",
+    "WorkspaceRow",
+    "apply_cache_events",
+    "apply_load",
+    "estimate_tokens",
+    "hash_prefix",
+    "record_end",
+    "record_failure",
+    "record_first_token",
+    "submit",
+    "sync_upstreams",
+    "tick",
+    "withdraw",
+]
--- /dev/null
+++ b/catkintrack/decisions/ejection.py
@@ -0,0 +1,36 @@
+"""Eject failing upstreams and try them again slowly."""
+
+from __future__ import annotations
+
+from .tables import UpstreamRow
+
+FAILURES_TO_EJECT = 3
+EJECTION_S = 0.5
+EJECTION_MAX_S = 15.0
+
+
+def is_ejected(row: UpstreamRow, now: float) -> bool:
+    """Report whether the upstream gets no request but a single trial."""
+    if now < row.ejected_until:
+        return True
+    # One trial at a time until a request has succeeded.
+    return row.ejections > 0 and row.in_flight > 0 and row.failures_in_row > 0
+
+
+def record_failure(row: UpstreamRow, now: float, is_unreachable: bool) -> None:
+    """Count a failure; an upstream that can't be reached is ejected at once."""
+    row.failures_in_row += 1
+    if not is_unreachable and row.failures_in_row < FAILURES_TO_EJECT:
+        return
+    duration_s = min(EJECTION_MAX_S, EJECTION_S * 2**row.ejections)
+    row.ejections += 1
+    row.ejected_until = now + duration_s
+
+
+def record_success(row: UpstreamRow, now: float) -> None:
+    """Count a success; an upstream that was ejected ramps up from now."""
+    if row.ejections:
+        row.ramp_started_at = now
+    row.failures_in_row = 0
+    row.ejections = 0
+    row.ejected_until = 0.0
--- /dev/null
+++ b/catkintrack/decisions/placement.py
@@ -0,0 +1,171 @@
+"""Choose the upstream with the least expected cost for a request."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from .ejection import is_ejected
+from .load import estimate_running, estimate_wait_s
+from .prefix import BLOCK_TOKENS, find_affinity_depth
+from .residency import find_depths
+from .tables import ModelRequest, Tables, UpstreamRow
+
+# Prefilling a prefix on one more replica also evicts as much elsewhere.
+DUPLICATION_WEIGHT = 1.0
+# The chance that a peer has already sent a prefix to its first choice.
+FIRST_CHOICE_CREDIT = 0.5
+RANK_COST_S = 0.001
+MAX_SCANNED = 32
+RANKED_CANDIDATES = 8
+RANDOM_CANDIDATES = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Hold a chosen upstream, its expected cost and the tokens it must prefill.
+
+    `best_cached_tokens` are those that some eligible upstream is believed to hold.
+    """
+
+    upstream: UpstreamRow
+    cost_s: float
+    uncached_tokens: int
+    best_cached_tokens: int = 0
+
+
+Policy = Callable[[Tables, ModelRequest, float, Random], Placement | None]
+
+
+def is_eligible(row: UpstreamRow, request: ModelRequest, now: float) -> bool:
+    """Report whether the upstream may get the request at all."""
+    if row.is_leaving or row.is_loading or row.name in request.excluded:
+        return False
+    return request.model in row.models and not is_ejected(row, now)
+
+
+def list_eligible(
+    tables: Tables, request: ModelRequest, now: float
+) -> list[UpstreamRow]:
+    """Return the upstreams that may get the request, in order of name."""
+    rows = tables.upstream_by_name.values()
+    eligible = [row for row in rows if is_eligible(row, request, now)]
+    return sorted(eligible, key=lambda row: row.name)
+
+
+def affinity_key(request: ModelRequest) -> int:
+    """Return the hash that places the request without any shared knowledge."""
+    depth = find_affinity_depth(len(request.blocks))
+    return request.blocks[depth - 1] if depth else 0
+
+
+def score_rendezvous(key: int, name: str) -> int:
+    """Return the weight of an upstream for `key` (highest random weight hashing).
+
+    Thaler and Ravishankar, "A name-based mapping scheme for rendezvous", 1996.
+    """
+    data = key.to_bytes(8, "big") + name.encode()
+    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest(), "big")
+
+
+def place_by_cost(
+    tables: Tables, request: ModelRequest, now: float, rng: Random
+) -> Placement | None:
+    """Return the upstream where waiting and prefilling cost the least."""
+    eligible = list_eligible(tables, request, now)
+    if not eligible:
+        return None
+    depth_by_slot = find_depths(tables.residency, request.blocks)
+    if request.blocks:
+        key = affinity_key(request)
+        eligible.sort(key=lambda row: score_rendezvous(key, row.name), reverse=True)
+    else:
+        rng.shuffle(eligible)
+    held = [depth_by_slot.get(row.slot, 0) for row in eligible]
+    best_cached = min(max(held) * BLOCK_TOKENS, request.prompt_tokens)
+    best: Placement | None = None
+    for rank, row in _pick_candidates(eligible, depth_by_slot, rng):
+        cached = min(
+            depth_by_slot.get(row.slot, 0) * BLOCK_TOKENS, request.prompt_tokens
+        )
+        cost_s = estimate_cost_s(request, row, rank, cached, now)
+        if best is None or cost_s < best.cost_s:
+            uncached = request.prompt_tokens - cached
+            best = Placement(row, cost_s, uncached, best_cached)
+    return best
+
+
+def estimate_cost_s(
+    request: ModelRequest, row: UpstreamRow, rank: int, cached_tokens: int, now: float
+) -> float:
+    """Return the seconds that the request costs there, itself and others."""
+    uncached = request.prompt_tokens - cached_tokens
+    credit = FIRST_CHOICE_CREDIT * uncached if rank == 0 else 0.0
+    prefill_s = (uncached - credit) / row.prefill_tokens_per_s
+    return (
+        estimate_wait_s(row, now)
+        + prefill_s * (1 + DUPLICATION_WEIGHT)
+        + rank * RANK_COST_S
+    )
+
+
+def _pick_candidates(
+    ranked: list[UpstreamRow], depth_by_slot: dict[int, int], rng: Random
+) -> list[tuple[int, UpstreamRow]]:
+    """Return (rank, upstream) of those worth a look; all of a small fleet."""
+    numbered = list(enumerate(ranked))
+    if len(numbered) <= MAX_SCANNED:
+        return numbered
+    head = numbered[:RANKED_CANDIDATES]
+    tail = numbered[RANKED_CANDIDATES:]
+    holders = [pair for pair in tail if pair[1].slot in depth_by_slot]
+    return head + holders[:RANKED_CANDIDATES] + rng.sample(tail, RANDOM_CANDIDATES)
+
+
+def place_round_robin(
+    tables: Tables, request: ModelRequest, now: float, rng: Random
+) -> Placement | None:
+    """Return the upstreams in turn."""
+    eligible = list_eligible(tables, request, now)
+    if not eligible:
+        return None
+    tables.round_robin_next += 1
+    row = eligible[tables.round_robin_next % len(eligible)]
+    return Placement(row, 0.0, request.prompt_tokens)
+
+
+def place_least_loaded(
+    tables: Tables, request: ModelRequest, now: float, rng: Random
+) -> Placement | None:
+    """Return the upstream with the fewest requests, ties at random."""
+    eligible = list_eligible(tables, request, now)
+    if not eligible:
+        return None
+    rng.shuffle(eligible)
+    row = min(eligible, key=lambda row: estimate_running(row, now))
+    return Placement(row, 0.0, request.prompt_tokens)
+
+
+def place_prefix_hash(
+    tables: Tables, request: ModelRequest, now: float, rng: Random
+) -> Placement | None:
+    """Return the first choice by the hash of the whole prefix."""
+    eligible = list_eligible(tables, request, now)
+    if not eligible:
+        return None
+    key = request.blocks[-1] if request.blocks else 0
+    row = max(eligible, key=lambda row: score_rendezvous(key, row.name))
+    return Placement(row, 0.0, request.prompt_tokens)
+
+
+POLICY_BY_NAME: dict[str, Policy] = {
+    "catkintrack": place_by_cost,
+    "round_robin": place_round_robin,
+    "least_loaded": place_least_loaded,
+    "prefix_hash": place_prefix_hash,
+}
+
+# The baselines send at once, whatever the upstream already has.
+WINDOWED_POLICIES = frozenset({"catkintrack"})
--- /dev/null
+++ b/catkintrack/decisions/prefix.py
@@ -0,0 +1,55 @@
+"""Identify the blocks of a prompt by chained hashes."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+
+BLOCK_BYTES = 1024
+BYTES_PER_TOKEN = 4
+BLOCK_TOKENS = BLOCK_BYTES // BYTES_PER_TOKEN
+HASH_BYTES = 8
+
+
+@dataclass(frozen=True, slots=True)
+class CacheScope:
+    """Name everything besides the text that a cached block depends on."""
+
+    workspace: str
+    model: str
+    weights_version: str
+
+
+def estimate_tokens(size_bytes: int) -> int:
+    """Return the estimated tokens of a prompt of `size_bytes`."""
+    return -(-size_bytes // BYTES_PER_TOKEN)
+
+
+def hash_prefix(scope: CacheScope, prompt: bytes) -> tuple[int, ...]:
+    """Return the chained hash of each whole block of `prompt`.
+
+    Each hash covers the scope and all text up to the block's end, so that equal
+    hashes mean equal prefixes in the same workspace, model and weights.
+    """
+    root = f"{scope.workspace}\0{scope.model}\0{scope.weights_version}"
+    parent = hashlib.blake2b(root.encode(), digest_size=HASH_BYTES).digest()
+    hashes = []
+    for start in range(0, len(prompt) - BLOCK_BYTES + 1, BLOCK_BYTES):
+        block = prompt[start : start + BLOCK_BYTES]
+        parent = hashlib.blake2b(parent + block, digest_size=HASH_BYTES).digest()
+        hashes.append(int.from_bytes(parent, "big"))
+    return tuple(hashes)
+
+
+def find_affinity_depth(block_count: int) -> int:
+    """Return the depth whose hash places a prompt of `block_count` blocks.
+
+    Only the two leading bits of the count are kept. Prompts that share a long
+    prefix and differ in a short tail mostly come to the same depth, on every
+    instance, without any knowledge of other prompts.
+    """
+    if block_count < 2:
+        return block_count
+    kept = block_count - 1
+    shift = max(0, kept.bit_length() - 2)
+    return (kept >> shift) << shift
--- /dev/null
+++ b/catkintrack/decisions/systems.py
@@ -0,0 +1,381 @@
+"""Run the decision systems over the tables, tick by tick.
+
+Time and random numbers are arguments: the same calls give the same decisions.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+from enum import Enum
+from random import Random
+
+from catkintrack.config import ConfigTables
+
+from . import ejection, load
+from .fairness import charge_workspace, cost_of, order_workspaces
+from .placement import POLICY_BY_NAME, WINDOWED_POLICIES, Placement, list_eligible
+from .residency import credit_blocks, discredit_blocks, forget_slot
+from .tables import (
+    RETRY_BUDGET_MAX,
+    ModelRequest,
+    RunningRow,
+    Tables,
+    UpstreamRow,
+    WorkspaceRow,
+    add_upstream,
+    find_workspace,
+)
+
+LOOKAHEAD = 4
+MAX_WAITING_PER_WORKSPACE = 512
+RETRY_EARNED_PER_REQUEST = 0.2
+MIN_RETRY_AFTER_S = 1.0
+INTERVAL_SMOOTHING = 0.2
+REPORT_LAG_MAX_S = 2.0
+
+
+class RefusalReason(Enum):
+    """Say why a request was refused."""
+
+    NO_UPSTREAM = "no_upstream"
+    QUEUE_FULL = "queue_full"
+    DEADLINE = "deadline"
+    RETRY_BUDGET = "retry_budget"
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """Send a request to an upstream."""
+
+    request: ModelRequest
+    upstream: str
+    uncached_tokens: int
+    best_cached_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Refuse a request, which has not run; it may come back after a time."""
+
+    request: ModelRequest
+    reason: RefusalReason
+    retry_after_s: float
+
+
+Decision = Dispatch | Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class LoadRow:
+    """Hold one load report; `at` is when it was true, in seconds."""
+
+    incarnation: str
+    running: int
+    waiting: int
+    prefill_tokens: int
+    is_loading: bool
+    at: float
+
+
+def sync_upstreams(
+    tables: Tables,
+    config: ConfigTables,
+    leaving_instances: frozenset[str],
+    router_count: int,
+    now: float,
+) -> None:
+    """Bring the upstream and workspace tables in line with the configuration."""
+    tables.router_count = max(1, router_count)
+    wanted = {n: u for n, u in config.upstream_by_name.items() if u.models}
+    for name in set(tables.upstream_by_name) - set(wanted):
+        row = tables.upstream_by_name.pop(name)
+        forget_slot(tables.residency, row.slot)
+        del tables.upstream_by_slot[row.slot]
+    for name, upstream in wanted.items():
+        row = tables.upstream_by_name.get(name)
+        if row is None:
+            row = UpstreamRow(name, 0, upstream.zone, upstream.models, 1)
+            add_upstream(tables, row)
+        row.models = upstream.models
+        row.max_running = upstream.max_running
+        row.is_leaving = upstream.is_leaving or upstream.instance in leaving_instances
+        rates = [config.model_by_name[m].prefill_tokens_per_s for m in upstream.models]
+        row.prefill_tokens_per_s = min(rates)
+    for name, workspace in config.workspace_by_name.items():
+        find_workspace(tables, name).weight = workspace.tier.weight
+
+
+def submit(tables: Tables, request: ModelRequest, now: float) -> Refusal | None:
+    """Queue a request, or refuse it when its wait can't end in time."""
+    if request.is_retry:
+        if tables.retry_budget < 1.0:
+            reason = RefusalReason.RETRY_BUDGET
+            return Refusal(request, reason, MIN_RETRY_AFTER_S)
+        tables.retry_budget -= 1.0
+        tables.retries.append(request)
+        return None
+    earned = tables.retry_budget + RETRY_EARNED_PER_REQUEST
+    tables.retry_budget = min(RETRY_BUDGET_MAX, earned)
+    row = find_workspace(tables, request.workspace)
+    wait_s = predict_wait_s(row, now)
+    if len(row.waiting) >= MAX_WAITING_PER_WORKSPACE:
+        return Refusal(
+            request, RefusalReason.QUEUE_FULL, max(MIN_RETRY_AFTER_S, wait_s)
+        )
+    if now + wait_s > request.deadline:
+        over_s = now + wait_s - request.deadline
+        return Refusal(request, RefusalReason.DEADLINE, max(MIN_RETRY_AFTER_S, over_s))
+    row.waiting.append(request)
+    return None
+
+
+def predict_wait_s(row: WorkspaceRow, now: float) -> float:
+    """Return the seconds that a request queued now would wait."""
+    if not row.waiting:
+        return 0.0
+    return len(row.waiting) * row.dispatch_interval_s
+
+
+def withdraw(tables: Tables, request_id: str) -> None:
+    """Drop a waiting request whose caller is gone."""
+    for row in tables.workspace_by_name.values():
+        for request in row.waiting:
+            if request.id == request_id:
+                row.waiting.remove(request)
+                return
+    for request in tables.retries:
+        if request.id == request_id:
+            tables.retries.remove(request)
+            return
+
+
+def tick(tables: Tables, now: float, rng: Random, policy: str) -> list[Decision]:
+    """Return the decisions that are due now."""
+    decisions: list[Decision] = []
+    decisions += refuse_late(tables, now)
+    decisions += dispatch_retries(tables, now, rng, policy)
+    decisions += dispatch_waiting(tables, now, rng, policy)
+    return decisions
+
+
+def refuse_late(tables: Tables, now: float) -> list[Refusal]:
+    """Refuse the requests that have waited past their deadline."""
+    refusals = []
+    for row in tables.workspace_by_name.values():
+        while row.waiting and row.waiting[0].deadline <= now:
+            request = row.waiting.popleft()
+            retry_after_s = max(MIN_RETRY_AFTER_S, predict_wait_s(row, now))
+            refusals.append(Refusal(request, RefusalReason.DEADLINE, retry_after_s))
+    return refusals
+
+
+def dispatch_retries(
+    tables: Tables, now: float, rng: Random, policy: str
+) -> list[Decision]:
+    """Send retries first: their callers already hold a part of the answer."""
+    decisions: list[Decision] = []
+    for _ in range(len(tables.retries)):
+        request = tables.retries.popleft()
+        placement = POLICY_BY_NAME[policy](tables, request, now, rng)
+        if placement is None and request.excluded:
+            # Every other upstream is out: the one that failed may have come back.
+            bare = replace(request, excluded=frozenset())
+            placement = POLICY_BY_NAME[policy](tables, bare, now, rng)
+        if placement is not None:
+            decisions.append(_dispatch(tables, request, placement, now))
+        elif now >= request.deadline:
+            reason = RefusalReason.NO_UPSTREAM
+            decisions.append(Refusal(request, reason, MIN_RETRY_AFTER_S))
+        else:
+            tables.retries.append(request)
+    return decisions
+
+
+def dispatch_waiting(
+    tables: Tables, now: float, rng: Random, policy: str
+) -> list[Decision]:
+    """Send waiting requests in fair order while upstreams are open."""
+    decisions: list[Decision] = []
+    is_progressing = True
+    while is_progressing:
+        is_progressing = False
+        for row in order_workspaces(tables):
+            decision = _dispatch_one(tables, row, now, rng, policy)
+            if decision is not None:
+                decisions.append(decision)
+                is_progressing = True
+                break
+    return decisions
+
+
+def _dispatch_one(
+    tables: Tables, row: WorkspaceRow, now: float, rng: Random, policy: str
+) -> Decision | None:
+    """Send one of the workspace's first few requests whose best upstream is open."""
+    for index in range(min(LOOKAHEAD, len(row.waiting))):
+        request = row.waiting[index]
+        placement = POLICY_BY_NAME[policy](tables, request, now, rng)
+        if placement is None:
+            if not _is_served_anywhere(tables, request):
+                del row.waiting[index]
+                reason = RefusalReason.NO_UPSTREAM
+                return Refusal(request, reason, MIN_RETRY_AFTER_S)
+            continue
+        is_held = policy in WINDOWED_POLICIES and not load.is_open(
+            tables, placement.upstream, now
+        )
+        if is_held:
+            continue
+        del row.waiting[index]
+        _record_interval(row, now)
+        cost = cost_of(request, placement.uncached_tokens)
+        charge_workspace(tables, row, cost)
+        return _dispatch(tables, request, placement, now)
+    return None
+
+
+def _is_served_anywhere(tables: Tables, request: ModelRequest) -> bool:
+    """Report whether some upstream could take the request after a while."""
+    return any(
+        request.model in row.models and not row.is_leaving
+        for row in tables.upstream_by_name.values()
+    )
+
+
+def _record_interval(row: WorkspaceRow, now: float) -> None:
+    """Learn how long the workspace's backlog takes for each request."""
+    if row.waiting:
+        interval_s = max(0.0, now - row.last_dispatch_at)
+        change = INTERVAL_SMOOTHING * (interval_s - row.dispatch_interval_s)
+        row.dispatch_interval_s += change
+    else:
+        row.dispatch_interval_s *= 1 - INTERVAL_SMOOTHING
+    row.last_dispatch_at = now
+
+
+def _dispatch(
+    tables: Tables, request: ModelRequest, placement: Placement, now: float
+) -> Dispatch:
+    row = placement.upstream
+    load.record_dispatch(row, placement.uncached_tokens)
+    tables.running_by_id[request.id] = RunningRow(
+        request, row.name, now, placement.uncached_tokens
+    )
+    return Dispatch(
+        request,
+        row.name,
+        placement.uncached_tokens,
+        placement.best_cached_tokens,
+    )
+
+
+def record_first_token(
+    tables: Tables, request_id: str, incarnation: str, now: float
+) -> None:
+    """Note that a request's prompt is now cached where it runs."""
+    running = tables.running_by_id.get(request_id)
+    row = tables.upstream_by_name.get(running.upstream) if running else None
+    if running is None or row is None:
+        return
+    load.record_prefilled(row, running)
+    ejection.record_success(row, now)
+    if set_incarnation(tables, row, incarnation, now, now):
+        credit_blocks(tables.residency, row.slot, running.request.blocks)
+
+
+def record_end(tables: Tables, request_id: str) -> None:
+    """Note that a request has left its upstream."""
+    running = tables.running_by_id.pop(request_id, None)
+    row = tables.upstream_by_name.get(running.upstream) if running else None
+    if running is not None and row is not None:
+        load.record_leave(row, running)
+
+
+def record_failure(
+    tables: Tables, request_id: str, now: float, is_unreachable: bool
+) -> None:
+    """Note that a request failed at its upstream and has left it."""
+    running = tables.running_by_id.get(request_id)
+    record_end(tables, request_id)
+    row = tables.upstream_by_name.get(running.upstream) if running else None
+    if row is not None:
+        ejection.record_failure(row, now, is_unreachable)
+
+
+def set_incarnation(
+    tables: Tables, row: UpstreamRow, incarnation: str, observed_at: float, now: float
+) -> bool:
+    """Take over the life that was observed; report whether it is the current one.
+
+    What an earlier life held is forgotten, and a life that has ended never returns,
+    however late a report about it arrives.
+    """
+    if incarnation == row.incarnation:
+        return True
+    if not incarnation:
+        return False
+    if incarnation in row.past_incarnations or observed_at < row.incarnation_seen_at:
+        return False
+    if row.incarnation:
+        row.past_incarnations.append(row.incarnation)
+        forget_slot(tables.residency, row.slot)
+        row.ramp_started_at = now
+    row.incarnation = incarnation
+    row.incarnation_seen_at = observed_at
+    return True
+
+
+def apply_load(
+    tables: Tables, report_by_name: Mapping[str, LoadRow], now: float
+) -> None:
+    """Take over load reports."""
+    for name, report in report_by_name.items():
+        row = tables.upstream_by_name.get(name)
+        if row is None or report.at <= row.reported_at:
+            continue
+        observed_at = report.at - REPORT_LAG_MAX_S
+        if not set_incarnation(tables, row, report.incarnation, observed_at, now):
+            continue
+        row.reported_at = report.at
+        row.reported_running = report.running
+        row.reported_waiting = report.waiting
+        row.reported_prefill_tokens = report.prefill_tokens
+        row.is_loading = report.is_loading
+        recent = [
+            running
+            for running in tables.running_by_id.values()
+            if running.upstream == name and running.dispatched_at > report.at
+        ]
+        row.sent_since_report = len(recent)
+        row.prefill_sent_since_report = sum(
+            running.uncached_tokens for running in recent if not running.has_first_token
+        )
+
+
+def apply_cache_events(
+    tables: Tables,
+    upstream: str,
+    incarnation: str,
+    is_reset: bool,
+    stored: Iterable[int],
+    evicted: Iterable[int],
+    now: float,
+) -> None:
+    """Take over changes of an upstream's cache; those of another life are ignored."""
+    row = tables.upstream_by_name.get(upstream)
+    if row is None:
+        return
+    if not row.incarnation:
+        set_incarnation(tables, row, incarnation, now - REPORT_LAG_MAX_S, now)
+    if incarnation != row.incarnation:
+        return
+    if is_reset:
+        forget_slot(tables.residency, row.slot)
+    credit_blocks(tables.residency, row.slot, stored)
+    discredit_blocks(tables.residency, row.slot, evicted)
+
+
+def has_upstream(tables: Tables, request: ModelRequest, now: float) -> bool:
+    """Report whether some upstream may get the request now."""
+    return bool(list_eligible(tables, request, now))
--- /dev/null
+++ b/catkintrack/decisions/tables.py
@@ -0,0 +1,123 @@
+"""Define the tables that the decision systems run over."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from .residency import Residency
+
+RETRY_BUDGET_MAX = 10.0
+PAST_INCARNATIONS = 16
+
+
+@dataclass(slots=True)
+class UpstreamRow:
+    """Hold what is known of one model replica; times in seconds."""
+
+    name: str
+    slot: int
+    zone: str
+    models: frozenset[str]
+    max_running: int
+    prefill_tokens_per_s: float = 10_000.0
+    is_leaving: bool = False
+    is_loading: bool = False
+    incarnation: str = ""
+    incarnation_seen_at: float = 0.0
+    past_incarnations: deque[str] = field(
+        default_factory=lambda: deque(maxlen=PAST_INCARNATIONS)
+    )
+    reported_at: float = -1.0
+    reported_running: int = 0
+    reported_waiting: int = 0
+    reported_prefill_tokens: int = 0
+    sent_since_report: int = 0
+    prefill_sent_since_report: int = 0
+    in_flight: int = 0
+    pending_prefill_tokens: int = 0
+    failures_in_row: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+    ramp_started_at: float = -1e9
+
+
+@dataclass(frozen=True, slots=True)
+class ModelRequest:
+    """Describe a model request; `blocks` are its prefix hashes."""
+
+    id: str
+    workspace: str
+    model: str
+    blocks: tuple[int, ...]
+    prompt_tokens: int
+    max_tokens: int
+    priority: int
+    arrived_at: float
+    deadline: float
+    excluded: frozenset[str] = frozenset()
+    is_retry: bool = False
+
+
+@dataclass(slots=True)
+class WorkspaceRow:
+    """Hold a workspace's waiting requests and its place in the fair order."""
+
+    name: str
+    weight: float = 1.0
+    waiting: deque[ModelRequest] = field(default_factory=deque)
+    virtual_finish: float = 0.0
+    dispatch_interval_s: float = 0.0
+    last_dispatch_at: float = 0.0
+
+
+@dataclass(slots=True)
+class RunningRow:
+    """Hold one dispatched request."""
+
+    request: ModelRequest
+    upstream: str
+    dispatched_at: float
+    uncached_tokens: int
+    has_first_token: bool = False
+
+
+@dataclass(slots=True)
+class Tables:
+    """Hold everything that the decisions depend on."""
+
+    upstream_by_name: dict[str, UpstreamRow] = field(default_factory=dict)
+    upstream_by_slot: dict[int, UpstreamRow] = field(default_factory=dict)
+    workspace_by_name: dict[str, WorkspaceRow] = field(default_factory=dict)
+    running_by_id: dict[str, RunningRow] = field(default_factory=dict)
+    residency: Residency = field(default_factory=Residency)
+    retries: deque[ModelRequest] = field(default_factory=deque)
+    router_count: int = 1
+    virtual_time: float = 0.0
+    retry_budget: float = RETRY_BUDGET_MAX
+    round_robin_next: int = 0
+
+    @property
+    def waiting_count(self) -> int:
+        """Return how many requests wait."""
+        rows = self.workspace_by_name.values()
+        return len(self.retries) + sum(len(row.waiting) for row in rows)
+
+
+def add_upstream(tables: Tables, row: UpstreamRow) -> None:
+    """Add `row` in the lowest free slot."""
+    slot = 0
+    while slot in tables.upstream_by_slot:
+        slot += 1
+    row.slot = slot
+    tables.upstream_by_slot[slot] = row
+    tables.upstream_by_name[row.name] = row
+
+
+def find_workspace(tables: Tables, name: str) -> WorkspaceRow:
+    """Return the row of a workspace, made when it is new."""
+    row = tables.workspace_by_name.get(name)
+    if row is None:
+        row = WorkspaceRow(name)
+        tables.workspace_by_name[name] = row
+    return row
--- /dev/null
+++ b/catkintrack/http/messages.py
@@ -0,0 +1,61 @@
+"""Define the HTTP messages that pass between the server, router and client."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """Hold one request whose body has been read whole."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query string."""
+        return self.target.split(b"?", 1)[0].decode("ascii", "replace")
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseHead:
+    """Hold the status and headers of a response."""
+
+    status: int
+    headers: Headers
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of the lower-case header `name`."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def end_to_end_headers(headers: Headers) -> Headers:
+    """Return `headers` without the hop-by-hop ones (RFC 9110, section 7.6.1)."""
+    dropped = set(HOP_BY_HOP_HEADERS)
+    for key, value in headers:
+        if key == b"connection":
+            dropped.update(part.strip().lower() for part in value.split(b","))
+    return tuple((key, value) for key, value in headers if key not in dropped)
--- /dev/null
+++ b/catkintrack/http/server.py
@@ -0,0 +1,294 @@
+"""Serve HTTP/1.1 with h11 on curio sockets."""
+
+from __future__ import annotations
+
+import socket as std_socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import curio
+import h11
+from curio import socket
+
+from .errors import BadRequest, CallerGone
+from .messages import Headers, Request
+
+READ_SIZE_BYTES = 65536
+LISTEN_BACKLOG = 512
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """Bound what one caller can make the server hold."""
+
+    max_head_bytes: int = 32768
+    max_body_bytes: int = 8 * 1024 * 1024
+    max_connections: int = 2000
+    head_timeout_s: float = 10.0
+    body_timeout_s: float = 30.0
+    idle_timeout_s: float = 75.0
+    write_timeout_s: float = 30.0
+
+
+@dataclass(slots=True)
+class Server:
+    """Hold the open connections of one listening socket."""
+
+    limits: ServerLimits
+    port: int = 0
+    is_draining: bool = False
+    active_requests: int = 0
+    connections: set[Connection] = field(default_factory=set)
+    accept_task: curio.Task | None = None
+
+
+class Connection:
+    """Hold one caller's connection and write its responses."""
+
+    def __init__(self, server: Server, sock: socket.socket) -> None:
+        self.server = server
+        self.sock = sock
+        self.h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits.max_head_bytes
+        )
+        self.is_busy = False
+        self.has_started = False
+        self.task: curio.Task | None = None
+
+    async def start_response(self, status: int, headers: Headers) -> None:
+        """Send the status line and headers."""
+        kept = list(headers)
+        if self.server.is_draining:
+            kept = [(k, v) for k, v in kept if k != b"connection"]
+            kept.append((b"connection", b"close"))
+        self.has_started = True
+        await self._send(h11.Response(status_code=status, headers=kept))
+
+    async def send_body(self, data: bytes) -> None:
+        """Send one part of the body."""
+        await self._send(h11.Data(data=data))
+
+    async def finish_response(self) -> None:
+        """Send the end of the body."""
+        await self._send(h11.EndOfMessage())
+
+    async def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole response with its length."""
+        length = (b"content-length", str(len(body)).encode())
+        await self.start_response(status, (*headers, length))
+        if body:
+            await self.send_body(body)
+        await self.finish_response()
+
+    def is_caller_gone(self) -> bool:
+        """Report whether the caller has closed its side."""
+        flags = std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT
+        try:
+            return self.sock._socket.recv(1, flags) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    async def _send(self, event: h11.Event) -> None:
+        try:
+            data = self.h11.send(event)
+        except h11.LocalProtocolError as error:
+            raise CallerGone(str(error)) from error
+        if not data:
+            return
+        try:
+            # A send that fits the socket buffer needs no timer.
+            sent = self.sock._socket.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError as error:
+            raise CallerGone(str(error)) from error
+        if sent < len(data):
+            await self._send_rest(data[sent:])
+
+    async def _send_rest(self, data: bytes) -> None:
+        timeout_s = self.server.limits.write_timeout_s
+        try:
+            await curio.timeout_after(timeout_s, self.sock.sendall, data)
+        except (OSError, curio.TaskTimeout) as error:
+            raise CallerGone(str(error)) from error
+
+
+Handler = Callable[[Request, Connection], Awaitable[None]]
+BadRequestHandler = Callable[[BadRequest, Connection], Awaitable[None]]
+
+
+async def answer_bad_request(error: BadRequest, connection: Connection) -> None:
+    """Answer a malformed request with its status and a plain message."""
+    headers = ((b"content-type", b"text/plain"), (b"connection", b"close"))
+    await connection.respond(error.status, headers, error.message.encode())
+
+
+@asynccontextmanager
+async def open_server(
+    host: str,
+    port: int,
+    handler: Handler,
+    limits: ServerLimits | None = None,
+    on_bad_request: BadRequestHandler = answer_bad_request,
+) -> AsyncIterator[Server]:
+    """Listen at `host` and `port` until the block ends; port 0 picks a free one."""
+    server = Server(limits or ServerLimits())
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    sock.listen(LISTEN_BACKLOG)
+    server.port = sock.getsockname()[1]
+    accept = _accept_connections(server, sock, handler, on_bad_request)
+    server.accept_task = await curio.spawn(accept, daemon=True)
+    try:
+        yield server
+    finally:
+        await server.accept_task.cancel()
+        for connection in list(server.connections):
+            if connection.task is not None:
+                await connection.task.cancel(blocking=False)
+
+
+async def drain_server(server: Server) -> None:
+    """Stop accepting, close idle connections and wait until requests have ended."""
+    server.is_draining = True
+    if server.accept_task is not None:
+        await server.accept_task.cancel()
+    for connection in list(server.connections):
+        if not connection.is_busy and connection.task is not None:
+            await connection.task.cancel(blocking=False)
+    while server.active_requests:
+        await curio.sleep(0.02)
+
+
+async def _accept_connections(
+    server: Server,
+    sock: socket.socket,
+    handler: Handler,
+    on_bad_request: BadRequestHandler,
+) -> None:
+    async with sock:
+        while True:
+            try:
+                caller, _ = await sock.accept()
+            except OSError:
+                # The process is out of file descriptors; open ones will close.
+                await curio.sleep(0.05)
+                continue
+            if len(server.connections) >= server.limits.max_connections:
+                await caller.close()
+                continue
+            caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection = Connection(server, caller)
+            server.connections.add(connection)
+            serve = _serve_connection(connection, handler, on_bad_request)
+            connection.task = await curio.spawn(serve, daemon=True)
+
+
+async def _serve_connection(
+    connection: Connection, handler: Handler, on_bad_request: BadRequestHandler
+) -> None:
+    server = connection.server
+    try:
+        while not server.is_draining:
+            try:
+                request = await _read_request(connection)
+            except BadRequest as error:
+                connection.is_busy = True
+                await on_bad_request(error, connection)
+                return
+            if request is None:
+                return
+            connection.is_busy = True
+            server.active_requests += 1
+            try:
+                await handler(request, connection)
+            finally:
+                server.active_requests -= 1
+            if connection.h11.our_state is not h11.DONE:
+                return
+            connection.is_busy = False
+            connection.has_started = False
+            connection.h11.start_next_cycle()
+    except (CallerGone, OSError, curio.TaskTimeout, h11.ProtocolError):
+        pass
+    finally:
+        server.connections.discard(connection)
+        await connection.sock.close()
+
+
+async def _read_request(connection: Connection) -> Request | None:
+    """Return the next request, or None when the caller is done."""
+    limits = connection.server.limits
+    head = await _read_head(connection)
+    if head is None:
+        return None
+    headers = tuple((key.lower(), value) for key, value in head.headers)
+    _check_framing(headers, limits)
+    try:
+        async with curio.timeout_after(limits.body_timeout_s):
+            body = await _read_body(connection, limits)
+    except curio.TaskTimeout as error:
+        raise BadRequest(408, "slow_body", "request body took too long") from error
+    return Request(head.method, head.target, headers, body)
+
+
+async def _read_head(connection: Connection) -> h11.Request | None:
+    limits = connection.server.limits
+    timeout_s = limits.idle_timeout_s
+    while True:
+        try:
+            event = connection.h11.next_event()
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            raise BadRequest(status, "malformed_request", str(error)) from error
+        if isinstance(event, h11.Request):
+            return event
+        if event is not h11.NEED_DATA:
+            return None
+        try:
+            data = await curio.timeout_after(
+                timeout_s, connection.sock.recv, READ_SIZE_BYTES
+            )
+        except curio.TaskTimeout as error:
+            if timeout_s == limits.idle_timeout_s:
+                return None
+            raise BadRequest(408, "slow_head", "headers took too long") from error
+        if data:
+            timeout_s = limits.head_timeout_s
+        connection.h11.receive_data(data)
+
+
+def _check_framing(headers: Headers, limits: ServerLimits) -> None:
+    """Refuse ambiguous body lengths (RFC 9112, section 6.3)."""
+    lengths = [value for key, value in headers if key == b"content-length"]
+    is_chunked = any(key == b"transfer-encoding" for key, _ in headers)
+    if is_chunked and lengths or len(lengths) > 1:
+        raise BadRequest(400, "conflicting_lengths", "conflicting body lengths")
+    if lengths and int(lengths[0]) > limits.max_body_bytes:
+        raise BadRequest(413, "body_too_large", "request body is too large")
+
+
+async def _read_body(connection: Connection, limits: ServerLimits) -> bytes:
+    if connection.h11.they_are_waiting_for_100_continue:
+        go_ahead = h11.InformationalResponse(status_code=100, headers=[])
+        await connection._send(go_ahead)
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        try:
+            event = connection.h11.next_event()
+        except h11.RemoteProtocolError as error:
+            raise BadRequest(400, "malformed_body", str(error)) from error
+        if event is h11.NEED_DATA:
+            connection.h11.receive_data(await connection.sock.recv(READ_SIZE_BYTES))
+        elif isinstance(event, h11.Data):
+            size += len(event.data)
+            if size > limits.max_body_bytes:
+                raise BadRequest(413, "body_too_large", "request body is too large")
+            parts.append(bytes(event.data))
+        else:
+            return b"".join(parts)
--- /dev/null
+++ b/catkintrack/limits/lending.py
@@ -0,0 +1,175 @@
+"""Move parts and tokens between holders without ever making any.
+
+The giver subtracts before it sends.  Grants to one receiver are numbered, kept and
+sent again until confirmed, and taken in order, each once.  What is in flight when
+either side dies is lost until a recount.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from dataclasses import dataclass, field
+
+from catkintrack.links import Grant, GrantAck
+
+from .ledger import Ledger
+from .shares import PARTS_TOTAL, Shares, burst_of, find_share
+
+MAX_UNCONFIRMED = 64
+
+
+@dataclass(slots=True)
+class OutChannel:
+    """Hold the grants to one peer's incarnation that are not confirmed yet."""
+
+    peer_incarnation: int
+    next_sequence: int = 1
+    unconfirmed: deque[Grant] = field(default_factory=deque)
+
+
+@dataclass(slots=True)
+class InChannel:
+    """Hold the last grant taken from one peer's incarnation."""
+
+    peer_incarnation: int
+    last_sequence: int = 0
+
+
+@dataclass(slots=True)
+class Holder:
+    """Hold what one agent has of the limits, and its channels to peers."""
+
+    instance: str
+    incarnation: int
+    shares: Shares = field(default_factory=Shares)
+    ledger: Ledger = field(default_factory=Ledger)
+    frozen_by_recount: set[int] = field(default_factory=set)
+    out_by_peer: dict[str, OutChannel] = field(default_factory=dict)
+    in_by_peer: dict[str, InChannel] = field(default_factory=dict)
+
+    @property
+    def is_frozen(self) -> bool:
+        """Report whether a recount forbids lending."""
+        return bool(self.frozen_by_recount)
+
+    @property
+    def is_member(self) -> bool:
+        """Report whether the ledger lists this incarnation."""
+        return self.ledger.members.get(self.instance) == self.incarnation
+
+
+def lend(
+    holder: Holder, peer: str, workspace: str, tokens: float, ticket: int, now: float
+) -> Grant | None:
+    """Subtract up to `tokens`, with the parts to hold them, and return the grant."""
+    peer_incarnation = holder.ledger.members.get(peer)
+    if holder.is_frozen or not holder.is_member or peer_incarnation is None:
+        return None
+    spec = holder.shares.spec_by_workspace.get(workspace)
+    channel = _find_out_channel(holder, peer, peer_incarnation)
+    if spec is None or len(channel.unconfirmed) >= MAX_UNCONFIRMED:
+        return None
+    row = find_share(holder.shares, workspace, now)
+    given = min(tokens, row.tokens)
+    if given <= 0:
+        return None
+    parts = min(row.parts, math.ceil(given * PARTS_TOTAL / spec.burst))
+    row.parts -= parts
+    row.tokens = min(row.tokens - given, burst_of(spec, row.parts))
+    grant = Grant(
+        holder.ledger.generation,
+        peer_incarnation,
+        channel.next_sequence,
+        workspace,
+        parts,
+        given,
+        ticket,
+    )
+    channel.next_sequence += 1
+    channel.unconfirmed.append(grant)
+    return grant
+
+
+def lend_all(holder: Holder, peer: str, now: float) -> list[Grant]:
+    """Subtract everything and return the grants, as a holder does that stops."""
+    grants = []
+    for workspace, row in list(holder.shares.share_by_workspace.items()):
+        grant = lend(holder, peer, workspace, max(row.tokens, 1e-9), 0, now)
+        if grant is None:
+            continue
+        rest = row.parts
+        row.parts = 0
+        row.tokens = 0.0
+        whole = Grant(
+            grant.generation,
+            grant.receiver_incarnation,
+            grant.sequence,
+            workspace,
+            grant.parts + rest,
+            grant.tokens,
+            0,
+        )
+        channel = holder.out_by_peer[peer]
+        channel.unconfirmed[-1] = whole
+        grants.append(whole)
+    return grants
+
+
+def accept(
+    holder: Holder, sender: str, sender_incarnation: int, grant: Grant, now: float
+) -> GrantAck | None:
+    """Add a grant that is next in order and return its confirmation.
+
+    A grant for another life, of another generation or during a recount is ignored.
+    """
+    if holder.is_frozen or not holder.is_member:
+        return None
+    if grant.receiver_incarnation != holder.incarnation:
+        return None
+    if grant.generation != holder.ledger.generation:
+        return None
+    if holder.ledger.members.get(sender) != sender_incarnation:
+        return None
+    channel = holder.in_by_peer.get(sender)
+    if channel is None or channel.peer_incarnation != sender_incarnation:
+        channel = InChannel(sender_incarnation)
+        holder.in_by_peer[sender] = channel
+    if grant.sequence == channel.last_sequence + 1:
+        channel.last_sequence = grant.sequence
+        _add(holder, grant, now)
+    return GrantAck(sender_incarnation, channel.last_sequence)
+
+
+def confirm(holder: Holder, peer: str, ack: GrantAck) -> None:
+    """Drop the grants that the peer has taken."""
+    channel = holder.out_by_peer.get(peer)
+    if channel is None or ack.sender_incarnation != holder.incarnation:
+        return
+    while channel.unconfirmed and channel.unconfirmed[0].sequence <= ack.sequence:
+        channel.unconfirmed.popleft()
+
+
+def list_unconfirmed(holder: Holder) -> list[tuple[str, Grant]]:
+    """Return (peer, grant) of each grant to send again, oldest first."""
+    return [
+        (peer, grant)
+        for peer, channel in holder.out_by_peer.items()
+        for grant in channel.unconfirmed
+    ]
+
+
+def _add(holder: Holder, grant: Grant, now: float) -> None:
+    row = find_share(holder.shares, grant.workspace, now)
+    row.parts += grant.parts
+    spec = holder.shares.spec_by_workspace.get(grant.workspace)
+    ceiling = burst_of(spec, row.parts) if spec else 0.0
+    row.tokens = min(row.tokens + grant.tokens, ceiling)
+
+
+def _find_out_channel(holder: Holder, peer: str, incarnation: int) -> OutChannel:
+    channel = holder.out_by_peer.get(peer)
+    if channel is None or channel.peer_incarnation != incarnation:
+        channel = OutChannel(incarnation)
+        holder.out_by_peer[peer] = channel
+    return channel
--- /dev/null
+++ b/catkintrack/limits/shares.py
@@ -0,0 +1,88 @@
+"""Hold an instance's shares of the workspaces' token limits.
+
+A share is a number of parts out of PARTS_TOTAL, which fixes the rate and the burst
+that its holder may use, and the tokens that it has left.  Parts are conserved over
+the fleet and tokens never exceed the burst that the parts stand for, so that all
+holders together admit at most burst + rate * time in any stretch of time.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+PARTS_TOTAL = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class LimitSpec:
+    """Hold a workspace's limit over the fleet, in tokens and tokens a second."""
+
+    rate: float
+    burst: float
+
+
+@dataclass(slots=True)
+class ShareRow:
+    """Hold one workspace's share; `tokens` may be negative after a settlement."""
+
+    parts: int = 0
+    tokens: float = 0.0
+    updated_at: float = 0.0
+
+
+@dataclass(slots=True)
+class Shares:
+    """Hold the shares of one holder, keyed by workspace."""
+
+    spec_by_workspace: dict[str, LimitSpec] = field(default_factory=dict)
+    share_by_workspace: dict[str, ShareRow] = field(default_factory=dict)
+
+
+def burst_of(spec: LimitSpec, parts: int) -> float:
+    """Return the tokens that `parts` may hold."""
+    return spec.burst * parts / PARTS_TOTAL
+
+
+def find_share(shares: Shares, workspace: str, now: float) -> ShareRow:
+    """Return the workspace's share with its tokens accrued up to `now`."""
+    row = shares.share_by_workspace.get(workspace)
+    if row is None:
+        row = ShareRow(updated_at=now)
+        shares.share_by_workspace[workspace] = row
+    spec = shares.spec_by_workspace.get(workspace)
+    if spec is not None:
+        _accrue(row, spec, now)
+    return row
+
+
+def _accrue(row: ShareRow, spec: LimitSpec, now: float) -> None:
+    elapsed_s = max(0.0, now - row.updated_at)
+    accrued = row.tokens + spec.rate * row.parts / PARTS_TOTAL * elapsed_s
+    row.tokens = min(accrued, burst_of(spec, row.parts))
+    row.updated_at = max(now, row.updated_at)
+
+
+def set_specs(shares: Shares, specs: dict[str, LimitSpec], now: float) -> None:
+    """Put new limits in force; what accrued before counts by the old ones."""
+    for workspace in shares.share_by_workspace:
+        find_share(shares, workspace, now)
+    shares.spec_by_workspace = specs
+    for workspace in shares.share_by_workspace:
+        find_share(shares, workspace, now)
+
+
+def debit(shares: Shares, workspace: str, tokens: float, now: float) -> float:
+    """Take `tokens` if the share has them; return how many are missing, else 0."""
+    row = find_share(shares, workspace, now)
+    if row.tokens < tokens:
+        return tokens - row.tokens
+    row.tokens -= tokens
+    return 0.0
+
+
+def settle(shares: Shares, workspace: str, tokens: float, now: float) -> None:
+    """Give back reserved tokens that were not used; negative ones are owed."""
+    row = find_share(shares, workspace, now)
+    spec = shares.spec_by_workspace.get(workspace)
+    if spec is not None:
+        row.tokens = min(row.tokens + tokens, burst_of(spec, row.parts))
--- /dev/null
+++ b/catkintrack/limits/tests/test_limit_protocol.py
@@ -0,0 +1,365 @@
+"""Check the limits' protocol under loss, repeats, reordering, pauses and crashes."""
+
+import unittest
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from catkintrack import limits
+from catkintrack.limits import lending
+from catkintrack.links import Freeze, Thaw
+from catkintrack.testing.profiles import DETERMINISTIC
+
+INSTANCES = ("a", "b", "c")
+WORKSPACE = "w"
+SPEC = limits.LimitSpec(rate=100.0, burst=1000.0)
+instances = st.sampled_from(INSTANCES)
+some_instances = st.sampled_from(
+    [frozenset(), frozenset(), frozenset("a"), frozenset("b"), frozenset("c")]
+)
+pairs = st.permutations(INSTANCES).map(lambda names: tuple(names[:2]))
+
+
+@dataclass
+class Protocol:
+    """Hold the functions under test, so that a faulty one can take its place."""
+
+    lend: Callable = limits.lend
+    accept: Callable = limits.accept
+    freeze: Callable = limits.freeze
+    finish: Callable = limits.finish_recount
+    adopt: Callable = limits.adopt
+
+
+@dataclass
+class Node:
+    """Hold one instance's process and what it knows of the platform."""
+
+    holder: limits.Holder
+    recount: limits.Recount | None = None
+    is_paused: bool = False
+    is_removed: bool = False
+
+
+@dataclass
+class Wire:
+    """Hold the messages in flight; any may be lost, repeated or overtaken."""
+
+    messages: list = field(default_factory=list)
+
+
+class LimitMachine(RuleBasedStateMachine):
+    """Interleave lending, recounts and failures over four instances."""
+
+    protocol = Protocol()
+
+    @initialize()
+    def set_up(self):
+        self.now = 0.0
+        self.next_incarnation = 0
+        self.admitted = 0.0
+        self.ledger = limits.Ledger()
+        self.wire = Wire()
+        self.node_by_instance = {name: self.start(name) for name in INSTANCES}
+        self.run_whole_recount("a", set(), set())
+
+    def start(self, name):
+        self.next_incarnation += 1
+        holder = limits.Holder(name, self.next_incarnation)
+        holder.shares.spec_by_workspace = {WORKSPACE: SPEC}
+        return Node(holder)
+
+    def running(self):
+        return {
+            name: node
+            for name, node in self.node_by_instance.items()
+            if not node.is_paused and not node.is_removed
+        }
+
+    def is_up(self, name):
+        return name in self.running()
+
+    @rule(seconds=st.sampled_from([0.01, 0.5, 5.0]))
+    def pass_time(self, seconds):
+        self.now += seconds
+
+    @rule(name=instances, tokens=st.integers(1, 500))
+    def admit(self, name, tokens):
+        if not self.is_up(name):
+            return
+        shares = self.node_by_instance[name].holder.shares
+        if limits.debit(shares, WORKSPACE, tokens, self.now) == 0:
+            self.admitted += tokens
+
+    @rule(pair=pairs, tokens=st.integers(100, 800), copies=st.integers(0, 2))
+    def lend(self, pair, tokens, copies):
+        """Lend, and let the grant arrive late (0 copies), once or twice."""
+        giver, receiver = pair
+        if not self.is_up(giver):
+            return
+        holder = self.node_by_instance[giver].holder
+        grant = self.protocol.lend(holder, receiver, WORKSPACE, tokens, 0, self.now)
+        if grant is not None and copies == 0:
+            self.send(giver, holder.incarnation, receiver, grant)
+        elif grant is not None:
+            for _ in range(copies):
+                self.take(giver, holder.incarnation, receiver, grant)
+
+    @rule(name=instances)
+    def repeat_unconfirmed(self, name):
+        if not self.is_up(name):
+            return
+        holder = self.node_by_instance[name].holder
+        for peer, grant in limits.list_unconfirmed(holder):
+            self.send(name, holder.incarnation, peer, grant)
+
+    def send(self, sender, incarnation, receiver, message):
+        self.wire.messages.append((sender, incarnation, receiver, message))
+
+    @rule(index=st.integers(0, 5), is_repeated=st.booleans())
+    def deliver(self, index, is_repeated):
+        if not self.wire.messages:
+            return
+        index %= len(self.wire.messages)
+        message = self.wire.messages[index]
+        if not is_repeated:
+            del self.wire.messages[index]
+        self.take(*message)
+
+    @rule(index=st.integers(0, 50))
+    def lose(self, index):
+        if self.wire.messages:
+            del self.wire.messages[index % len(self.wire.messages)]
+
+    def take(self, sender, incarnation, receiver, message):
+        if not self.is_up(receiver):
+            return
+        node = self.node_by_instance[receiver]
+        holder = node.holder
+        match message:
+            case limits.lending.Grant():
+                ack = self.protocol.accept(
+                    holder, sender, incarnation, message, self.now
+                )
+                if ack is not None:
+                    self.send(receiver, holder.incarnation, sender, ack)
+            case limits.lending.GrantAck():
+                limits.confirm(holder, sender, message)
+            case Freeze():
+                held = self.protocol.freeze(holder, message)
+                if held is not None:
+                    self.send(receiver, holder.incarnation, sender, held)
+            case Thaw():
+                limits.thaw(holder, message)
+            case _:
+                if node.recount is not None:
+                    limits.record_held(node.recount, sender, incarnation, message)
+
+    @rule(name=instances)
+    def read_ledger(self, name):
+        if self.is_up(name):
+            holder = self.node_by_instance[name].holder
+            self.protocol.adopt(holder, self.ledger, self.now)
+
+    @rule(name=instances, silent=some_instances)
+    def begin_recount(self, name, silent):
+        """Freeze everybody; the coordinator may believe some to be dead."""
+        if not self.is_up(name):
+            return
+        node = self.node_by_instance[name]
+        alive = {
+            other: peer.holder.incarnation
+            for other, peer in self.running().items()
+            if other not in silent or other == name
+        }
+        gone = [n for n, peer in self.node_by_instance.items() if peer.is_removed]
+        recount_id = self.next_incarnation * 1000 + len(self.wire.messages)
+        node.recount = limits.start_recount(recount_id, self.ledger, alive, gone)
+        message = Freeze(self.ledger.generation, recount_id)
+        for other in node.recount.members:
+            self.send(name, node.holder.incarnation, other, message)
+
+    @rule(name=instances, silent=some_instances, late=some_instances)
+    def run_whole_recount(self, name, silent, late):
+        """Run a recount that overtakes what is in flight.
+
+        Those that are `late` don't read the ledger yet.
+        """
+        overtaken, self.wire.messages = self.wire.messages, []
+        self.begin_recount(name, silent)
+        self.deliver_everything()
+        self.end_recount(name)
+        for other in INSTANCES:
+            if other not in late:
+                self.read_ledger(other)
+        self.wire.messages += overtaken
+
+    @rule()
+    def heal(self):
+        """Wake and replace every process and recount with all of them."""
+        for name, node in self.node_by_instance.items():
+            node.is_paused = False
+            if node.is_removed:
+                self.node_by_instance[name] = self.start(name)
+        self.run_whole_recount("a", set(), set())
+
+    @rule(pair=pairs, tokens=st.integers(100, 800))
+    def recount_over_a_grant(self, pair, tokens):
+        """Let a grant arrive after its receiver has reported to a recount."""
+        giver, receiver = pair
+        self.heal()
+        before = len(self.wire.messages)
+        self.lend(pair, tokens, 0)
+        self.run_whole_recount(giver, set(), {receiver})
+        for message in self.wire.messages[before:]:
+            self.take(*message)
+
+    @rule(pair=pairs, tokens=st.integers(100, 800))
+    def restart_after_lending(self, pair, tokens):
+        """Let a process lend, die and read what the ledger once gave it."""
+        self.lend(pair, tokens, 1)
+        self.fail(pair[0], "restart")
+
+    @rule()
+    def deliver_everything(self):
+        """Let all messages arrive, in order."""
+        for _ in range(3):
+            messages, self.wire.messages = self.wire.messages, []
+            for message in messages:
+                self.take(*message)
+
+    @rule(name=instances)
+    def end_recount(self, name):
+        node = self.node_by_instance[name]
+        if not self.is_up(name) or node.recount is None:
+            return
+        recount, node.recount = node.recount, None
+        if self.ledger.generation != recount.ledger.generation:
+            message = Thaw(recount.ledger.generation, recount.id)
+            for other in recount.members:
+                self.send(name, node.holder.incarnation, other, message)
+            return
+        self.ledger = self.protocol.finish(recount, [WORKSPACE])
+
+    @rule(name=instances, kind=st.sampled_from(["freeze", "restart", "remove"]))
+    def fail(self, name, kind):
+        """Freeze or wake a process, restart it, or end its instance for good."""
+        node = self.node_by_instance[name]
+        if kind == "freeze":
+            node.is_paused = not node.is_paused
+        elif kind == "restart":
+            self.node_by_instance[name] = self.start(name)
+            self.read_ledger(name)
+        elif sum(not n.is_removed for n in self.node_by_instance.values()) > 1:
+            node.is_removed = True
+
+    @invariant()
+    def parts_are_never_made(self):
+        rows = [
+            node.holder.shares.share_by_workspace.get(WORKSPACE)
+            for node in getattr(self, "node_by_instance", {}).values()
+            if not node.is_removed
+        ]
+        parts = sum(row.parts for row in rows if row is not None)
+        assert parts <= limits.PARTS_TOTAL, f"{parts} parts"
+
+    @invariant()
+    def limit_holds(self):
+        if hasattr(self, "admitted"):
+            allowed = SPEC.burst + SPEC.rate * self.now
+            assert self.admitted <= allowed + 1e-6, f"{self.admitted} > {allowed}"
+
+
+class LongRun:
+    """Give the machine enough steps for a recount with failures inside."""
+
+    settings = settings(DETERMINISTIC, max_examples=300, stateful_step_count=50)
+
+
+def lend_without_subtracting(holder, peer, workspace, tokens, ticket, now):
+    row = limits.find_share(holder.shares, workspace, now)
+    before = (row.parts, row.tokens)
+    grant = lending.lend(holder, peer, workspace, tokens, ticket, now)
+    row.parts, row.tokens = before
+    return grant
+
+
+def accept_out_of_order(holder, sender, incarnation, grant, now):
+    channel = holder.in_by_peer.get(sender)
+    if channel is not None:
+        channel.last_sequence = grant.sequence - 1
+    return lending.accept(holder, sender, incarnation, grant, now)
+
+
+def freeze_without_stopping(holder, message):
+    held = limits.freeze(holder, message)
+    holder.frozen_by_recount.clear()
+    return held
+
+
+def finish_without_waiting(recount, workspaces):
+    for name in limits.find_missing(recount):
+        recount.held_by_instance[name] = {}
+    return limits.finish_recount(recount, workspaces)
+
+
+def adopt_old_grants(holder, ledger, now):
+    """Let a restarted process take what the ledger gave to its earlier life."""
+    mine = {**ledger.members, holder.instance: holder.incarnation}
+    return limits.adopt(holder, replace_members(ledger, mine), now)
+
+
+def replace_members(ledger, members):
+    return type(ledger)(
+        ledger.generation,
+        ledger.recount,
+        members,
+        ledger.unresolved,
+        ledger.workspaces,
+        ledger.fresh,
+        ledger.bonus_by_instance_by_workspace,
+    )
+
+
+def make_machine(protocol):
+    return type("FaultyLimitMachine", (LimitMachine,), {"protocol": protocol})
+
+
+class LimitProtocolTest(unittest.TestCase):
+    def check(self, machine):
+        run_state_machine_as_test(machine, settings=LongRun.settings)
+
+    def assert_caught(self, protocol):
+        with self.assertRaises(AssertionError):
+            self.check(make_machine(protocol))
+
+    def test_limits_hold_under_every_failure(self):
+        self.check(LimitMachine)
+
+    def test_catches_a_lend_that_does_not_subtract(self):
+        self.assert_caught(replace(Protocol(), lend=lend_without_subtracting))
+
+    def test_catches_a_grant_taken_twice(self):
+        self.assert_caught(replace(Protocol(), accept=accept_out_of_order))
+
+    def test_catches_a_freeze_that_does_not_stop_lending(self):
+        self.assert_caught(replace(Protocol(), freeze=freeze_without_stopping))
+
+    def test_catches_a_recount_that_takes_silence_for_death(self):
+        self.assert_caught(replace(Protocol(), finish=finish_without_waiting))
+
+    def test_catches_a_restart_that_takes_its_old_share(self):
+        self.assert_caught(replace(Protocol(), adopt=adopt_old_grants))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/catkintrack/links/sockets.py
@@ -0,0 +1,167 @@
+"""Open encrypted ZeroMQ sockets and wait for them under curio."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+import zmq
+import zmq.utils.z85 as z85
+from curio.traps import _read_wait
+
+SEND_QUEUE_MESSAGES = 1000
+MAX_MESSAGE_BYTES = 4 << 20
+RECONNECT_MS = 50
+RECONNECT_MAX_MS = 500
+HEARTBEAT_MS = 1000
+HEARTBEAT_TIMEOUT_MS = 3000
+ZAP_ENDPOINT = "inproc://zeromq.zap.01"
+
+
+@dataclass(frozen=True, slots=True)
+class LinkKeys:
+    """Hold the CURVE keys of a process, Z85 encoded."""
+
+    public: bytes
+    secret: bytes
+    accepted: frozenset[bytes]
+
+    def __repr__(self) -> str:
+        return f"LinkKeys(public={self.public!r})"
+
+
+MessageHandler = Callable[[bytes, bytes], Awaitable[None]]
+
+
+class Link:
+    """Hold one ZeroMQ socket and pass what arrives to a handler."""
+
+    def __init__(self, socket: zmq.Socket, on_message: MessageHandler) -> None:
+        self.socket = socket
+        self.on_message = on_message
+        self.is_draining = False
+        self.dropped_messages = 0
+
+    async def send(self, data: bytes, identity: bytes | None = None) -> bool:
+        """Queue `data`; report False when the queue is full or nobody is there."""
+        frames = [data] if identity is None else [identity, data]
+        try:
+            self.socket.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            self.dropped_messages += 1
+            return False
+        # A send can consume the edge that announces input (zmq_getsockopt, ZMQ_FD).
+        if not self.is_draining and self.socket.EVENTS & zmq.POLLIN:
+            await self.drain()
+        return True
+
+    async def drain(self) -> None:
+        """Handle every message that has arrived."""
+        if self.is_draining:
+            return
+        self.is_draining = True
+        try:
+            while True:
+                frames = self.socket.recv_multipart(zmq.NOBLOCK)
+                identity = frames[0] if len(frames) > 1 else b""
+                await self.on_message(identity, frames[-1])
+        except zmq.Again:
+            pass
+        finally:
+            self.is_draining = False
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        while True:
+            await self.drain()
+            await _read_wait(self.socket.FD)
+
+
+@contextmanager
+def open_context() -> Iterator[zmq.Context]:
+    """Yield a ZeroMQ context and end it without waiting for unsent messages."""
+    context = zmq.Context()
+    try:
+        yield context
+    finally:
+        context.destroy(linger=0)
+
+
+def bind_link(
+    context: zmq.Context,
+    keys: LinkKeys,
+    host: str,
+    port: int,
+    on_message: MessageHandler,
+) -> Link:
+    """Bind a ROUTER socket that accepts the keys in `keys.accepted` only."""
+    socket = context.socket(zmq.ROUTER)
+    _set_options(socket)
+    socket.ROUTER_HANDOVER = 1
+    socket.ROUTER_MANDATORY = 1
+    socket.CURVE_SERVER = 1
+    socket.CURVE_PUBLICKEY = keys.public
+    socket.CURVE_SECRETKEY = keys.secret
+    socket.bind(f"tcp://{host}:{port}")
+    return Link(socket, on_message)
+
+
+def connect_link(
+    context: zmq.Context,
+    keys: LinkKeys,
+    server_key: bytes,
+    host: str,
+    port: int,
+    on_message: MessageHandler,
+    identity: bytes = b"",
+) -> Link:
+    """Connect a DEALER socket to the server that holds `server_key`."""
+    socket = context.socket(zmq.DEALER)
+    _set_options(socket)
+    if identity:
+        socket.IDENTITY = identity
+    # Messages to a peer that is away are dropped, not kept for its next life.
+    socket.IMMEDIATE = 1
+    socket.CURVE_SERVERKEY = server_key
+    socket.CURVE_PUBLICKEY = keys.public
+    socket.CURVE_SECRETKEY = keys.secret
+    socket.connect(f"tcp://{host}:{port}")
+    return Link(socket, on_message)
+
+
+def _set_options(socket: zmq.Socket) -> None:
+    socket.LINGER = 0
+    socket.SNDHWM = SEND_QUEUE_MESSAGES
+    socket.RCVHWM = SEND_QUEUE_MESSAGES
+    socket.MAXMSGSIZE = MAX_MESSAGE_BYTES
+    socket.RECONNECT_IVL = RECONNECT_MS
+    socket.RECONNECT_IVL_MAX = RECONNECT_MAX_MS
+    socket.HEARTBEAT_IVL = HEARTBEAT_MS
+    socket.HEARTBEAT_TIMEOUT = HEARTBEAT_TIMEOUT_MS
+
+
+def bind_authenticator(context: zmq.Context) -> zmq.Socket:
+    """Bind the socket for authentication; links bound before it accept strangers."""
+    socket = context.socket(zmq.REP)
+    socket.bind(ZAP_ENDPOINT)
+    return socket
+
+
+async def run_authenticator(socket: zmq.Socket, keys: LinkKeys) -> None:
+    """Answer ZeroMQ's authentication requests (RFC 27/ZAP) until cancelled."""
+    accepted = {z85.decode(key) for key in keys.accepted}
+    while True:
+        try:
+            frames = socket.recv_multipart(zmq.NOBLOCK)
+        except zmq.Again:
+            await _read_wait(socket.FD)
+            continue
+        socket.send_multipart(_answer_zap(frames, accepted))
+
+
+def _answer_zap(frames: list[bytes], accepted: set[bytes]) -> list[bytes]:
+    version, request_id, _, _, _, mechanism, *credentials = frames
+    is_known = mechanism == b"CURVE" and credentials[0] in accepted
+    status = b"200" if is_known else b"400"
+    return [version, request_id, status, b"", b"peer", b""]
--- /dev/null
+++ b/catkintrack/membership/table.py
@@ -0,0 +1,169 @@
+"""Hold what an agent knows of the fleet's members."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from catkintrack.links import MemberNews
+
+NEWS_REPEATS = 6
+MAX_NEWS_PER_MESSAGE = 16
+
+
+class MemberState(Enum):
+    """Say whether a member is believed to live."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+
+
+@dataclass(slots=True)
+class MemberRow:
+    """Hold one member; `heard_at` is when this agent last had word of its life."""
+
+    news: MemberNews
+    state: MemberState
+    heard_at: float
+    probed_at: float = -1e9
+    died_at: float = 0.0
+
+    @property
+    def incarnation(self) -> int:
+        """Return the newest known incarnation."""
+        return self.news.incarnation
+
+
+@dataclass(slots=True)
+class Members:
+    """Hold the members, keyed by instance, and the news still to pass on."""
+
+    own: MemberNews
+    row_by_instance: dict[str, MemberRow] = field(default_factory=dict)
+    pending_news: deque[tuple[MemberNews, int]] = field(default_factory=deque)
+    last_tick_at: float = 0.0
+    next_heartbeat_at: float = 0.0
+
+
+def is_newer(new: MemberNews, old: MemberNews) -> bool:
+    """Report whether `new` overrides `old`; death overrides life of the same age."""
+    return _age_key(new) > _age_key(old)
+
+
+def _age_key(news: MemberNews) -> tuple[int, int, bool]:
+    return (news.incarnation, news.version, not news.is_alive)
+
+
+def learn_news(members: Members, items: Iterable[MemberNews], now: float) -> bool:
+    """Take in news; report whether any of it changed the table."""
+    changed = False
+    for news in items:
+        changed |= _learn_one(members, news, now)
+    return changed
+
+
+def _learn_one(members: Members, news: MemberNews, now: float) -> bool:
+    if news.instance == members.own.instance:
+        return _refute(members, news)
+    row = members.row_by_instance.get(news.instance)
+    if row is not None and not is_newer(news, row.news):
+        return False
+    if row is None and not news.is_alive:
+        return False
+    state = MemberState.ALIVE if news.is_alive else MemberState.DEAD
+    if row is None:
+        row = MemberRow(news, state, now)
+        members.row_by_instance[news.instance] = row
+    row.news = news
+    row.state = state
+    if news.is_alive:
+        row.heard_at = now
+    else:
+        row.died_at = now
+    pass_on(members, news)
+    return True
+
+
+def _refute(members: Members, news: MemberNews) -> bool:
+    """Answer news of one's own death by a higher version."""
+    own = members.own
+    if news.incarnation != own.incarnation or news.is_alive or not own.is_alive:
+        return False
+    if news.version < own.version:
+        return False
+    members.own = replace_version(own, news.version + 1)
+    pass_on(members, members.own)
+    return True
+
+
+def replace_version(news: MemberNews, version: int) -> MemberNews:
+    """Return `news` with another version."""
+    return MemberNews(
+        news.instance,
+        news.incarnation,
+        version,
+        news.is_alive,
+        news.zone,
+        news.mesh_host,
+        news.mesh_port,
+        news.routers_host,
+        news.routers_port,
+    )
+
+
+def as_dead(news: MemberNews) -> MemberNews:
+    """Return the news that this life has ended."""
+    return MemberNews(
+        news.instance,
+        news.incarnation,
+        news.version,
+        False,
+        news.zone,
+        news.mesh_host,
+        news.mesh_port,
+        news.routers_host,
+        news.routers_port,
+    )
+
+
+def pass_on(members: Members, news: MemberNews) -> None:
+    """Have news sent along with the next heartbeats."""
+    kept = [item for item in members.pending_news if item[0].instance != news.instance]
+    members.pending_news = deque([(news, NEWS_REPEATS), *kept])
+
+
+def take_news(members: Members) -> tuple[MemberNews, ...]:
+    """Return the news for one message and count it as sent."""
+    taken = []
+    for _ in range(min(MAX_NEWS_PER_MESSAGE, len(members.pending_news))):
+        news, repeats = members.pending_news.popleft()
+        taken.append(news)
+        if repeats > 1:
+            members.pending_news.append((news, repeats - 1))
+    return tuple(taken)
+
+
+def list_all_news(members: Members) -> tuple[MemberNews, ...]:
+    """Return the whole table as news, for a member that has just come."""
+    return (members.own, *(row.news for row in members.row_by_instance.values()))
+
+
+def list_alive(members: Members) -> dict[str, MemberNews]:
+    """Return the members not known to be dead, and oneself, keyed by instance."""
+    alive = {
+        name: row.news
+        for name, row in members.row_by_instance.items()
+        if row.state is not MemberState.DEAD
+    }
+    return {members.own.instance: members.own, **alive}
+
+
+def forget_removed(members: Members, instances: Iterable[str]) -> None:
+    """Drop dead members that the platform no longer lists."""
+    for name in instances:
+        row = members.row_by_instance.get(name)
+        if row is not None and row.state is MemberState.DEAD:
+            del members.row_by_instance[name]
--- /dev/null
+++ b/catkintrack/platform/client.py
@@ -0,0 +1,155 @@
+"""Call the platform's object API and its list of instances."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from catkintrack.http import (
+    Address,
+    ClientLimits,
+    Pool,
+    Request,
+    ResponseHead,
+    UpstreamBroken,
+    UpstreamUnreachable,
+    find_header,
+    open_exchange,
+)
+
+from .errors import (
+    AnswerLost,
+    NotFound,
+    PlatformError,
+    Rejected,
+    Unavailable,
+    VersionMismatch,
+)
+
+WATCH_MARGIN_S = 2.0
+
+
+class InstanceRow(msgspec.Struct, frozen=True):
+    """Describe an instance in the platform's list, which lags."""
+
+    id: str
+    zone: str
+    state: str = "live"
+    mesh_host: str = ""
+    mesh_port: int = 0
+    routers_host: str = ""
+    routers_port: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectValue:
+    """Hold an object's value and version."""
+
+    version: int
+    value: bytes
+
+
+@dataclass(slots=True)
+class PlatformClient:
+    """Hold the connections to the platform and count the calls."""
+
+    address: Address
+    timeout_s: float = 2.0
+    pool: Pool = field(default_factory=lambda: Pool(ClientLimits()))
+    count_by_call: Counter[str] = field(default_factory=Counter)
+
+
+async def get_object(
+    client: PlatformClient, name: str
+) -> Result[ObjectValue, PlatformError]:
+    """Return an object, or NotFound."""
+    outcome = await _call(client, "get", b"GET", f"/objects/{name}")
+    return outcome.bind(lambda answer: _read_object(name, *answer))
+
+
+async def watch_object(
+    client: PlatformClient, name: str, after_version: int, timeout_s: float
+) -> Result[ObjectValue | None, PlatformError]:
+    """Return an object once its version passes `after_version`, else None."""
+    target = f"/watch/{name}?after={after_version}&timeout_s={timeout_s}"
+    limit_s = timeout_s + WATCH_MARGIN_S
+    outcome = await _call(client, "watch", b"GET", target, timeout_s=limit_s)
+    match outcome:
+        case Success((ResponseHead(status=204), _)):
+            return Success(None)
+    return outcome.bind(lambda answer: _read_object(name, *answer))
+
+
+async def put_object(
+    client: PlatformClient, name: str, value: bytes, expected_version: int
+) -> Result[int, PlatformError]:
+    """Write an object whose version is the expected one and return the new one.
+
+    Version 0 stands for an absent object. AnswerLost means that the write may
+    have taken effect: read it back, never repeat it blindly.
+    """
+    headers = ((b"x-expected-version", str(expected_version).encode()),)
+    outcome = await _call(client, "put", b"PUT", f"/objects/{name}", value, headers)
+    match outcome:
+        case Success((ResponseHead(status=200), body)):
+            return Success(msgspec.json.decode(body)["version"])
+        case Success((ResponseHead(status=409), body)):
+            found = msgspec.json.decode(body)["version"]
+            return Failure(VersionMismatch(expected_version, found))
+        case Success((head, _)):
+            return Failure(Rejected(head.status))
+    return outcome
+
+
+async def list_instances(
+    client: PlatformClient,
+) -> Result[list[InstanceRow], PlatformError]:
+    """Return the platform's lagging list of live and leaving instances."""
+    outcome = await _call(client, "instances", b"GET", "/instances")
+    match outcome:
+        case Success((ResponseHead(status=200), body)):
+            return Success(msgspec.json.decode(body, type=list[InstanceRow]))
+        case Success((head, _)):
+            return Failure(Rejected(head.status))
+    return outcome
+
+
+def _read_object(
+    name: str, head: ResponseHead, body: bytes
+) -> Result[ObjectValue, PlatformError]:
+    if head.status == 404:
+        return Failure(NotFound(name))
+    if head.status != 200:
+        return Failure(Rejected(head.status))
+    version = int(find_header(head.headers, b"x-version") or b"0")
+    return Success(ObjectValue(version, body))
+
+
+async def _call(
+    client: PlatformClient,
+    call: str,
+    method: bytes,
+    target: str,
+    body: bytes = b"",
+    headers: tuple[tuple[bytes, bytes], ...] = (),
+    timeout_s: float | None = None,
+) -> Result[tuple[ResponseHead, bytes], PlatformError]:
+    client.count_by_call[call] += 1
+    limit_s = timeout_s or client.timeout_s
+    length = (b"content-length", str(len(body)).encode())
+    host = (b"host", str(client.address).encode())
+    request = Request(method, target.encode(), (host, length, *headers), body)
+    try:
+        async with open_exchange(client.pool, client.address) as exchange:
+            await exchange.send(request)
+            head = await exchange.read_head(limit_s)
+            return Success((head, await exchange.read_body(limit_s)))
+    except UpstreamUnreachable as error:
+        return Failure(Unavailable(str(error)))
+    except UpstreamBroken as error:
+        is_write = method != b"GET"
+        failure = AnswerLost(str(error)) if is_write else Unavailable(str(error))
+        return Failure(failure)
--- /dev/null
+++ b/catkintrack/platform/config_store.py
@@ -0,0 +1,149 @@
+"""Read and change the configuration kept in the object API."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from uuid import uuid4
+
+from returns.result import Failure, Result, Success
+
+from catkintrack.config import (
+    HEAD_NAME,
+    MAX_KEPT_CHANGES,
+    Change,
+    DamagedSnapshot,
+    Delete,
+    Head,
+    InvalidKind,
+    Put,
+    RevisionConflict,
+    State,
+    append_change,
+    apply_change,
+    decode_head,
+    decode_snapshot,
+    encode_head,
+    encode_snapshot,
+    follow_head,
+    is_snapshot_needed,
+    validate_state,
+)
+
+from .client import PlatformClient, get_object, put_object
+from .errors import AnswerLost, NotFound, PlatformError, VersionMismatch
+
+SNAPSHOT_INTERVAL_REVISIONS = MAX_KEPT_CHANGES // 2
+
+ReadError = PlatformError | DamagedSnapshot
+ChangeError = ReadError | RevisionConflict | tuple[InvalidKind, ...]
+
+
+async def read_head(client: PlatformClient) -> Result[tuple[int, Head], ReadError]:
+    """Return the head with its version; an absent one is empty at version 0."""
+    match await get_object(client, HEAD_NAME):
+        case Success(found):
+            return decode_head(found.value).map(lambda head: (found.version, head))
+        case Failure(NotFound()):
+            return Success((0, Head()))
+        case outcome:
+            return outcome
+
+
+async def read_state(
+    client: PlatformClient, known: State, head: Head
+) -> Result[State, ReadError]:
+    """Return the state at `head`, starting from `known` where its changes reach."""
+    if not is_snapshot_needed(known, head):
+        return Success(follow_head(known, head))
+    if not head.snapshot_name:
+        return Success(follow_head(State(), head))
+    outcome = await get_object(client, head.snapshot_name)
+    snapshot = outcome.bind(lambda found: decode_snapshot(found.value))
+    return snapshot.map(lambda state: follow_head(state, head))
+
+
+async def submit_change(
+    client: PlatformClient,
+    expected_revision: int,
+    puts: Sequence[Put],
+    deletes: Sequence[Delete],
+    author: str,
+) -> Result[State, ChangeError]:
+    """Have a change accepted on top of `expected_revision`, whole or not at all."""
+    match await read_head(client):
+        case Success((version, head)):
+            pass
+        case outcome:
+            return outcome
+    if head.revision != expected_revision:
+        return Failure(RevisionConflict(expected_revision, head.revision))
+    match await read_state(client, State(), head):
+        case Success(state):
+            pass
+        case outcome:
+            return outcome
+    change = Change(
+        expected_revision + 1, uuid4().hex, author, tuple(puts), tuple(deletes)
+    )
+    after = apply_change(state, change).unwrap()
+    errors = validate_state(after)
+    if errors:
+        return Failure(tuple(errors))
+    match await _with_snapshot(client, head, state):
+        case Success(head):
+            pass
+        case outcome:
+            return outcome
+    new_head = append_change(head, change, head.snapshot_name, head.snapshot_revision)
+    outcome = await put_object(client, HEAD_NAME, encode_head(new_head), version)
+    return await _settle_put(client, outcome, change, after)
+
+
+async def _with_snapshot(
+    client: PlatformClient, head: Head, state: State
+) -> Result[Head, ReadError]:
+    """Return `head` pointing at a snapshot of `state` where one is due."""
+    if head.revision - head.snapshot_revision < SNAPSHOT_INTERVAL_REVISIONS:
+        return Success(head)
+    # The name is unique, so that racing operators never share a snapshot.
+    name = f"config/snapshots/{state.revision}-{uuid4().hex}"
+    outcome = await put_object(client, name, encode_snapshot(state), 0)
+    return outcome.map(
+        lambda _: Head(
+            head.format_version, head.revision, name, state.revision, head.changes
+        )
+    )
+
+
+async def _settle_put(
+    client: PlatformClient,
+    outcome: Result[int, PlatformError],
+    change: Change,
+    after: State,
+) -> Result[State, ChangeError]:
+    match outcome:
+        case Success(_):
+            return Success(after)
+        case Failure(VersionMismatch()):
+            return Failure(RevisionConflict(change.revision - 1, change.revision))
+        case Failure(AnswerLost()):
+            return await _read_back(client, change, after, outcome)
+    return outcome
+
+
+async def _read_back(
+    client: PlatformClient,
+    change: Change,
+    after: State,
+    lost: Result[int, PlatformError],
+) -> Result[State, ChangeError]:
+    """Find out whether a write whose answer was lost took effect."""
+    match await read_head(client):
+        case Success((_, head)):
+            accepted = {kept.change_id for kept in head.changes}
+            if change.change_id in accepted:
+                return Success(after)
+            if head.revision >= change.revision:
+                return Failure(RevisionConflict(change.revision - 1, head.revision))
+    # The write may still arrive: it is unknown, and said to be.
+    return lost
--- /dev/null
+++ b/catkintrack/processes/__init__.py
@@ -0,0 +1,18 @@
+"""Run a process: signals, logs, metrics, health pages and state dumps."""
+
+from .links import make_link_keys
+from .logs import configure_logging
+from .ops import open_ops_server
+from .pauses import PauseGuard
+from .signals import catch_stop_signals, wait_for_stop
+from .starting import load_settings_or_exit
+
+__all__ = [
+    "PauseGuard",
+    "catch_stop_signals",
+    "configure_logging",
+    "load_settings_or_exit",
+    "make_link_keys",
+    "open_ops_server",
+    "wait_for_stop",
+]
--- /dev/null
+++ b/catkintrack/processes/links.py
@@ -0,0 +1,17 @@
+"""Build link keys from settings."""
+
+from __future__ import annotations
+
+from catkintrack.links import LinkKeys
+from catkintrack.settings import Settings
+
+
+def make_link_keys(settings: Settings) -> LinkKeys:
+    """Return the process's CURVE keys; its own public key is always accepted."""
+    links = settings.links
+    accepted = {links.public_key, *links.accepted_public_keys}
+    return LinkKeys(
+        links.public_key.encode(),
+        links.secret_key.encode(),
+        frozenset(key.encode() for key in accepted),
+    )
--- /dev/null
+++ b/catkintrack/processes/starting.py
@@ -0,0 +1,25 @@
+"""Start a process from its settings files."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+from returns.result import Failure, Success
+
+from catkintrack.settings import Settings, load_settings
+
+EXIT_BAD_SETTINGS = 2
+
+
+def load_settings_or_exit(files: str | Sequence[str]) -> Settings:
+    """Return the settings in `files`, a comma-separated list, or exit with status 2."""
+    names = files.split(",") if isinstance(files, str) else list(files)
+    match load_settings([Path(str(name)) for name in names]):
+        case Success(settings):
+            return settings
+        case Failure(errors):
+            for error in errors:
+                print(error, file=sys.stderr)
+            raise SystemExit(EXIT_BAD_SETTINGS)
--- /dev/null
+++ b/catkintrack/router/__init__.py
@@ -0,0 +1,1 @@
+"""Run the router."""
--- /dev/null
+++ b/catkintrack/router/authentication.py
@@ -0,0 +1,86 @@
+"""Find out for which workspace a call is, and keep its key from upstreams."""
+
+from __future__ import annotations
+
+import re
+
+from catkintrack.config import Key, Route, is_secret_valid, parse_key
+from catkintrack.http import Headers, Request, find_header
+
+from .refusals import BadCall, Forbidden, Unauthenticated
+from .state import Router
+
+KEY_HEADERS = frozenset({b"authorization", b"x-api-key"})
+KEY_BYTES_PATTERN = re.compile(rb"ck_[a-z0-9]{8}_[A-Za-z0-9_-]{32,64}")
+BEARER = b"bearer "
+# Compared when the id is unknown, so that this takes as long.
+DUMMY_SALT = "00" * 16
+DUMMY_DIGEST = "00" * 32
+
+
+def find_presented_keys(headers: Headers) -> set[bytes]:
+    """Return the distinct keys shown as bearer token or x-api-key."""
+    found = set()
+    for name, value in headers:
+        if name == b"authorization" and value[:7].lower() == BEARER:
+            found.add(value[7:].strip())
+        elif name == b"x-api-key":
+            found.add(value.strip())
+    return found
+
+
+def authenticate(router: Router, request: Request, route: Route) -> Key | None:
+    """Return the key of a call; None only on a route that is open to all."""
+    presented = find_presented_keys(request.headers)
+    if route.is_open:
+        return None
+    if not presented:
+        raise Unauthenticated("no API key was given")
+    if len(presented) > 1:
+        raise BadCall("ambiguous_key", "two different API keys were given")
+    key = check_key(router, presented.pop())
+    if not route.is_allowed(key.workspace.name):
+        raise Forbidden("the workspace may not use this route")
+    return key
+
+
+def check_key(router: Router, presented: bytes) -> Key:
+    """Return the key that `presented` proves, or raise Unauthenticated."""
+    parsed = parse_key(presented.decode("ascii", "replace"))
+    key = router.tables.key_by_id.get(parsed.id) if parsed else None
+    secret = parsed.secret if parsed else ""
+    salt = key.salt if key else DUMMY_SALT
+    digest = key.digest if key else DUMMY_DIGEST
+    is_valid = is_secret_valid(secret, salt, digest)
+    if key is None or not is_valid or key.is_withdrawn:
+        raise Unauthenticated("the API key is not valid")
+    return key
+
+
+def refuse_misplaced_keys(request: Request) -> None:
+    """Refuse a key in a place from which it would reach an upstream."""
+    parts = [request.target, request.body]
+    parts += [value for name, value in request.headers if name not in KEY_HEADERS]
+    if any(b"ck_" in part and KEY_BYTES_PATTERN.search(part) for part in parts):
+        raise BadCall("misplaced_key", "an API key was found outside its header")
+
+
+def strip_keys(headers: Headers, route: Route) -> Headers:
+    """Return `headers` without callers' keys.
+
+    On a route that is open to all, credentials that are no caller's key stay: they
+    are between the caller and the service.
+    """
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name not in KEY_HEADERS
+        or (route.is_open and not KEY_BYTES_PATTERN.search(value))
+    )
+
+
+def find_request_id(headers: Headers) -> str | None:
+    """Return the caller's own request id when it is a plain one."""
+    value = find_header(headers, b"x-request-id") or b""
+    text = value.decode("ascii", "replace")
+    return text if re.fullmatch(r"[A-Za-z0-9._-]{1,64}", text) else None
--- /dev/null
+++ b/catkintrack/router/cutting.py
@@ -0,0 +1,26 @@
+"""Cut the calls in progress whose key was withdrawn."""
+
+from __future__ import annotations
+
+from catkintrack.config import Key
+
+from .state import OpenCall, Router
+
+
+def is_still_valid(router: Router, call: OpenCall) -> bool:
+    """Report whether the key that a call came with still works for its workspace."""
+    if call.key_id is None:
+        return True
+    key: Key | None = router.tables.key_by_id.get(call.key_id)
+    if key is None or key.is_withdrawn:
+        return False
+    return key.workspace.name == call.workspace
+
+
+async def cut_withdrawn(router: Router) -> None:
+    """Cancel every call whose key no longer works."""
+    for call in list(router.open_calls):
+        if not call.is_cut and not is_still_valid(router, call):
+            call.is_cut = True
+            router.metrics.cut_calls.inc({"workspace": call.workspace or ""})
+            await call.task.cancel(blocking=False)
--- /dev/null
+++ b/catkintrack/router/dump.py
@@ -0,0 +1,59 @@
+"""Describe a router's state to operators."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from catkintrack.decisions.load import estimate_running, estimate_wait_s
+
+from .agent_links import are_keys_known
+from .state import Router
+
+
+def dump_router(router: Router) -> dict[str, Any]:
+    """Return the router's state, without keys or secrets."""
+    now = time.monotonic()
+    decisions = router.decisions
+    return {
+        "process": "router",
+        "name": router.name,
+        "instance": router.settings.instance.id,
+        "zone": router.settings.instance.zone,
+        "revision": router.config.revision,
+        "are_keys_known": are_keys_known(router, now),
+        "open_calls": len(router.open_calls),
+        "waiting_calls": decisions.waiting_count,
+        "retry_budget": round(decisions.retry_budget, 2),
+        "known_blocks": len(decisions.residency.holders_by_block),
+        "agents": [
+            {"instance": agent.instance, "heard_s_ago": round(now - agent.heard_at, 3)}
+            for agent in router.agents
+        ],
+        "upstreams": [
+            {
+                "name": row.name,
+                "incarnation": row.incarnation,
+                "in_flight": row.in_flight,
+                "running": estimate_running(row, now),
+                "wait_s": round(estimate_wait_s(row, now), 4),
+                "is_leaving": row.is_leaving,
+                "is_ejected": now < row.ejected_until,
+            }
+            for row in decisions.upstream_by_name.values()
+        ],
+        "workspaces": [
+            {
+                "name": row.name,
+                "waiting": len(row.waiting),
+                "virtual_finish": round(row.virtual_finish, 1),
+            }
+            for row in decisions.workspace_by_name.values()
+        ],
+    }
+
+
+def is_router_ready(router: Router) -> bool:
+    """Report whether the router can serve a call with a key."""
+    is_known = are_keys_known(router, time.monotonic())
+    return is_known and router.config.revision > 0 and not router.is_stopping
--- /dev/null
+++ b/catkintrack/router/main.py
@@ -0,0 +1,146 @@
+"""Run the router: the part of an instance that callers' requests go through."""
+
+from __future__ import annotations
+
+import logging
+import time
+from random import Random
+
+import curio
+import fire
+import zmq
+
+from catkintrack.http import (
+    ClientLimits,
+    Connection,
+    Pool,
+    Request,
+    ServerLimits,
+    drain_server,
+    open_server,
+)
+from catkintrack.links import open_context
+from catkintrack.processes import (
+    PauseGuard,
+    catch_stop_signals,
+    configure_logging,
+    load_settings_or_exit,
+    make_link_keys,
+    open_ops_server,
+    wait_for_stop,
+)
+from catkintrack.settings import Settings
+
+from .agent_links import active_agents, run_agent_links
+from .calls import handle_call
+from .dump import dump_router, is_router_ready
+from .metrics import make_router_metrics
+from .refusals import answer_malformed
+from .scheduling import run_ticks
+from .state import Router
+
+logger = logging.getLogger(__name__)
+
+READY_POLL_S = 0.02
+
+
+def make_router(settings: Settings, context: zmq.Context) -> Router:
+    """Return a new router that knows nothing but its settings."""
+    incarnation = time.time_ns() // 1_000_000
+    bounds = settings.router.upstreams
+    limits = ClientLimits(
+        bounds.connect_timeout_s, bounds.head_timeout_s, bounds.read_timeout_s
+    )
+    name = f"{settings.instance.id}:{settings.router.listen.port}"
+    return Router(
+        settings=settings,
+        name=name,
+        incarnation=incarnation,
+        context=context,
+        keys=make_link_keys(settings),
+        pool=Pool(limits),
+        rng=Random(f"{name}/{settings.router.placement.seed}"),
+        metrics=make_router_metrics(),
+        pause_guard=PauseGuard(time.monotonic()),
+    )
+
+
+async def run_router(settings: Settings) -> None:
+    """Run a router until a stop signal, then let all calls finish."""
+    with catch_stop_signals() as signals, open_context() as context:
+        router = make_router(settings, context)
+        await curio.spawn(run_agent_links, router, daemon=True)
+        await curio.spawn(run_ticks, router, daemon=True)
+        ops = settings.router.ops
+        listen = settings.router.listen
+
+        async def handle(request: Request, connection: Connection) -> None:
+            await handle_call(router, request, connection)
+
+        async with open_ops_server(
+            str(ops.host),
+            ops.port,
+            router.metrics.registry,
+            lambda: is_router_ready(router),
+            lambda: dump_router(router),
+        ):
+            stop = await curio.spawn(wait_for_stop, signals)
+            await _wait_until_warm(router, stop)
+            if stop.terminated:
+                return
+            async with open_server(
+                str(listen.host),
+                listen.port,
+                handle,
+                make_server_limits(settings),
+                answer_malformed,
+            ) as server:
+                logger.info("router ready", extra={"port": server.port})
+                await stop.join()
+                router.is_stopping = True
+                await drain_server(server)
+        logger.info("router stopped")
+
+
+def make_server_limits(settings: Settings) -> ServerLimits:
+    """Return the bounds on callers."""
+    callers = settings.router.callers
+    return ServerLimits(
+        max_head_bytes=callers.max_head_bytes,
+        max_body_bytes=callers.max_body_bytes,
+        max_connections=callers.max_connections,
+        head_timeout_s=callers.head_timeout_s,
+        body_timeout_s=callers.body_timeout_s,
+        idle_timeout_s=callers.idle_timeout_s,
+        write_timeout_s=callers.write_timeout_s,
+    )
+
+
+async def _wait_until_warm(router: Router, stop: curio.Task) -> None:
+    """Take callers only once configuration is here, so that none is refused."""
+    while not stop.terminated:
+        agents = active_agents(router, time.monotonic())
+        view = agents[0].view if agents else None
+        if view and view.are_limits_ready and is_router_ready(router):
+            return
+        await curio.sleep(READY_POLL_S)
+
+
+def start(settings: str) -> None:
+    """Run a router.
+
+    Args:
+        settings: Settings files, comma-separated, each laid over the one before.
+    """
+    loaded = load_settings_or_exit(settings)
+    configure_logging(loaded.logging.level, "router", loaded.instance.id)
+    curio.run(run_router, loaded)
+
+
+def main() -> None:
+    """Run the router's command line."""
+    fire.Fire(start)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/catkintrack/router/refusals.py
@@ -0,0 +1,187 @@
+"""Define the refusals and errors that callers receive."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from catkintrack.decisions import Refusal, RefusalReason
+from catkintrack.http import BadRequest, Connection, Headers
+
+
+class CallError(Exception):
+    """Report that a call ends without its answer.
+
+    `is_not_run` is True only when no upstream can have begun to run the call.
+    """
+
+    status = 500
+    code = "internal_error"
+    is_not_run = False
+
+    def __init__(self, message: str, retry_after_s: float | None = None) -> None:
+        super().__init__(message)
+        self.message = message
+        self.retry_after_s = retry_after_s
+
+
+class NotRun(CallError):
+    """Refuse a call that has not run."""
+
+    is_not_run = True
+
+
+class BadCall(NotRun):
+    """Refuse a call that is malformed."""
+
+    status = 400
+
+    def __init__(self, code: str, message: str, status: int = 400) -> None:
+        super().__init__(message)
+        self.code = code
+        self.status = status
+
+
+class Unauthenticated(NotRun):
+    """Refuse a call without a valid key."""
+
+    status = 401
+    code = "invalid_api_key"
+
+
+class Forbidden(NotRun):
+    """Refuse a call to a route that its workspace may not use."""
+
+    status = 403
+    code = "route_not_allowed"
+
+
+class UnknownRoute(NotRun):
+    """Refuse a call that no route or model serves."""
+
+    status = 404
+    code = "not_found"
+
+
+class KeysUnknown(NotRun):
+    """Refuse a call while withdrawn keys can't be known here."""
+
+    status = 503
+    code = "keys_not_current"
+
+
+class OverLimit(NotRun):
+    """Refuse a call beyond its workspace's rate and burst."""
+
+    status = 429
+    code = "rate_limit_exceeded"
+
+
+class OverBurst(NotRun):
+    """Refuse a call that is larger than its workspace's burst."""
+
+    status = 400
+    code = "larger_than_burst"
+
+
+class LimitsUnavailable(NotRun):
+    """Refuse a call while no agent can reserve its tokens."""
+
+    status = 503
+    code = "limits_unavailable"
+
+
+class NoCapacity(NotRun):
+    """Refuse a call that can't be placed in time."""
+
+    status = 503
+    code = "no_capacity"
+
+
+class ClaimUnavailable(NotRun):
+    """Refuse a call that must not repeat while the platform can't tell."""
+
+    status = 503
+    code = "claim_unavailable"
+
+
+class ClaimConflict(CallError):
+    """Report that the same idempotency key is or was in use."""
+
+    status = 409
+    code = "idempotency_conflict"
+
+
+class UpstreamFailed(CallError):
+    """Report that upstreams failed and the call can't be tried again."""
+
+    status = 502
+    code = "upstream_failed"
+
+
+class OutcomeUnknown(CallError):
+    """Report that a call may have run and must not be repeated by the router."""
+
+    status = 502
+    code = "outcome_unknown"
+
+
+class KeyWithdrawn(CallError):
+    """Report that the key of a running call was withdrawn."""
+
+    status = 401
+    code = "key_withdrawn"
+
+
+def make_capacity_refusal(refusal: Refusal) -> NoCapacity:
+    """Return the error for a refused placement."""
+    text_by_reason = {
+        RefusalReason.NO_UPSTREAM: "no upstream serves the model now",
+        RefusalReason.QUEUE_FULL: "too many requests of this workspace wait",
+        RefusalReason.DEADLINE: "the request can't start within its time limit",
+        RefusalReason.RETRY_BUDGET: "upstreams fail too often to try again",
+    }
+    return NoCapacity(text_by_reason[refusal.reason], refusal.retry_after_s)
+
+
+def encode_error(error: CallError) -> bytes:
+    """Return the error's body in the OpenAI shape."""
+    body = {
+        "error": {
+            "message": error.message,
+            "type": type(error).__name__,
+            "code": error.code,
+            "param": None,
+            "not_run": error.is_not_run,
+        }
+    }
+    return msgspec.json.encode(body)
+
+
+def error_headers(error: CallError, request_id: str) -> Headers:
+    """Return the headers of an error's answer."""
+    headers: list[tuple[bytes, bytes]] = [
+        (b"content-type", b"application/json"),
+        (b"x-request-id", request_id.encode()),
+        (b"x-not-run", b"true" if error.is_not_run else b"false"),
+    ]
+    if error.retry_after_s is not None:
+        seconds = max(1, math.ceil(error.retry_after_s))
+        headers.append((b"retry-after", str(seconds).encode()))
+    return tuple(headers)
+
+
+async def answer_error(
+    connection: Connection, error: CallError, request_id: str
+) -> None:
+    """Answer a call by its error."""
+    headers = error_headers(error, request_id)
+    await connection.respond(error.status, headers, encode_error(error))
+
+
+async def answer_malformed(error: BadRequest, connection: Connection) -> None:
+    """Answer a request that could not be read, and close its connection."""
+    refusal = BadCall(error.code, error.message, error.status)
+    headers = (*error_headers(refusal, "-"), (b"connection", b"close"))
+    await connection.respond(error.status, headers, encode_error(refusal))
--- /dev/null
+++ b/catkintrack/router/state.py
@@ -0,0 +1,87 @@
+"""Hold a router's state."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+
+import curio
+import zmq
+
+from catkintrack.config import ConfigTables, State
+from catkintrack.decisions import Decision, Tables
+from catkintrack.decisions.services import ServiceTables
+from catkintrack.http import Connection, Pool
+from catkintrack.links import FleetView, Link, LinkKeys, Message
+from catkintrack.processes import PauseGuard
+from catkintrack.settings import Settings
+
+from .metrics import RouterMetrics
+
+
+@dataclass(slots=True)
+class AgentLink:
+    """Hold the connection to one agent and what it last said; times in seconds."""
+
+    instance: str
+    host: str
+    port: int
+    link: Link
+    task: curio.Task | None = None
+    heard_at: float = -1e9
+    view: FleetView | None = None
+    view_at: float = -1e9
+
+
+@dataclass(slots=True)
+class Waiter:
+    """Hold a waiting model call until its decision comes."""
+
+    done: curio.Event = field(default_factory=curio.Event)
+    decision: Decision | None = None
+
+
+@dataclass(slots=True)
+class PendingAnswer:
+    """Hold a question to an agent until its answer comes."""
+
+    done: curio.Event = field(default_factory=curio.Event)
+    answer: Message | None = None
+
+
+@dataclass(slots=True, eq=False)
+class OpenCall:
+    """Hold a call in progress, so that a withdrawn key can cut it."""
+
+    request_id: str
+    key_id: str | None
+    workspace: str | None
+    connection: Connection
+    task: curio.Task
+    is_cut: bool = False
+
+
+@dataclass(slots=True)
+class Router:
+    """Hold everything that a router knows."""
+
+    settings: Settings
+    name: str
+    incarnation: int
+    context: zmq.Context
+    keys: LinkKeys
+    pool: Pool
+    rng: Random
+    metrics: RouterMetrics
+    pause_guard: PauseGuard
+    config: State = field(default_factory=State)
+    tables: ConfigTables = field(default_factory=ConfigTables)
+    decisions: Tables = field(default_factory=Tables)
+    services: ServiceTables = field(default_factory=ServiceTables)
+    leaving_instances: frozenset[str] = frozenset()
+    agents: list[AgentLink] = field(default_factory=list)
+    waiter_by_id: dict[str, Waiter] = field(default_factory=dict)
+    pending_by_number: dict[int, PendingAnswer] = field(default_factory=dict)
+    next_number: int = 1
+    open_calls: set[OpenCall] = field(default_factory=set)
+    is_stopping: bool = False
--- /dev/null
+++ b/catkintrack/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Build test data and run the real processes for tests."""
--- /dev/null
+++ b/catkintrack/testing/profiles.py
@@ -0,0 +1,13 @@
+"""Set Hypothesis to give the same verdict on every run."""
+
+from __future__ import annotations
+
+from hypothesis import HealthCheck, settings
+
+DETERMINISTIC = settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=200,
+    suppress_health_check=list(HealthCheck),
+)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the systems around catkintrack, for tests and demonstrations."""
--- /dev/null
+++ b/standins/answers.py
@@ -0,0 +1,61 @@
+"""Answer JSON over HTTP and run a stand-in until it is told to stop."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
+
+import curio
+import msgspec
+
+from catkintrack.http import (
+    Connection,
+    Handler,
+    Request,
+    ServerLimits,
+    drain_server,
+    open_server,
+)
+from catkintrack.processes import catch_stop_signals, wait_for_stop
+
+JSON_HEADERS = ((b"content-type", b"application/json"),)
+
+JsonHandler = Callable[[Request, Connection], Awaitable[None]]
+
+
+async def answer_json(connection: Connection, status: int, value: Any) -> None:
+    """Answer `value` as JSON."""
+    await connection.respond(status, JSON_HEADERS, msgspec.json.encode(value))
+
+
+def read_json(request: Request) -> Any:
+    """Return the JSON in the request's body, or an empty mapping."""
+    return msgspec.json.decode(request.body) if request.body else {}
+
+
+def read_query(request: Request) -> dict[str, str]:
+    """Return the parameters in the request's target."""
+    return dict(parse_qsl(urlsplit(request.target.decode()).query))
+
+
+async def drop_connection(connection: Connection) -> None:
+    """Close the caller's connection without an answer."""
+    await connection.sock.close()
+    raise ConnectionResetError
+
+
+def run_standin(host: str, port: int, handler: Handler, *tasks: Any) -> None:
+    """Serve `handler` and run `tasks` beside it until SIGTERM."""
+    curio.run(_serve, host, port, handler, tasks)
+
+
+async def _serve(host: str, port: int, handler: Handler, tasks: Any) -> None:
+    limits = ServerLimits(max_connections=10000, idle_timeout_s=600.0)
+    with catch_stop_signals() as signals:
+        async with open_server(host, port, handler, limits) as server:
+            running = [await curio.spawn(task, daemon=True) for task in tasks]
+            await wait_for_stop(signals)
+            await curio.ignore_after(1.0, drain_server, server)
+            for task in running:
+                await task.cancel(blocking=False)
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,388 @@
+"""Stand in for a model engine with an OpenAI-style interface.
+
+Faults come by `POST /faults`; what it saw is at `GET /counts`.
+"""
+
+from __future__ import annotations
+
+import os
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+import curio
+import fire
+import msgspec
+
+from catkintrack.http import Connection, Request, find_header
+
+from .answers import answer_json, drop_connection, read_json, read_query, run_standin
+from .engine_batch import Batch, Sequence, run_batch, submit_sequence
+from .engine_cache import PrefixCache
+from .service import find_leaked_keys
+
+LOAD_SAMPLE_S = 0.1
+EVENT_POLL_S = 0.05
+
+
+@dataclass(slots=True)
+class Faults:
+    """Hold the faults in force."""
+
+    is_down: bool = False
+    load_lag_s: float = 0.3
+    event_lag_s: float = 0.1
+    break_after_tokens: int = -1
+    stall_after_tokens: int = -1
+    fault_streams: int = 0
+    reject_runs: int = 0
+
+
+@dataclass(slots=True)
+class Engine:
+    """Hold one engine's batch, orders and counts."""
+
+    name: str
+    model: str
+    weights: str
+    checks_fencing: bool
+    batch: Batch
+    incarnation: str
+    faults: Faults = field(default_factory=Faults)
+    loads: deque = field(default_factory=lambda: deque(maxlen=100))
+    highest_fencing: int = 0
+    orders: list[dict] = field(default_factory=list)
+    runs_by_request: dict[str, int] = field(default_factory=dict)
+    streams: set[Connection] = field(default_factory=set)
+    leaked_keys: int = 0
+    is_loading: bool = False
+
+
+def make_incarnation() -> str:
+    """Return a name for this life of the engine."""
+    return os.urandom(6).hex()
+
+
+async def handle(engine: Engine, request: Request, connection: Connection) -> None:
+    """Serve one call."""
+    path = request.path
+    if path == "/faults":
+        await take_faults(engine, request, connection)
+        return
+    if path == "/counts":
+        await answer_json(connection, 200, collect_counts(engine))
+        return
+    if engine.faults.is_down:
+        await drop_connection(connection)
+    if path == "/load":
+        await answer_json(connection, 200, find_lagging_load(engine))
+    elif path == "/events":
+        await answer_events(engine, request, connection)
+    elif path == "/orders":
+        await take_order(engine, request, connection)
+    elif path in ("/v1/chat/completions", "/v1/completions"):
+        await complete(engine, request, connection)
+    else:
+        await answer_json(connection, 404, {"error": {"message": "no such path"}})
+
+
+async def take_faults(engine: Engine, request: Request, connection: Connection) -> None:
+    """Set faults; `crash` empties the engine, `drop_events` loses events."""
+    wanted = read_json(request)
+    if wanted.pop("crash", False):
+        await crash(engine)
+    engine.batch.cache.dropped_events += wanted.pop("drop_events", 0)
+    engine.batch.speed = wanted.pop("speed", engine.batch.speed)
+    engine.faults = msgspec.convert(msgspec.to_builtins(engine.faults) | wanted, Faults)
+    await answer_json(connection, 200, {})
+
+
+async def crash(engine: Engine) -> None:
+    """Lose every stream, the cache and the event sequence; take a new incarnation."""
+    for sequence in (*engine.batch.waiting, *engine.batch.running):
+        sequence.is_cancelled = True
+        await sequence.wake.set()
+    cache = PrefixCache(engine.batch.cache.capacity_blocks)
+    engine.batch.cache = cache
+    engine.incarnation = make_incarnation()
+    engine.loads.clear()
+
+
+def collect_counts(engine: Engine) -> dict[str, Any]:
+    """Return what the engine has seen."""
+    batch = engine.batch
+    return {
+        "incarnation": engine.incarnation,
+        "weights": engine.weights,
+        "leaked_keys": engine.leaked_keys,
+        "runs_by_request": engine.runs_by_request,
+        "prompt_tokens": batch.prompt_tokens,
+        "hit_tokens": batch.hit_tokens,
+        "prefilled_tokens": batch.prefilled_tokens,
+        "running": len(batch.running),
+        "waiting": len(batch.waiting),
+        "orders": engine.orders,
+    }
+
+
+async def sample_load(engine: Engine) -> None:
+    """Record the load at a steady pace."""
+    while True:
+        batch = engine.batch
+        unfinished = [*batch.waiting, *batch.running]
+        engine.loads.append(
+            (
+                time.monotonic(),
+                {
+                    "incarnation": engine.incarnation,
+                    "weights": engine.weights,
+                    "running": len(batch.running),
+                    "waiting": len(batch.waiting),
+                    "prefill_tokens": sum(
+                        s.prompt_tokens if s.prefill_left < 0 else s.prefill_left
+                        for s in unfinished
+                    ),
+                    "cached_blocks": len(batch.cache.blocks),
+                    "capacity_blocks": batch.cache.capacity_blocks,
+                    "event_sequence": batch.cache.sequence,
+                    "is_loading": engine.is_loading,
+                },
+            )
+        )
+        await curio.sleep(LOAD_SAMPLE_S)
+
+
+def find_lagging_load(engine: Engine) -> dict[str, Any]:
+    """Return the newest load report that is older than the lag."""
+    before = time.monotonic() - engine.faults.load_lag_s
+    known = [row for at, row in engine.loads if at <= before]
+    return known[-1] if known else {"incarnation": engine.incarnation}
+
+
+async def answer_events(
+    engine: Engine, request: Request, connection: Connection
+) -> None:
+    """Answer the cache events after a sequence number, late."""
+    query = read_query(request)
+    after = int(query.get("after", "0"))
+    deadline = time.monotonic() + float(query.get("timeout_s", "1"))
+    cache = engine.batch.cache
+    while cache.sequence <= after and time.monotonic() < deadline:
+        await curio.sleep(EVENT_POLL_S)
+        if engine.batch.cache is not cache:
+            break
+    await curio.sleep(engine.faults.event_lag_s)
+    cache = engine.batch.cache
+    rows = [row for row in cache.events if row[0] > after]
+    await answer_json(
+        connection,
+        200,
+        {
+            "incarnation": engine.incarnation,
+            "last_sequence": cache.sequence,
+            "events": rows,
+        },
+    )
+
+
+async def take_order(engine: Engine, request: Request, connection: Connection) -> None:
+    """Carry out an order to load weights, refusing an old fencing number."""
+    order = read_json(request)
+    if engine.checks_fencing and order["fencing"] < engine.highest_fencing:
+        await answer_json(connection, 409, {"highest_fencing": engine.highest_fencing})
+        return
+    engine.highest_fencing = max(engine.highest_fencing, order["fencing"])
+    engine.orders.append(order)
+    engine.is_loading = True
+    await curio.sleep(order.get("load_s", 0.0))
+    engine.weights = order["weights_version"]
+    engine.batch.cache.clear()
+    engine.is_loading = False
+    await answer_json(connection, 200, {"weights": engine.weights})
+
+
+def read_prompt(body: dict[str, Any]) -> bytes:
+    """Return the prompt as the text that is cached."""
+    if "messages" in body:
+        parts = [f"{m['role']}\n{m['content']}\n" for m in body["messages"]]
+        return "".join(parts).encode()
+    return str(body["prompt"]).encode()
+
+
+async def complete(engine: Engine, request: Request, connection: Connection) -> None:
+    """Run one completion."""
+    engine.leaked_keys += find_leaked_keys(request)
+    wanted = (find_header(request.headers, b"x-weights-version") or b"").decode()
+    if (wanted and wanted != engine.weights) or engine.faults.reject_runs > 0:
+        engine.faults.reject_runs = max(0, engine.faults.reject_runs - 1)
+        await answer_json(connection, 409, {"error": {"message": "not run"}})
+        return
+    body = read_json(request)
+    request_id = (find_header(request.headers, b"x-request-id") or b"").decode()
+    engine.runs_by_request[request_id] = engine.runs_by_request.get(request_id, 0) + 1
+    salt = (find_header(request.headers, b"x-cache-salt") or b"").decode()
+    sequence = await submit_sequence(
+        engine.batch,
+        request_id,
+        int(find_header(request.headers, b"x-priority") or b"5"),
+        (salt, engine.model, engine.weights),
+        read_prompt(body),
+        int(body.get("max_tokens") or 256),
+        body.get("continue_text") or "",
+    )
+    try:
+        if body.get("stream"):
+            await stream_answer(engine, sequence, request, connection)
+        else:
+            await answer_whole(engine, sequence, request, connection)
+    finally:
+        sequence.is_cancelled = True
+
+
+async def next_tokens(sequence: Sequence) -> list[tuple[int, str]]:
+    """Return the tokens produced since the last call; none means the end."""
+    while not sequence.outbox and not sequence.is_done and not sequence.is_cancelled:
+        sequence.wake.clear()
+        await sequence.wake.wait()
+    tokens, sequence.outbox = sequence.outbox, []
+    return tokens
+
+
+def answer_headers(
+    engine: Engine, sequence: Sequence, content_type: bytes
+) -> tuple[tuple[bytes, bytes], ...]:
+    """Return the headers of an answer."""
+    return (
+        (b"content-type", content_type),
+        (b"x-engine-incarnation", engine.incarnation.encode()),
+        (b"x-cached-tokens", str(sequence.cached_tokens).encode()),
+    )
+
+
+def make_choice(is_chat: bool, text: str, finish: str | None, is_part: bool) -> dict:
+    """Return one choice in the shape of the path that was called."""
+    if not is_chat:
+        return {"index": 0, "text": text, "finish_reason": finish, "logprobs": None}
+    if is_part:
+        delta = {"content": text} if text else {}
+        return {"index": 0, "delta": delta, "finish_reason": finish}
+    message = {"role": "assistant", "content": text}
+    return {"index": 0, "message": message, "finish_reason": finish}
+
+
+def make_object(engine: Engine, sequence: Sequence, is_chat: bool, part: bool) -> dict:
+    """Return the fields that all parts of an answer share."""
+    kind = "chat.completion" if is_chat else "text_completion"
+    return {
+        "id": f"cmpl-{sequence.request_id}",
+        "object": kind + (".chunk" if part and is_chat else ""),
+        "created": int(time.time()),
+        "model": engine.model,
+    }
+
+
+def make_usage(sequence: Sequence) -> dict:
+    """Return the tokens that the request used."""
+    return {
+        "prompt_tokens": sequence.prompt_tokens,
+        "completion_tokens": sequence.next_index,
+        "total_tokens": sequence.prompt_tokens + sequence.next_index,
+        "prompt_tokens_details": {"cached_tokens": sequence.cached_tokens},
+    }
+
+
+def take_stream_fault(engine: Engine) -> tuple[int, int]:
+    """Return after how many tokens this stream breaks and stalls; -1 for never."""
+    if engine.faults.fault_streams <= 0:
+        return -1, -1
+    engine.faults.fault_streams -= 1
+    return engine.faults.break_after_tokens, engine.faults.stall_after_tokens
+
+
+async def stream_answer(
+    engine: Engine, sequence: Sequence, request: Request, connection: Connection
+) -> None:
+    """Send the answer as server-sent events, each token with its index as id."""
+    is_chat = request.path == "/v1/chat/completions"
+    base = make_object(engine, sequence, is_chat, part=True)
+    break_after, stall_after = take_stream_fault(engine)
+    has_head = False
+    sent = 0
+    while tokens := await next_tokens(sequence):
+        if not has_head:
+            headers = answer_headers(engine, sequence, b"text/event-stream")
+            await connection.start_response(200, headers)
+            has_head = True
+        for index, token in tokens:
+            if sent == break_after:
+                await drop_connection(connection)
+            if sent == stall_after:
+                await curio.sleep(3600)
+            choice = make_choice(is_chat, token, None, is_part=True)
+            await send_event(connection, {**base, "choices": [choice]}, index)
+            sent += 1
+    if not sequence.is_done:
+        await drop_connection(connection)
+    if not has_head:
+        headers = answer_headers(engine, sequence, b"text/event-stream")
+        await connection.start_response(200, headers)
+    choice = make_choice(is_chat, "", "stop", is_part=True)
+    await send_event(connection, {**base, "choices": [choice]})
+    usage = {**base, "choices": [], "usage": make_usage(sequence)}
+    await send_event(connection, usage)
+    await connection.send_body(b"data: [DONE]\n\n")
+    await connection.finish_response()
+
+
+async def send_event(connection: Connection, value: dict, index: int = -1) -> None:
+    """Send one server-sent event."""
+    prefix = b"" if index < 0 else b"id: %d\n" % index
+    data = msgspec.json.encode(value)
+    await connection.send_body(b"%sdata: %s\n\n" % (prefix, data))
+
+
+async def answer_whole(
+    engine: Engine, sequence: Sequence, request: Request, connection: Connection
+) -> None:
+    """Send the answer in one piece."""
+    is_chat = request.path == "/v1/chat/completions"
+    break_after, _ = take_stream_fault(engine)
+    parts = []
+    while tokens := await next_tokens(sequence):
+        parts += [token for _, token in tokens]
+        if 0 <= break_after <= len(parts):
+            await drop_connection(connection)
+    if not sequence.is_done:
+        await drop_connection(connection)
+    choice = make_choice(is_chat, "".join(parts), "stop", is_part=False)
+    body = make_object(engine, sequence, is_chat, part=False)
+    body |= {"choices": [choice], "usage": make_usage(sequence)}
+    headers = answer_headers(engine, sequence, b"application/json")
+    await connection.respond(200, headers, msgspec.json.encode(body))
+
+
+def main(
+    host: str = "127.0.0.1",
+    port: int = 8050,
+    name: str = "engine",
+    model: str = "m1",
+    weights: str = "v1",
+    cache_tokens: int = 65536,
+    max_running: int = 16,
+    checks_fencing: bool = True,
+) -> None:
+    """Serve a model engine."""
+    batch = Batch(max_running, PrefixCache(cache_tokens // 256))
+    engine = Engine(
+        name, str(model), str(weights), checks_fencing, batch, make_incarnation()
+    )
+
+    async def handler(request: Request, connection: Connection) -> None:
+        await handle(engine, request, connection)
+
+    run_standin(host, port, handler, run_batch(batch), sample_load(engine))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/standins/engine_batch.py
@@ -0,0 +1,172 @@
+"""Batch requests continuously under a cost model for prefill and decode."""
+
+from __future__ import annotations
+
+import hashlib
+import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import curio
+
+from .engine_cache import PrefixCache, count_tokens, hash_blocks
+
+STEP_S = 0.004
+PREFILL_S_PER_TOKEN = 0.0001
+DECODE_S_PER_SEQUENCE = 0.0004
+CHUNK_TOKENS = 512
+
+
+def iterate_tokens(prompt: bytes, text: str = "") -> Iterator[str]:
+    """Yield an answer's tokens; each depends on the prompt and all text before it."""
+    state = hashlib.blake2b(prompt, digest_size=16).digest()
+    for token in split_tokens(text):
+        state = hashlib.blake2b(state + token.encode(), digest_size=16).digest()
+    while True:
+        token = " " + state.hex()[:4]
+        yield token
+        state = hashlib.blake2b(state + token.encode(), digest_size=16).digest()
+
+
+def split_tokens(text: str) -> list[str]:
+    """Return the tokens in an answer's text."""
+    return [" " + word for word in text.split()]
+
+
+def natural_length(prompt: bytes) -> int:
+    """Return how many tokens the whole answer to `prompt` has."""
+    return 8 + hashlib.blake2b(prompt, digest_size=2).digest()[0] % 40
+
+
+def answer_text(prompt: bytes, max_tokens: int) -> str:
+    """Return the whole answer to `prompt`."""
+    length = min(max_tokens, natural_length(prompt))
+    return "".join(itertools.islice(iterate_tokens(prompt), length))
+
+
+@dataclass(slots=True, eq=False)
+class Sequence:
+    """Hold one request in the batch."""
+
+    request_id: str
+    priority: int
+    arrival: int
+    prompt: bytes
+    hashes: list[str]
+    first_index: int
+    end_index: int
+    tokens: Iterator[str]
+    prompt_tokens: int
+    cached_tokens: int = 0
+    prefill_left: int = -1
+    next_index: int = 0
+    outbox: list[tuple[int, str]] = field(default_factory=list)
+    wake: curio.Event = field(default_factory=curio.Event)
+    is_done: bool = False
+    is_cancelled: bool = False
+
+
+@dataclass(slots=True)
+class Batch:
+    """Hold the waiting and running sequences of one engine."""
+
+    max_running: int
+    cache: PrefixCache
+    speed: float = 1.0
+    waiting: list[Sequence] = field(default_factory=list)
+    running: list[Sequence] = field(default_factory=list)
+    has_work: curio.Event = field(default_factory=curio.Event)
+    arrivals: Iterator[int] = field(default_factory=itertools.count)
+    prefilled_tokens: int = 0
+    hit_tokens: int = 0
+    prompt_tokens: int = 0
+
+
+async def submit_sequence(
+    batch: Batch,
+    request_id: str,
+    priority: int,
+    cache_key: tuple[str, str, str],
+    prompt: bytes,
+    max_tokens: int,
+    continued_text: str,
+) -> Sequence:
+    """Queue a request and return its sequence."""
+    first = len(split_tokens(continued_text))
+    sequence = Sequence(
+        request_id=request_id,
+        priority=priority,
+        arrival=next(batch.arrivals),
+        prompt=prompt,
+        hashes=hash_blocks(*cache_key, prompt),
+        first_index=first,
+        next_index=first,
+        end_index=min(max_tokens, natural_length(prompt)),
+        tokens=iterate_tokens(prompt, continued_text),
+        prompt_tokens=count_tokens(prompt),
+    )
+    batch.waiting.append(sequence)
+    await batch.has_work.set()
+    return sequence
+
+
+async def run_batch(batch: Batch) -> None:
+    """Run steps for ever."""
+    while True:
+        if not batch.waiting and not batch.running:
+            batch.has_work.clear()
+            await batch.has_work.wait()
+        await run_step(batch)
+
+
+async def run_step(batch: Batch) -> None:
+    """Admit by priority, prefill one chunk, decode one token for each sequence."""
+    batch.running = [s for s in batch.running if not (s.is_done or s.is_cancelled)]
+    batch.waiting = [s for s in batch.waiting if not s.is_cancelled]
+    admit_waiting(batch)
+    prefilled = prefill_chunk(batch)
+    decoding = [s for s in batch.running if s.prefill_left == 0]
+    duration_s = STEP_S + prefilled * PREFILL_S_PER_TOKEN
+    duration_s += len(decoding) * DECODE_S_PER_SEQUENCE
+    await curio.sleep(duration_s / batch.speed)
+    for sequence in decoding:
+        await emit_token(sequence)
+
+
+def admit_waiting(batch: Batch) -> None:
+    """Move waiting sequences into the batch while there is room."""
+    batch.waiting.sort(key=lambda s: (s.priority, s.arrival))
+    while batch.waiting and len(batch.running) < batch.max_running:
+        sequence = batch.waiting.pop(0)
+        hits = batch.cache.count_hits(sequence.hashes)
+        sequence.cached_tokens = min(hits * 256, sequence.prompt_tokens - 1)
+        sequence.prefill_left = sequence.prompt_tokens - sequence.cached_tokens
+        batch.hit_tokens += sequence.cached_tokens
+        batch.prompt_tokens += sequence.prompt_tokens
+        batch.running.append(sequence)
+
+
+def prefill_chunk(batch: Batch) -> int:
+    """Spend one chunk of prefill, most urgent first; return its tokens."""
+    budget = CHUNK_TOKENS
+    pending = [s for s in batch.running if s.prefill_left > 0]
+    for sequence in sorted(pending, key=lambda s: (s.priority, s.arrival)):
+        spent = min(budget, sequence.prefill_left)
+        sequence.prefill_left -= spent
+        budget -= spent
+        if sequence.prefill_left == 0:
+            batch.cache.store(sequence.hashes)
+        if budget == 0:
+            break
+    batch.prefilled_tokens += CHUNK_TOKENS - budget
+    return CHUNK_TOKENS - budget
+
+
+async def emit_token(sequence: Sequence) -> None:
+    """Produce the sequence's next token."""
+    if sequence.next_index < sequence.end_index:
+        sequence.outbox.append((sequence.next_index, next(sequence.tokens)))
+        sequence.next_index += 1
+    if sequence.next_index >= sequence.end_index:
+        sequence.is_done = True
+    await sequence.wake.set()
