--- a/catkintrack/testing/fleet.py
+++ b/catkintrack/testing/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import json
 import os
 import signal
@@ -26,13 +27,42 @@
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 20.0
 POLL_S = 0.02
+FIRST_PORT = 10000
+LAST_PORT = 29999
 
 
 def find_free_port() -> int:
-    """Return a TCP port that is free now."""
+    """Return a TCP port that nobody else is given for a long while.
+
+    The ports lie below the range that the system gives to outgoing connections,
+    and test processes that run side by side draw them from one counter.
+    """
+    counter_path = Path(tempfile.gettempdir()) / "catkintrack-test-port"
+    with counter_path.open("a+") as counter:
+        fcntl.flock(counter, fcntl.LOCK_EX)
+        counter.seek(0)
+        port = int(counter.read() or FIRST_PORT)
+        while not is_bindable(port):
+            port = next_port(port)
+        counter.seek(0)
+        counter.truncate()
+        counter.write(str(next_port(port)))
+    return port
+
+
+def next_port(port: int) -> int:
+    """Return the port after `port`, from the start again after the last."""
+    return port + 1 if port < LAST_PORT else FIRST_PORT
+
+
+def is_bindable(port: int) -> bool:
+    """Report whether nothing holds a port now."""
     with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 def wait_until(
--- /dev/null
+++ b/loadtool/__init__.py
@@ -0,0 +1,1 @@
+"""Replay seeded workloads against a fleet and measure what callers see."""
