Tell other routers of long prefills in progress

Cause: at a cold start the same history was prefilled on several replicas at once. A router knew of another's prefill only by the cache event after it, and of the load only by a lagging report. Now a prefill of 1,024 tokens or more is told to all routers when it begins and ends. A request whose prefix is being prefilled waits for it, and the load counts at once.

Ruled out: a stronger affinity alone (it sends cold prefixes to busy replicas); holding only one's own duplicates (a router sees a sixth of the traffic).

--- a/catkintrack/agent/main.py
+++ b/catkintrack/agent/main.py
@@ -51,7 +51,11 @@
     send_to_peer,
 )
 from .metrics import make_agent_metrics
-from .routers import drop_silent_sessions, make_router_receiver
+from .routers import (
+    PREFILL_HANDLER_BY_TYPE,
+    drop_silent_sessions,
+    make_router_receiver,
+)
 from .state import Agent, LimitState
 
 logger = logging.getLogger(__name__)
@@ -63,6 +67,7 @@
     MEMBERSHIP_HANDLER_BY_TYPE,
     CONFIG_HANDLER_BY_TYPE,
     LIMIT_HANDLER_BY_TYPE,
+    PREFILL_HANDLER_BY_TYPE,
 )
 
 
--- a/catkintrack/agent/routers.py
+++ b/catkintrack/agent/routers.py
@@ -22,6 +22,8 @@
     FleetView,
     LoadReports,
     MemberRow,
+    PrefillEnd,
+    PrefillNews,
     ReserveAnswer,
     ReserveRequest,
     RouterHello,
@@ -33,6 +35,7 @@
 
 from .freshness import Evidence, are_keys_current
 from .limit_service import reserve, settle_reservation
+from .mesh import MeshHandler, send_to_all
 from .state import Agent, Body, RouterSession
 
 logger = logging.getLogger(__name__)
@@ -205,7 +208,29 @@
     await curio.spawn(run, daemon=True)
 
 
+async def handle_prefill(
+    agent: Agent, session: RouterSession, envelope: Envelope
+) -> None:
+    """Pass a router's news of a prefill on to all other routers."""
+    for other in list(agent.session_by_identity.values()):
+        if other is not session:
+            await send_to_router(agent, other, envelope.body)
+    await send_to_all(agent, envelope.body)
+
+
+async def handle_peer_prefill(agent: Agent, envelope: Envelope) -> None:
+    """Pass a peer's news of a prefill on to the routers here."""
+    await send_to_routers(agent, envelope.body)
+
+
+PREFILL_HANDLER_BY_TYPE: dict[type, MeshHandler] = {
+    PrefillNews: handle_peer_prefill,
+    PrefillEnd: handle_peer_prefill,
+}
+
 HANDLER_BY_TYPE: dict[type, RouterHandler] = {
+    PrefillNews: handle_prefill,
+    PrefillEnd: handle_prefill,
     RouterHello: handle_hello,
     ReserveRequest: handle_reserve,
     Settle: handle_settle,
--- a/catkintrack/decisions/load.py
+++ b/catkintrack/decisions/load.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from .tables import RunningRow, Tables, UpstreamRow
+from .prefills import (
+    NEWS_MIN_TOKENS,
+    Prefill,
+    add_prefill,
+    count_pending_tokens,
+    end_prefill,
+    expiry_after,
+)
+from .tables import ModelRequest, RunningRow, Tables, UpstreamRow
 
 REPORT_LIFETIME_S = 5.0
 SERVICE_TIME_S = 1.0
@@ -13,13 +21,14 @@
 MAX_PREFILL_WAIT_S = 0.5
 
 
-def estimate_prefill_tokens(row: UpstreamRow, now: float) -> float:
+def estimate_prefill_tokens(tables: Tables, row: UpstreamRow, now: float) -> float:
     """Return the tokens that the upstream still has to prefill."""
+    known = count_pending_tokens(tables.prefills, row.name) + row.small_prefill_tokens
     age_s = now - row.reported_at
     if age_s > REPORT_LIFETIME_S:
-        return row.pending_prefill_tokens
-    left = max(0.0, row.reported_prefill_tokens - age_s * row.prefill_tokens_per_s)
-    return max(left + row.prefill_sent_since_report, row.pending_prefill_tokens)
+        return known
+    left = row.reported_prefill_tokens - age_s * row.prefill_tokens_per_s
+    return max(left, known)
 
 
 def estimate_running(row: UpstreamRow, now: float) -> int:
@@ -30,9 +39,9 @@
     return max(row.in_flight, reported + row.sent_since_report)
 
 
-def estimate_wait_s(row: UpstreamRow, now: float) -> float:
+def estimate_wait_s(tables: Tables, row: UpstreamRow, now: float) -> float:
     """Return the seconds before the upstream would begin a new prefill."""
-    prefill_s = estimate_prefill_tokens(row, now) / row.prefill_tokens_per_s
+    prefill_s = estimate_prefill_tokens(tables, row, now) / row.prefill_tokens_per_s
     excess = estimate_running(row, now) + 1 - row.max_running
     if excess <= 0:
         return prefill_s
@@ -41,7 +50,9 @@
 
 def is_open(tables: Tables, row: UpstreamRow, now: float) -> bool:
     """Report whether this router may send the upstream another request now."""
-    if row.pending_prefill_tokens and estimate_wait_s(row, now) > MAX_PREFILL_WAIT_S:
+    if estimate_prefill_tokens(tables, row, now) > MAX_PREFILL_WAIT_S * (
+        row.prefill_tokens_per_s
+    ):
         return False
     ramp = ramp_fraction(row, now)
     if ramp >= 1.0 and estimate_running(row, now) < row.max_running * ROOMY_FRACTION:
@@ -56,24 +67,33 @@
     return min(1.0, RAMP_START_FRACTION + (1 - RAMP_START_FRACTION) * age_s / RAMP_S)
 
 
-def record_dispatch(row: UpstreamRow, uncached_tokens: int) -> None:
+def record_dispatch(
+    tables: Tables, row: UpstreamRow, request: ModelRequest, uncached: int, now: float
+) -> None:
     """Count a request as sent to the upstream."""
     row.in_flight += 1
     row.sent_since_report += 1
-    row.pending_prefill_tokens += uncached_tokens
-    row.prefill_sent_since_report += uncached_tokens
+    if uncached < NEWS_MIN_TOKENS:
+        row.small_prefill_tokens += uncached
+        return
+    wait_s = estimate_wait_s(tables, row, now)
+    expires_at = expiry_after(now, wait_s, uncached, row.prefill_tokens_per_s)
+    prefill = Prefill(request.id, row.name, request.blocks, uncached, expires_at)
+    add_prefill(tables.prefills, prefill)
 
 
-def record_prefilled(row: UpstreamRow, running: RunningRow) -> None:
+def record_prefilled(tables: Tables, row: UpstreamRow, running: RunningRow) -> None:
     """Count a request's prefill as done."""
     if running.has_first_token:
         return
     running.has_first_token = True
-    row.pending_prefill_tokens -= running.uncached_tokens
+    if running.uncached_tokens < NEWS_MIN_TOKENS:
+        row.small_prefill_tokens -= running.uncached_tokens
+    end_prefill(tables.prefills, running.request.id)
 
 
-def record_leave(row: UpstreamRow, running: RunningRow) -> None:
+def record_leave(tables: Tables, row: UpstreamRow, running: RunningRow) -> None:
     """Count a request as gone from the upstream."""
-    record_prefilled(row, running)
+    record_prefilled(tables, row, running)
     row.in_flight -= 1
     row.sent_since_report = max(0, row.sent_since_report - 1)
--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -9,6 +9,7 @@
 
 from .ejection import is_ejected
 from .load import estimate_running, estimate_wait_s
+from .prefills import find_pending
 from .prefix import BLOCK_TOKENS, find_affinity_depth
 from .residency import find_depths
 from .tables import ModelRequest, Tables, UpstreamRow
@@ -16,8 +17,10 @@
 # Prefilling a prefix on one more replica also evicts as much elsewhere.
 DUPLICATION_WEIGHT = 1.0
 # The chance that a peer has already sent a prefix to its first choice.
-FIRST_CHOICE_CREDIT = 0.5
+FIRST_CHOICE_CREDIT = 0.1
 RANK_COST_S = 0.001
+# Shorter prefixes are computed again sooner than waited for.
+AWAITED_MIN_BLOCKS = 4
 MAX_SCANNED = 32
 RANKED_CANDIDATES = 8
 RANDOM_CANDIDATES = 4
@@ -28,12 +31,14 @@
     """Hold a chosen upstream, its expected cost and the tokens it must prefill.
 
     `best_cached_tokens` are those that some eligible upstream is believed to hold.
+    `is_awaiting` says that a prefill in progress there is worth waiting for.
     """
 
     upstream: UpstreamRow
     cost_s: float
     uncached_tokens: int
     best_cached_tokens: int = 0
+    is_awaiting: bool = False
 
 
 Policy = Callable[[Tables, ModelRequest, float, Random], Placement | None]
@@ -85,27 +90,36 @@
         rng.shuffle(eligible)
     held = [depth_by_slot.get(row.slot, 0) for row in eligible]
     best_cached = min(max(held) * BLOCK_TOKENS, request.prompt_tokens)
+    pending = find_pending(tables.prefills, request.blocks)
     best: Placement | None = None
     for rank, row in _pick_candidates(eligible, depth_by_slot, rng):
-        cached = min(
-            depth_by_slot.get(row.slot, 0) * BLOCK_TOKENS, request.prompt_tokens
-        )
-        cost_s = estimate_cost_s(request, row, rank, cached, now)
+        depth = depth_by_slot.get(row.slot, 0)
+        is_awaiting = False
+        if pending is not None and pending[0] == row.name:
+            is_awaiting = pending[1] >= depth + AWAITED_MIN_BLOCKS
+            depth = max(depth, pending[1])
+        cached = min(depth * BLOCK_TOKENS, request.prompt_tokens)
+        cost_s = estimate_cost_s(tables, request, row, rank, cached, now)
         if best is None or cost_s < best.cost_s:
             uncached = request.prompt_tokens - cached
-            best = Placement(row, cost_s, uncached, best_cached)
+            best = Placement(row, cost_s, uncached, best_cached, is_awaiting)
     return best
 
 
 def estimate_cost_s(
-    request: ModelRequest, row: UpstreamRow, rank: int, cached_tokens: int, now: float
+    tables: Tables,
+    request: ModelRequest,
+    row: UpstreamRow,
+    rank: int,
+    cached_tokens: int,
+    now: float,
 ) -> float:
     """Return the seconds that the request costs there, itself and others."""
     uncached = request.prompt_tokens - cached_tokens
     credit = FIRST_CHOICE_CREDIT * uncached if rank == 0 else 0.0
     prefill_s = (uncached - credit) / row.prefill_tokens_per_s
     return (
-        estimate_wait_s(row, now)
+        estimate_wait_s(tables, row, now)
         + prefill_s * (1 + DUPLICATION_WEIGHT)
         + rank * RANK_COST_S
     )
--- /dev/null
+++ b/catkintrack/decisions/prefills.py
@@ -0,0 +1,83 @@
+"""Know the long prefills in progress, one's own and those of other routers.
+
+An engine that gets the same prefix twice at once computes it twice.  Whoever knows
+that a prefix is being prefilled waits for it, and sees the load before any report.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+NEWS_MIN_TOKENS = 1024
+EXPIRY_FACTOR = 3.0
+EXPIRY_MIN_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Prefill:
+    """Hold one prefill in progress; `expires_at` is when it is given up as lost."""
+
+    id: str
+    upstream: str
+    blocks: tuple[int, ...]
+    tokens: int
+    expires_at: float
+
+
+@dataclass(slots=True)
+class Prefills:
+    """Hold the prefills in progress, keyed by id, and which computes a block."""
+
+    prefill_by_id: dict[str, Prefill] = field(default_factory=dict)
+    id_by_block: dict[int, str] = field(default_factory=dict)
+    tokens_by_upstream: dict[str, int] = field(default_factory=dict)
+
+
+def expiry_after(now: float, wait_s: float, tokens: int, rate: float) -> float:
+    """Return when a prefill begun now, behind `wait_s`, counts as lost."""
+    return now + EXPIRY_MIN_S + EXPIRY_FACTOR * (wait_s + tokens / rate)
+
+
+def add_prefill(prefills: Prefills, prefill: Prefill) -> None:
+    """Note a prefill that has begun; the first to compute a block keeps it."""
+    if prefill.id in prefills.prefill_by_id:
+        return
+    prefills.prefill_by_id[prefill.id] = prefill
+    for block in prefill.blocks:
+        prefills.id_by_block.setdefault(block, prefill.id)
+    known = prefills.tokens_by_upstream.get(prefill.upstream, 0)
+    prefills.tokens_by_upstream[prefill.upstream] = known + prefill.tokens
+
+
+def end_prefill(prefills: Prefills, prefill_id: str) -> Prefill | None:
+    """Drop a prefill and return it, or None when it is not known."""
+    prefill = prefills.prefill_by_id.pop(prefill_id, None)
+    if prefill is None:
+        return None
+    for block in prefill.blocks:
+        if prefills.id_by_block.get(block) == prefill_id:
+            del prefills.id_by_block[block]
+    prefills.tokens_by_upstream[prefill.upstream] -= prefill.tokens
+    return prefill
+
+
+def expire_prefills(prefills: Prefills, now: float) -> None:
+    """Drop the prefills whose end was never heard of."""
+    late = [p.id for p in prefills.prefill_by_id.values() if p.expires_at <= now]
+    for prefill_id in late:
+        end_prefill(prefills, prefill_id)
+
+
+def find_pending(prefills: Prefills, blocks: Sequence[int]) -> tuple[str, int] | None:
+    """Return (upstream, depth) of the longest prefix that is being prefilled."""
+    for depth in range(len(blocks), 0, -1):
+        prefill_id = prefills.id_by_block.get(blocks[depth - 1])
+        if prefill_id is not None:
+            return prefills.prefill_by_id[prefill_id].upstream, depth
+    return None
+
+
+def count_pending_tokens(prefills: Prefills, upstream: str) -> int:
+    """Return the tokens of the prefills in progress at an upstream."""
+    return prefills.tokens_by_upstream.get(upstream, 0)
--- a/catkintrack/decisions/systems.py
+++ b/catkintrack/decisions/systems.py
@@ -15,6 +15,7 @@
 from . import ejection, load
 from .fairness import charge_workspace, cost_of, order_workspaces
 from .placement import POLICY_BY_NAME, WINDOWED_POLICIES, Placement, list_eligible
+from .prefills import Prefill, add_prefill, end_prefill, expire_prefills, expiry_after
 from .residency import credit_blocks, discredit_blocks, forget_slot
 from .tables import (
     RETRY_BUDGET_MAX,
@@ -27,7 +28,7 @@
     find_workspace,
 )
 
-LOOKAHEAD = 4
+LOOKAHEAD = 16
 MAX_WAITING_PER_WORKSPACE = 512
 RETRY_EARNED_PER_REQUEST = 0.2
 MIN_RETRY_AFTER_S = 1.0
@@ -152,6 +153,7 @@
 
 def tick(tables: Tables, now: float, rng: Random, policy: str) -> list[Decision]:
     """Return the decisions that are due now."""
+    expire_prefills(tables.prefills, now)
     decisions: list[Decision] = []
     decisions += refuse_late(tables, now)
     decisions += dispatch_retries(tables, now, rng, policy)
@@ -222,8 +224,8 @@
                 reason = RefusalReason.NO_UPSTREAM
                 return Refusal(request, reason, MIN_RETRY_AFTER_S)
             continue
-        is_held = policy in WINDOWED_POLICIES and not load.is_open(
-            tables, placement.upstream, now
+        is_held = policy in WINDOWED_POLICIES and (
+            placement.is_awaiting or not load.is_open(tables, placement.upstream, now)
         )
         if is_held:
             continue
@@ -258,7 +260,7 @@
     tables: Tables, request: ModelRequest, placement: Placement, now: float
 ) -> Dispatch:
     row = placement.upstream
-    load.record_dispatch(row, placement.uncached_tokens)
+    load.record_dispatch(tables, row, request, placement.uncached_tokens, now)
     tables.running_by_id[request.id] = RunningRow(
         request, row.name, now, placement.uncached_tokens
     )
@@ -278,7 +280,7 @@
     row = tables.upstream_by_name.get(running.upstream) if running else None
     if running is None or row is None:
         return
-    load.record_prefilled(row, running)
+    load.record_prefilled(tables, row, running)
     ejection.record_success(row, now)
     if set_incarnation(tables, row, incarnation, now, now):
         credit_blocks(tables.residency, row.slot, running.request.blocks)
@@ -289,7 +291,7 @@
     running = tables.running_by_id.pop(request_id, None)
     row = tables.upstream_by_name.get(running.upstream) if running else None
     if running is not None and row is not None:
-        load.record_leave(row, running)
+        load.record_leave(tables, row, running)
 
 
 def record_failure(
@@ -348,9 +350,6 @@
             if running.upstream == name and running.dispatched_at > report.at
         ]
         row.sent_since_report = len(recent)
-        row.prefill_sent_since_report = sum(
-            running.uncached_tokens for running in recent if not running.has_first_token
-        )
 
 
 def apply_cache_events(
@@ -376,6 +375,38 @@
     discredit_blocks(tables.residency, row.slot, evicted)
 
 
+def note_remote_prefill(
+    tables: Tables,
+    prefill_id: str,
+    upstream: str,
+    blocks: tuple[int, ...],
+    tokens: int,
+    now: float,
+) -> None:
+    """Note a long prefill that another router has begun."""
+    row = tables.upstream_by_name.get(upstream)
+    if row is None:
+        return
+    wait_s = load.estimate_wait_s(tables, row, now)
+    expires_at = expiry_after(now, wait_s, tokens, row.prefill_tokens_per_s)
+    add_prefill(
+        tables.prefills, Prefill(prefill_id, upstream, blocks, tokens, expires_at)
+    )
+
+
+def note_remote_prefill_end(
+    tables: Tables, prefill_id: str, incarnation: str, now: float
+) -> None:
+    """Note that another router's prefill has ended; no incarnation if it failed."""
+    prefill = end_prefill(tables.prefills, prefill_id)
+    row = tables.upstream_by_name.get(prefill.upstream) if prefill else None
+    if prefill is None or row is None or not incarnation:
+        return
+    observed_at = now - REPORT_LAG_MAX_S
+    if set_incarnation(tables, row, incarnation, observed_at, now):
+        credit_blocks(tables.residency, row.slot, prefill.blocks)
+
+
 def has_upstream(tables: Tables, request: ModelRequest, now: float) -> bool:
     """Report whether some upstream may get the request now."""
     return bool(list_eligible(tables, request, now))
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -5,6 +5,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from .prefills import Prefills
 from .residency import Residency
 
 RETRY_BUDGET_MAX = 10.0
@@ -33,9 +34,8 @@
     reported_waiting: int = 0
     reported_prefill_tokens: int = 0
     sent_since_report: int = 0
-    prefill_sent_since_report: int = 0
     in_flight: int = 0
-    pending_prefill_tokens: int = 0
+    small_prefill_tokens: int = 0
     failures_in_row: int = 0
     ejections: int = 0
     ejected_until: float = 0.0
@@ -91,6 +91,7 @@
     workspace_by_name: dict[str, WorkspaceRow] = field(default_factory=dict)
     running_by_id: dict[str, RunningRow] = field(default_factory=dict)
     residency: Residency = field(default_factory=Residency)
+    prefills: Prefills = field(default_factory=Prefills)
     retries: deque[ModelRequest] = field(default_factory=deque)
     router_count: int = 1
     virtual_time: float = 0.0
--- a/catkintrack/links/messages.py
+++ b/catkintrack/links/messages.py
@@ -147,6 +147,22 @@
     response: bytes
 
 
+class PrefillNews(Message):
+    """Tell other routers that a long prefill has begun."""
+
+    id: str
+    upstream: str
+    blocks: tuple[int, ...]
+    tokens: int
+
+
+class PrefillEnd(Message):
+    """Tell other routers that a prefill has ended; no incarnation if it failed."""
+
+    id: str
+    incarnation: str
+
+
 # Between agents.
 
 
@@ -268,6 +284,8 @@
     | ClaimRequest
     | ClaimAnswer
     | ClaimFinish
+    | PrefillNews
+    | PrefillEnd
     | Heartbeat
     | Probe
     | VouchRequest
--- a/catkintrack/router/agent_links.py
+++ b/catkintrack/router/agent_links.py
@@ -20,6 +20,8 @@
     LoadRow,
     apply_cache_events,
     apply_load,
+    note_remote_prefill,
+    note_remote_prefill_end,
     sync_upstreams,
 )
 from catkintrack.links import (
@@ -32,6 +34,8 @@
     Envelope,
     FleetView,
     LoadReports,
+    PrefillEnd,
+    PrefillNews,
     ReserveAnswer,
     ReserveOutcome,
     ReserveRequest,
@@ -252,6 +256,28 @@
     )
 
 
+async def handle_prefill_news(
+    router: Router, agent: AgentLink, body: PrefillNews, now: float
+) -> None:
+    """Note a prefill that another router has begun."""
+    note_remote_prefill(
+        router.decisions, body.id, body.upstream, body.blocks, body.tokens, now
+    )
+
+
+async def handle_prefill_end(
+    router: Router, agent: AgentLink, body: PrefillEnd, now: float
+) -> None:
+    """Note that another router's prefill has ended."""
+    note_remote_prefill_end(router.decisions, body.id, body.incarnation, now)
+
+
+async def tell_prefill(router: Router, body: PrefillNews | PrefillEnd) -> None:
+    """Tell the other routers of a prefill, by one's own agent."""
+    for agent in active_agents(router, time.monotonic())[:1]:
+        await send_to_agent(router, agent, body)
+
+
 async def handle_answer(
     router: Router,
     agent: AgentLink,
@@ -275,6 +301,8 @@
     ConfigSnapshot: handle_snapshot,
     LoadReports: handle_loads,
     CacheEvents: handle_cache_events,
+    PrefillNews: handle_prefill_news,
+    PrefillEnd: handle_prefill_end,
     ReserveAnswer: handle_answer,
     ClaimAnswer: handle_answer,
 }
--- a/catkintrack/router/dump.py
+++ b/catkintrack/router/dump.py
@@ -36,7 +36,7 @@
                 "incarnation": row.incarnation,
                 "in_flight": row.in_flight,
                 "running": estimate_running(row, now),
-                "wait_s": round(estimate_wait_s(row, now), 4),
+                "wait_s": round(estimate_wait_s(decisions, row, now), 4),
                 "is_leaving": row.is_leaving,
                 "is_ejected": now < row.ejected_until,
             }
--- a/catkintrack/router/model_calls.py
+++ b/catkintrack/router/model_calls.py
@@ -17,6 +17,7 @@
     record_failure,
     record_first_token,
 )
+from catkintrack.decisions.prefills import NEWS_MIN_TOKENS
 from catkintrack.http import (
     Connection,
     Exchange,
@@ -29,8 +30,9 @@
     find_header,
     open_exchange,
 )
+from catkintrack.links import PrefillEnd, PrefillNews
 
-from .agent_links import reserve_tokens, settle_tokens
+from .agent_links import reserve_tokens, settle_tokens, tell_prefill
 from .events import EventReader, StreamProgress, Usage
 from .model_body import (
     COMPLETION_PATHS,
@@ -195,6 +197,9 @@
         decision = await place_call(router, call.request, connection)
         if isinstance(decision, Refusal):
             raise _as_error(call, decision)
+        is_long = decision.uncached_tokens >= NEWS_MIN_TOKENS
+        if is_long:
+            await _tell_begun(router, call, decision)
         try:
             await _run_at(router, call, decision, connection)
             return
@@ -209,6 +214,8 @@
             record_end(router.decisions, call.id)
         finally:
             record_end(router.decisions, call.id)
+            if is_long and call.first_token_at is None:
+                await tell_prefill(router, PrefillEnd(call.id, ""))
             await run_tick(router)
         if call.progress.is_done:
             return
@@ -235,6 +242,12 @@
     raise NoCapacity("no upstream took the request", 1.0)
 
 
+async def _tell_begun(router: Router, call: ModelCall, decision: Dispatch) -> None:
+    blocks = call.request.blocks
+    news = PrefillNews(call.id, decision.upstream, blocks, decision.uncached_tokens)
+    await tell_prefill(router, news)
+
+
 def _as_error(call: ModelCall, refusal: Refusal) -> CallError:
     if call.has_run:
         return UpstreamFailed("the upstream failed and no other can continue", 1.0)
@@ -265,7 +278,7 @@
             raise UpstreamRefused(f"status {head.status}")
         if head.status >= 500:
             raise UpstreamBroken(f"status {head.status}")
-        _note_first_token(router, call, decision, head)
+        await _note_first_token(router, call, decision, head)
         await run_tick(router)
         if head.status != 200:
             await _pass_error(call, exchange, head, connection, limits.read_timeout_s)
@@ -289,12 +302,15 @@
     return Request(b"POST", call.path.encode(), headers, body)
 
 
-def _note_first_token(
+async def _note_first_token(
     router: Router, call: ModelCall, decision: Dispatch, head: ResponseHead
 ) -> None:
     now = time.monotonic()
     incarnation = find_header(head.headers, b"x-engine-incarnation") or b""
-    record_first_token(router.decisions, call.id, incarnation.decode("latin-1"), now)
+    life = incarnation.decode("latin-1")
+    record_first_token(router.decisions, call.id, life, now)
+    if decision.uncached_tokens >= NEWS_MIN_TOKENS:
+        await tell_prefill(router, PrefillEnd(call.id, life))
     if call.first_token_at is not None:
         return
     call.first_token_at = now
--- a/loadtool/workloads.py
+++ b/loadtool/workloads.py
@@ -14,10 +14,31 @@
 
 from catkintrack.testing.caller import make_messages
 
-WORDS = (
-    "lily rose wreath deposit delivery friday hall order card ribbon valve leak "
-    "kitchen shift engineer handover street pump meter night roster call cover"
-).split()
+WORDS = [
+    "lily",
+    "rose",
+    "wreath",
+    "deposit",
+    "delivery",
+    "friday",
+    "hall",
+    "order",
+    "card",
+    "ribbon",
+    "valve",
+    "leak",
+    "kitchen",
+    "shift",
+    "engineer",
+    "handover",
+    "street",
+    "pump",
+    "meter",
+    "night",
+    "roster",
+    "call",
+    "cover",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,9 +160,7 @@
         pick = _make_picker(case, histories[workspace], duration_s, rng)
         at = rng.expovariate(rate)
         while at < duration_s:
-            messages = _write_messages(
-                site, instruction[workspace], pick(at), rng
-            )
+            messages = _write_messages(site, instruction[workspace], pick(at), rng)
             rows.append(TraceRow(at, workspace, messages, site.max_tokens))
             at += rng.expovariate(rate)
     return sorted(rows, key=lambda row: row.at)
