Break streams, withdraw keys and repeat calls over real processes; mend what broke

HTTP/1.1 answers name no request: a connection is now used again only with an upstream that echoes x-request-id, and the echo is checked before anything is passed on. Fresh parts now wait for the limit. - Reservations were refused as over the limit while peers still had tokens: a round of asking counted only the first asker's need, a lender busy with its own need looked empty, and a grant ignored during a recount looked like an answer. One queue a workspace now asks for all waiting together, and only lenders that gave less than they were asked for count as empty. - Full holders accrue nothing, which lost tokens while others were empty: tokens are now lent without parts where they fit, and shares are levelled. - The time a backlog takes was learnt from an idle hour, so requests were refused.

Loss that remains: about 0.2 s of the rate when a workspace leaves an idle time.

--- /dev/null
+++ b/bin/demo.py
@@ -0,0 +1,142 @@
+"""Run the whole fleet on this machine and send it a mixed load.
+
+`--serve` leaves it running until Ctrl-C.
+"""
+
+from __future__ import annotations
+
+import signal
+import sys
+import time
+from pathlib import Path
+
+import curio
+import fire
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from catkintrack.cli.output import format_rows
+from catkintrack.testing.configs import make_key_text, make_kinds, make_workspace
+from catkintrack.testing.fleet import HOST, Fleet, open_fleet
+from loadtool.client import Outcome, replay
+from loadtool.measures import percentile
+from loadtool.workloads import BLOMAVEFUR, CASES, shorten, write_trace
+
+ENGINES = 3
+INSTANCES = 3
+ZONES = ("z1", "z2")
+DURATION_S = 10.0
+REQUESTS_PER_S = 8.0
+
+
+def start_fleet(fleet: Fleet) -> None:
+    """Start the stand-ins, then an agent and a router on each instance."""
+    fleet.start_platform()
+    for number in range(ENGINES):
+        fleet.start_engine(f"engine-{number}")
+    fleet.start_service("orders")
+    workspaces = {
+        name: make_workspace("paid" if name in BLOMAVEFUR.paid else "free")
+        for name in BLOMAVEFUR.histories_by_workspace
+    }
+    # A small limit, so that refusals are seen as well.
+    workspaces["b5"] = make_workspace("free", rate=500, burst=8000)
+    kinds = make_kinds(
+        workspaces, fleet.engine_port_by_name, fleet.service_port_by_name, ZONES
+    )
+    fleet.apply_config(kinds)
+    for number in range(INSTANCES):
+        fleet.make_node(f"instance-{number}", ZONES[number % len(ZONES)])
+    fleet.list_instances()
+    fleet.start_nodes()
+
+
+def describe_fleet(fleet: Fleet) -> str:
+    """Return where the processes listen."""
+    rows = [
+        {
+            "instance": node.name,
+            "zone": node.zone,
+            "callers": f"http://{HOST}:{node.listen_port}/v1",
+            "router ops": f"{HOST}:{node.router_ops_port}",
+            "agent ops": f"{HOST}:{node.agent_ops_port}",
+        }
+        for node in fleet.node_by_name.values()
+    ]
+    return format_rows(rows)
+
+
+def send_load(fleet: Fleet) -> list[Outcome]:
+    """Send ten seconds of nested prompts through all routers."""
+    site = shorten(BLOMAVEFUR, REQUESTS_PER_S)
+    rows = write_trace(site, CASES["calm"], 1, DURATION_S)
+    keys = {name: make_key_text(name) for name in site.histories_by_workspace}
+    ports = tuple(node.listen_port for node in fleet.node_by_name.values())
+    return curio.run(replay, rows, keys, ports, 1, [])
+
+
+def summarise(fleet: Fleet, outcomes: list[Outcome]) -> str:
+    """Return what was served, by workspace and as a whole."""
+    rows = []
+    for name in BLOMAVEFUR.histories_by_workspace:
+        own = [o for o in outcomes if o.row.workspace == name]
+        times = [o.first_token_s for o in own if o.first_token_s is not None]
+        rows.append(
+            {
+                "workspace": name,
+                "tier": "paid" if name in BLOMAVEFUR.paid else "free",
+                "requests": len(own),
+                "whole and right": sum(o.is_right for o in own),
+                "refused over limit": sum(o.status == 429 for o in own),
+                "first token p50 s": round(percentile(times, 0.5), 3),
+                "first token p99 s": round(percentile(times, 0.99), 3),
+            }
+        )
+    counts = [fleet.count_engine(name) for name in fleet.engine_port_by_name]
+    prompt = sum(count["prompt_tokens"] for count in counts)
+    hit = sum(count["hit_tokens"] for count in counts)
+    leaked = sum(count["leaked_keys"] for count in counts)
+    return "\n".join(
+        (
+            format_rows(rows),
+            f"prompt tokens {prompt}, found cached {hit} ({hit / max(1, prompt):.1%})",
+            f"keys seen by upstreams: {leaked}",
+        )
+    )
+
+
+def wait_for_interrupt() -> None:
+    """Return when the user presses Ctrl-C."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    try:
+        while True:
+            time.sleep(1)
+    except KeyboardInterrupt:
+        return
+
+
+def main(serve: bool = False) -> int:
+    """Run the demonstration.
+
+    Args:
+        serve: Leave the fleet running instead of sending a load.
+    """
+    with open_fleet() as fleet:
+        start_fleet(fleet)
+        print(describe_fleet(fleet))
+        if serve:
+            print(f"platform: {HOST}:{fleet.platform_port}")
+            print(f"a caller's key: {make_key_text('b1')}")
+            print("Ctrl-C stops everything")
+            wait_for_interrupt()
+            return 0
+        outcomes = send_load(fleet)
+        print(summarise(fleet, outcomes))
+        wrong = sum(o.status == 200 and not o.is_right for o in outcomes)
+        exits = [node.router.stop() for node in fleet.node_by_name.values()]
+        print(f"wrong or cut answers: {wrong}; routers' exit statuses: {exits}")
+        return 1 if wrong or any(exits) else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(fire.Fire(main, serialize=lambda _: ""))
--- a/catkintrack/agent/feeds.py
+++ b/catkintrack/agent/feeds.py
@@ -170,10 +170,14 @@
     upstream: Upstream | None = agent.tables.upstream_by_name.get(feed.upstream)
     if upstream is None:
         return None
-    host = (b"host", str(upstream.address).encode())
+    feed.next_request_id += 1
+    headers = (
+        (b"host", str(upstream.address).encode()),
+        (b"x-request-id", f"{feed.upstream}-{feed.next_request_id}".encode()),
+    )
     try:
         async with open_exchange(agent.upstream_pool, upstream.address) as exchange:
-            await exchange.send(Request(b"GET", path.encode(), (host,)))
+            await exchange.send(Request(b"GET", path.encode(), headers))
             head = await exchange.read_head(timeout_s)
             body = await exchange.read_body(timeout_s)
     except HttpError as error:
--- a/catkintrack/agent/main.py
+++ b/catkintrack/agent/main.py
@@ -40,6 +40,7 @@
     LIMIT_HANDLER_BY_TYPE,
     hand_over_shares,
     keep_ledger,
+    level_shares,
     repeat_grants,
 )
 from .mesh import (
@@ -134,6 +135,7 @@
             (push_loads, agent),
             (repeat_grants, agent),
             (keep_ledger, agent),
+            (level_shares, agent),
             (drop_silent_sessions, agent),
         ]
         for task in tasks:
--- a/catkintrack/agent/state.py
+++ b/catkintrack/agent/state.py
@@ -13,7 +13,7 @@
 from catkintrack.config import Change, ConfigTables, State
 from catkintrack.http import Pool
 from catkintrack.limits import Holder, Recount
-from catkintrack.links import Link, LinkKeys, LoadReport, Message
+from catkintrack.links import Link, LinkKeys, LoadReport, Message, ReserveOutcome
 from catkintrack.membership import Members
 from catkintrack.platform import InstanceRow, PlatformClient
 from catkintrack.processes import PauseGuard
@@ -55,15 +55,33 @@
     blocks: set[int] = field(default_factory=set)
     load: LoadReport | None = None
     load_at: float = 0.0
+    next_request_id: int = 0
     tasks: list[curio.Task] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class Reservation:
+    """Hold a reservation that waits for tokens of other holders."""
+
+    tokens: int
+    asked_at: float
+    done: curio.Event = field(default_factory=curio.Event)
+    outcome: ReserveOutcome = ReserveOutcome.UNAVAILABLE
+    retry_after_s: float = 0.0
+
+
 @dataclass(slots=True)
 class Gather:
-    """Hold one round of asking peers for a workspace's tokens."""
+    """Hold one round of asking peers for a workspace's tokens.
+
+    `has_full_grant` says that some peer gave all it was asked for, and may have more.
+    """
 
     ticket: int
+    wanted: float
     waiting_for: set[str]
+    is_contended: bool = False
+    has_full_grant: bool = False
     done: curio.Event = field(default_factory=curio.Event)
 
 
@@ -72,8 +90,9 @@
     """Hold the agent's part in the limits."""
 
     holder: Holder
+    waiting_by_workspace: dict[str, deque[Reservation]] = field(default_factory=dict)
     gather_by_workspace: dict[str, Gather] = field(default_factory=dict)
-    fruitless_at_by_workspace: dict[str, float] = field(default_factory=dict)
+    exhausted_at_by_workspace: dict[str, float] = field(default_factory=dict)
     recount: Recount | None = None
     recount_reported: curio.Event = field(default_factory=curio.Event)
     next_recount_at: float = 0.0
--- a/catkintrack/decisions/systems.py
+++ b/catkintrack/decisions/systems.py
@@ -247,13 +247,14 @@
 
 def _record_interval(row: WorkspaceRow, now: float) -> None:
     """Learn how long the workspace's backlog takes for each request."""
-    if row.waiting:
-        interval_s = max(0.0, now - row.last_dispatch_at)
+    if row.backlogged_at is None:
+        row.dispatch_interval_s *= 1 - INTERVAL_SMOOTHING
+    else:
+        interval_s = max(0.0, now - row.backlogged_at)
         change = INTERVAL_SMOOTHING * (interval_s - row.dispatch_interval_s)
         row.dispatch_interval_s += change
-    else:
-        row.dispatch_interval_s *= 1 - INTERVAL_SMOOTHING
-    row.last_dispatch_at = now
+    # Only the time between two dispatches of one backlog tells its pace.
+    row.backlogged_at = now if row.waiting else None
 
 
 def _dispatch(
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -68,7 +68,7 @@
     waiting: deque[ModelRequest] = field(default_factory=deque)
     virtual_finish: float = 0.0
     dispatch_interval_s: float = 0.0
-    last_dispatch_at: float = 0.0
+    backlogged_at: float | None = None
 
 
 @dataclass(slots=True)
--- a/catkintrack/http/client.py
+++ b/catkintrack/http/client.py
@@ -11,9 +11,10 @@
 from curio import socket
 
 from .errors import UpstreamBroken, UpstreamTimeout, UpstreamUnreachable
-from .messages import Request, ResponseHead
+from .messages import Headers, Request, ResponseHead, find_header
 
 READ_SIZE_BYTES = 65536
+REQUEST_ID_HEADER = b"x-request-id"
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,10 +53,15 @@
         self.address = address
         self.sock = sock
         self.h11 = h11.Connection(h11.CLIENT)
+        self.is_reused = False
+        self.request_id: bytes | None = None
+        self.has_echo = False
 
     async def send(self, request: Request) -> None:
         """Send a whole request; raise UpstreamBroken when the connection fails."""
         headers = list(request.headers)
+        self.request_id = find_header(request.headers, REQUEST_ID_HEADER)
+        self.has_echo = False
         head = h11.Request(
             method=request.method, target=request.target, headers=headers
         )
@@ -74,10 +80,18 @@
             event = await self._next_event(timeout_s)
             if isinstance(event, h11.Response):
                 headers = tuple((k.lower(), v) for k, v in event.headers)
+                self._check_echo(headers)
                 return ResponseHead(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise UpstreamBroken("connection closed before the response")
 
+    def _check_echo(self, headers: Headers) -> None:
+        """Refuse an answer to another request on a connection used before."""
+        echo = find_header(headers, REQUEST_ID_HEADER)
+        self.has_echo = echo is not None and echo == self.request_id
+        if self.is_reused and not self.has_echo:
+            raise UpstreamBroken("the answer is not to this request")
+
     async def read_body_part(self, timeout_s: float) -> bytes | None:
         """Return the next part of the body, or None at its proper end."""
         event = await self._next_event(timeout_s)
@@ -113,7 +127,13 @@
             raise UpstreamBroken(str(error)) from error
 
     def is_reusable(self) -> bool:
-        """Report whether the next answer on this connection can only be its own."""
+        """Report whether the next answer on this connection can be told for its own.
+
+        HTTP/1.1 answers carry no name of their request.  A connection is used again
+        only with an upstream that echoes the request's id in its answers.
+        """
+        if not self.has_echo:
+            return False
         if self.h11.our_state is not h11.DONE:
             return False
         if self.h11.their_state is not h11.DONE:
@@ -146,6 +166,7 @@
     finally:
         if exchange.is_reusable():
             exchange.h11.start_next_cycle()
+            exchange.is_reused = True
             idle = pool.idle_by_address.setdefault(address, [])
             if len(idle) < pool.max_idle_per_address:
                 idle.append(exchange)
--- a/catkintrack/http/server.py
+++ b/catkintrack/http/server.py
@@ -12,7 +12,7 @@
 from curio import socket
 
 from .errors import BadRequest, CallerGone
-from .messages import Headers, Request
+from .messages import Headers, Request, find_header
 
 READ_SIZE_BYTES = 65536
 LISTEN_BACKLOG = 512
@@ -36,6 +36,7 @@
     """Hold the open connections of one listening socket."""
 
     limits: ServerLimits
+    echoes_request_id: bool = False
     port: int = 0
     is_draining: bool = False
     active_requests: int = 0
@@ -54,11 +55,14 @@
         )
         self.is_busy = False
         self.has_started = False
+        self.request_id: bytes | None = None
         self.task: curio.Task | None = None
 
     async def start_response(self, status: int, headers: Headers) -> None:
         """Send the status line and headers."""
         kept = list(headers)
+        if self.server.echoes_request_id and self.request_id is not None:
+            kept.append((b"x-request-id", self.request_id))
         if self.server.is_draining:
             kept = [(k, v) for k, v in kept if k != b"connection"]
             kept.append((b"connection", b"close"))
@@ -133,9 +137,10 @@
     handler: Handler,
     limits: ServerLimits | None = None,
     on_bad_request: BadRequestHandler = answer_bad_request,
+    echoes_request_id: bool = False,
 ) -> AsyncIterator[Server]:
     """Listen at `host` and `port` until the block ends; port 0 picks a free one."""
-    server = Server(limits or ServerLimits())
+    server = Server(limits or ServerLimits(), echoes_request_id)
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((host, port))
@@ -203,6 +208,7 @@
             if request is None:
                 return
             connection.is_busy = True
+            connection.request_id = find_header(request.headers, b"x-request-id")
             server.active_requests += 1
             try:
                 await handler(request, connection)
--- a/catkintrack/limits/__init__.py
+++ b/catkintrack/limits/__init__.py
@@ -1,7 +1,15 @@
 """Share out the workspaces' token limits over the fleet."""
 
 from .ledger import LEDGER_NAME, Ledger, build_ledger, decode_ledger, encode_ledger
-from .lending import Holder, accept, confirm, lend, lend_all, list_unconfirmed
+from .lending import (
+    Holder,
+    accept,
+    confirm,
+    find_surplus,
+    lend,
+    lend_all,
+    list_unconfirmed,
+)
 from .recount import (
     Recount,
     adopt,
@@ -44,6 +52,7 @@
     "encode_ledger",
     "find_missing",
     "find_share",
+    "find_surplus",
     "finish_recount",
     "freeze",
     "is_recount_due",
--- a/catkintrack/limits/lending.py
+++ b/catkintrack/limits/lending.py
@@ -60,9 +60,19 @@
 
 
 def lend(
-    holder: Holder, peer: str, workspace: str, tokens: float, ticket: int, now: float
+    holder: Holder,
+    peer: str,
+    workspace: str,
+    tokens: float,
+    ticket: int,
+    now: float,
+    headroom: float = 0.0,
 ) -> Grant | None:
-    """Subtract up to `tokens`, with the parts to hold them, and return the grant."""
+    """Subtract up to `tokens` and return the grant.
+
+    Parts go along only for what the receiver's `headroom` (tokens) can't hold: a
+    lender that keeps its parts has room again and goes on accruing.
+    """
     peer_incarnation = holder.ledger.members.get(peer)
     if holder.is_frozen or not holder.is_member or peer_incarnation is None:
         return None
@@ -74,7 +84,8 @@
     given = min(tokens, row.tokens)
     if given <= 0:
         return None
-    parts = min(row.parts, math.ceil(given * PARTS_TOTAL / spec.burst))
+    homeless = max(0.0, given - max(0.0, headroom))
+    parts = min(row.parts, math.ceil(homeless * PARTS_TOTAL / spec.burst))
     row.parts -= parts
     row.tokens = min(row.tokens - given, burst_of(spec, row.parts))
     grant = Grant(
@@ -91,6 +102,17 @@
     return grant
 
 
+def find_surplus(
+    holder: Holder, workspace: str, held_parts: int, held_tokens: float, now: float
+) -> float:
+    """Return the tokens that make this holder and the asker equally full."""
+    row = find_share(holder.shares, workspace, now)
+    parts = row.parts + held_parts
+    if not parts:
+        return 0.0
+    return max(0.0, (row.tokens * held_parts - held_tokens * row.parts) / parts)
+
+
 def lend_all(holder: Holder, peer: str, now: float) -> list[Grant]:
     """Subtract everything and return the grants, as a holder does that stops."""
     grants = []
@@ -100,6 +122,7 @@
             continue
         rest = row.parts
         row.parts = 0
+        row.fresh_parts = 0
         row.tokens = 0.0
         whole = Grant(
             grant.generation,
--- a/catkintrack/limits/recount.py
+++ b/catkintrack/limits/recount.py
@@ -15,7 +15,7 @@
 
 from .ledger import Ledger, build_ledger
 from .lending import Holder
-from .shares import burst_of, find_share
+from .shares import find_share
 
 
 @dataclass(slots=True)
@@ -126,6 +126,7 @@
 def _drop_everything(holder: Holder) -> None:
     for row in holder.shares.share_by_workspace.values():
         row.parts = 0
+        row.fresh_parts = 0
         row.tokens = min(row.tokens, 0.0)
 
 
@@ -136,6 +137,6 @@
             continue
         row = find_share(holder.shares, workspace, now)
         row.parts += parts
-        spec = holder.shares.spec_by_workspace.get(workspace)
-        if workspace in ledger.fresh and spec is not None:
-            row.tokens += burst_of(spec, parts)
+        if workspace in ledger.fresh:
+            row.fresh_parts += parts
+            find_share(holder.shares, workspace, now)
--- a/catkintrack/limits/shares.py
+++ b/catkintrack/limits/shares.py
@@ -23,11 +23,16 @@
 
 @dataclass(slots=True)
 class ShareRow:
-    """Hold one workspace's share; `tokens` may be negative after a settlement."""
+    """Hold one workspace's share; `tokens` may be negative after a settlement.
+
+    `fresh_parts` are those that nobody has used yet: they come with full tokens as
+    soon as the workspace's limit is known here.
+    """
 
     parts: int = 0
     tokens: float = 0.0
     updated_at: float = 0.0
+    fresh_parts: int = 0
 
 
 @dataclass(slots=True)
@@ -51,6 +56,8 @@
         shares.share_by_workspace[workspace] = row
     spec = shares.spec_by_workspace.get(workspace)
     if spec is not None:
+        row.tokens += burst_of(spec, row.fresh_parts)
+        row.fresh_parts = 0
         _accrue(row, spec, now)
     return row
 
--- a/catkintrack/links/messages.py
+++ b/catkintrack/links/messages.py
@@ -207,20 +207,28 @@
 
 
 class LendRequest(Message):
-    """Ask a peer for tokens of a workspace; the lower ticket goes first."""
+    """Ask a peer for tokens of a workspace; the lower ticket goes first.
+
+    Without `tokens` the peer is to lend what makes both equally full.  `headroom`
+    is what the asker can hold, without more parts, of this peer's tokens.
+    """
 
     generation: int
     workspace: str
-    tokens: float
+    tokens: float | None
+    held_parts: int
+    held_tokens: float
+    headroom: float
     ticket: int
 
 
 class LendRefusal(Message):
-    """Tell a peer that nothing can be lent now."""
+    """Tell a peer that nothing can be lent now; contended when that may change."""
 
     generation: int
     workspace: str
     ticket: int
+    is_contended: bool
 
 
 class Grant(Message):
--- a/catkintrack/platform/client.py
+++ b/catkintrack/platform/client.py
@@ -60,6 +60,7 @@
     timeout_s: float = 2.0
     pool: Pool = field(default_factory=lambda: Pool(ClientLimits()))
     count_by_call: Counter[str] = field(default_factory=Counter)
+    next_request_id: int = 0
 
 
 async def get_object(
@@ -141,7 +142,10 @@
     limit_s = timeout_s or client.timeout_s
     length = (b"content-length", str(len(body)).encode())
     host = (b"host", str(client.address).encode())
-    request = Request(method, target.encode(), (host, length, *headers), body)
+    client.next_request_id += 1
+    request_id = (b"x-request-id", str(client.next_request_id).encode())
+    fields = (host, length, request_id, *headers)
+    request = Request(method, target.encode(), fields, body)
     try:
         async with open_exchange(client.pool, client.address) as exchange:
             await exchange.send(request)
--- a/catkintrack/router/service_calls.py
+++ b/catkintrack/router/service_calls.py
@@ -233,6 +233,8 @@
     )
     if replica is not None:
         return replica
+    if excluded and call.is_repeatable:
+        return _choose(router, call, frozenset())
     if call.may_have_run:
         raise OutcomeUnknown("every replica that was tried failed")
     raise NoCapacity("no replica of the service can take the call", 1.0)
--- /dev/null
+++ b/catkintrack/tests/test_key_withdrawal.py
@@ -0,0 +1,124 @@
+"""Withdraw keys while their callers are connected."""
+
+import http.client
+import threading
+import time
+import unittest
+
+from catkintrack.testing.caller import BackgroundCall, call_chat, call_http
+from catkintrack.testing.cases import FleetTestCase, long_answer_chat
+from catkintrack.testing.configs import make_key_text, make_workspace
+from catkintrack.testing.fleet import HOST, wait_until
+
+CHAT = long_answer_chat()
+WITHDRAWN_WITHIN_S = 2.0
+
+
+class KeyWithdrawalTest(FleetTestCase):
+    workspaces = {"w1": make_workspace(), "w2": make_workspace()}
+
+    def withdraw(self, workspace="w1"):
+        key_id = make_key_text(workspace).split("_")[1]
+        result = self.fleet.run_cli("key", "withdraw", key_id)
+        self.assertEqual(result.returncode, 0, result.stderr)
+        return time.monotonic()
+
+    def is_refused(self, node):
+        headers = self.headers()
+        answer = call_http(self.ports[node], "GET", "/v1/models", headers=headers)
+        return answer.status == 401
+
+    def assert_refused_everywhere(self, withdrawn_at):
+        for node in range(self.instances):
+            wait_until(lambda node=node: self.is_refused(node), 10)
+        self.assertLess(time.monotonic() - withdrawn_at, WITHDRAWN_WITHIN_S)
+
+    def slow_engines(self):
+        for name in self.fleet.engine_port_by_name:
+            self.fleet.set_engine(name, speed=0.02)
+
+    def start_stream(self, workspace, node=0):
+        started = threading.Event()
+        call = BackgroundCall(
+            lambda: call_chat(
+                self.ports[node],
+                self.key(workspace),
+                CHAT,
+                max_tokens=48,
+                on_event=lambda _: started.set(),
+            )
+        )
+        self.assertTrue(started.wait(20))
+        return call
+
+    def test_withdrawn_key_cuts_its_streams_and_no_others(self):
+        self.slow_engines()
+        cut = self.start_stream("w1")
+        kept = self.start_stream("w2")
+        withdrawn_at = self.withdraw()
+        answer = cut.join(WITHDRAWN_WITHIN_S)
+        self.assertLess(time.monotonic() - withdrawn_at, WITHDRAWN_WITHIN_S)
+        self.assertFalse(answer.is_whole)
+        self.assertEqual(answer.error["code"], "key_withdrawn")
+        self.assert_refused_everywhere(withdrawn_at)
+        for name in self.fleet.engine_port_by_name:
+            self.fleet.set_engine(name, speed=1.0)
+        self.assert_right(kept.join(), CHAT, 48)
+
+    def test_kept_connection_is_refused(self):
+        connection = http.client.HTTPConnection(HOST, self.ports[0], timeout=5)
+        self.addCleanup(connection.close)
+        connection.request("GET", "/v1/models", headers=self.headers())
+        response = connection.getresponse()
+        self.assertEqual((response.status, bool(response.read())), (200, True))
+        withdrawn_at = self.withdraw()
+        self.assert_refused_everywhere(withdrawn_at)
+        connection.request("GET", "/v1/models", headers=self.headers())
+        self.assertEqual(connection.getresponse().status, 401)
+
+    def test_withdrawal_reaches_an_instance_that_was_frozen(self):
+        node = self.nodes[1]
+        node.agent.freeze()
+        node.router.freeze()
+        self.withdraw()
+        time.sleep(2.0)
+        node.agent.wake()
+        node.router.wake()
+        # From the moment it runs on, the instance must never accept the key.
+        deadline = time.monotonic() + 3.0
+        statuses = set()
+        while time.monotonic() < deadline:
+            answer = call_http(
+                node.listen_port, "GET", "/v1/models", headers=self.headers()
+            )
+            statuses.add(answer.status)
+        self.assertLessEqual(statuses, {401, 503})
+
+    def test_withdrawal_reaches_a_router_whose_agent_is_dead(self):
+        self.nodes[2].agent.kill()
+        time.sleep(1.0)
+        withdrawn_at = self.withdraw()
+        self.assert_refused_everywhere(withdrawn_at)
+
+    def test_instance_that_hears_nobody_stops_taking_keys(self):
+        for node in self.nodes[1:]:
+            node.agent.freeze()
+        self.fleet.process_by_name["platform"].freeze()
+        wait_until(
+            lambda: (
+                call_http(
+                    self.ports[0], "GET", "/v1/models", headers=self.headers()
+                ).status
+                == 503
+            ),
+            12,
+            "the cut-off instance refuses keys",
+        )
+        answer = call_http(self.ports[0], "GET", "/v1/models", headers=self.headers())
+        self.assertEqual(answer.error["code"], "keys_not_current")
+        self.assertIn("retry-after", answer.headers)
+        self.assertEqual(call_http(self.ports[0], "GET", "/open/x").status, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/catkintrack/tests/test_single_runs.py
@@ -0,0 +1,175 @@
+"""Check that calls which may not repeat run at most once, and refusals are true."""
+
+import json
+import threading
+import time
+import unittest
+
+from catkintrack.testing.caller import BackgroundCall, call_http
+from catkintrack.testing.cases import FleetTestCase, make_chat, run_together
+
+DEPOSIT = b'{"deposit": 100}'
+
+
+class SingleRunTest(FleetTestCase):
+    services = 2
+
+    def post(self, node, key=None, body=DEPOSIT, path="/app/deposits", **options):
+        headers = self.headers()
+        if key is not None:
+            headers["idempotency-key"] = key
+        return call_http(self.ports[node], "POST", path, body, headers, **options)
+
+    def runs(self, path="/app/deposits", body=DEPOSIT):
+        return self.count_runs(f"POST {path} {body.decode()}")
+
+    def set_services(self, **faults):
+        for name in self.fleet.service_port_by_name:
+            self.fleet.set_service(name, **faults)
+
+    def test_same_key_through_all_instances_runs_once(self):
+        self.set_services(delay_s=0.2)
+        answers = run_together([lambda i=i: self.post(i % 3, "k1") for i in range(9)])
+        self.assertEqual(self.runs(), 1)
+        for answer in answers:
+            self.assertIn(answer.status, (200, 409))
+        again = self.post(1, "k1")
+        first = next(a for a in answers if a.status == 200)
+        self.assertEqual(again.body, first.body)
+        self.assertEqual(again.headers["idempotency-replayed"], "true")
+
+    def test_key_reused_for_another_call_is_a_conflict(self):
+        self.assertEqual(self.post(0, "k1").status, 200)
+        other = self.post(1, "k1", b'{"deposit": 999}')
+        self.assertEqual(other.error["code"], "idempotency_conflict")
+        self.assertEqual(self.runs(body=b'{"deposit": 999}'), 0)
+
+    def test_answer_lost_by_the_service_is_not_repeated(self):
+        self.set_services(drop_after_run=1)
+        answer = self.post(0, "k1")
+        self.assertEqual(answer.error["code"], "outcome_unknown")
+        self.assertFalse(answer.is_not_run)
+        for node in range(3):
+            again = self.post(node, "k1")
+            self.assertEqual(again.status, 409)
+        self.assertEqual(self.runs(), 1)
+
+    def test_call_without_a_key_is_sent_once(self):
+        self.set_services(drop_after_run=1)
+        self.assertEqual(self.post(0).error["code"], "outcome_unknown")
+        self.assertEqual(self.runs(), 1)
+
+    def test_repeatable_call_is_tried_elsewhere(self):
+        self.fleet.set_service("s0", drop_before_run=1)
+        self.fleet.set_service("s1", drop_before_run=1)
+        for number in range(4):
+            answer = call_http(
+                self.ports[0], "GET", f"/app/read/{number}", headers=self.headers()
+            )
+            self.assertEqual(answer.status, 200)
+
+    def test_lost_answers_of_the_platform_run_nothing_twice(self):
+        for number in range(6):
+            self.fleet.set_platform(lost_answers=1 + number % 2)
+            body = json.dumps({"deposit": number}).encode()
+            self.post(number % 3, f"k{number}", body)
+            self.post((number + 1) % 3, f"k{number}", body)
+            self.assertLessEqual(self.runs(body=body), 1)
+        self.fleet.set_platform(lost_answers=0)
+
+    def test_platform_outage_gives_a_true_not_run(self):
+        self.fleet.set_platform(is_down=True)
+        answer = self.post(0, "k1")
+        self.assertEqual(answer.error["code"], "claim_unavailable")
+        self.assertTrue(answer.is_not_run)
+        self.assertGreaterEqual(int(answer.headers["retry-after"]), 1)
+        self.assertEqual(self.runs(), 0)
+        self.fleet.set_platform(is_down=False)
+        time.sleep(0.5)
+        self.assertIn(self.post(1, "k1").status, (200, 409))
+        self.assertLessEqual(self.runs(), 1)
+
+    def test_router_killed_while_the_call_runs(self):
+        self.set_services(delay_s=1.0)
+        call = BackgroundCall(lambda: self.post(0, "k1"))
+        time.sleep(0.4)
+        self.nodes[0].router.kill()
+        self.assertTrue(call.join().failure)
+        answers = [self.post(node, "k1") for node in (1, 2)]
+        for answer in answers:
+            self.assertEqual(answer.status, 409)
+        self.assertEqual(self.runs(), 1)
+
+    def test_router_frozen_while_the_call_runs(self):
+        self.set_services(delay_s=0.5)
+        call = BackgroundCall(lambda: self.post(0, "k1"))
+        time.sleep(0.2)
+        self.nodes[0].router.freeze()
+        time.sleep(1.0)
+        others = [self.post(node, "k1") for node in (1, 2)]
+        self.nodes[0].router.wake()
+        call.join()
+        self.assertEqual({answer.status for answer in others}, {409})
+        self.assertEqual(self.runs(), 1)
+
+
+class TrueRefusalTest(FleetTestCase):
+    """No call whose answer says "not run" was seen by any upstream."""
+
+    engines = 2
+    services = 2
+
+    def test_not_run_is_true_under_failures(self):
+        stop = threading.Event()
+
+        def break_things():
+            number = 0
+            while not stop.is_set():
+                number += 1
+                name = f"e{number % 2}"
+                self.fleet.set_engine(
+                    name,
+                    is_down=number % 3 == 0,
+                    reject_runs=2,
+                    break_after_tokens=0,
+                    fault_streams=number % 4,
+                )
+                self.fleet.set_service(
+                    f"s{number % 2}", drop_after_run=1, drop_before_run=1
+                )
+                time.sleep(0.05)
+
+        breaker = threading.Thread(target=break_things)
+        breaker.start()
+        chats = [make_chat(number, 2) for number in range(30)]
+        calls = [lambda i=i, c=c: self.chat(i % 3, c) for i, c in enumerate(chats)]
+        calls += [
+            lambda i=i: call_http(
+                self.ports[i % 3],
+                "POST",
+                f"/app/once/{i}",
+                b"x",
+                self.headers(idempotency_key=f"once-{i}"),
+            )
+            for i in range(30)
+        ]
+        answers = [call() for call in calls]
+        stop.set()
+        breaker.join()
+        seen_by_engines = set()
+        for name in self.fleet.engine_port_by_name:
+            self.fleet.set_engine(name, is_down=False)
+            seen_by_engines |= set(self.fleet.count_engine(name)["runs_by_request"])
+        for number, answer in enumerate(answers[:30]):
+            if answer.is_not_run:
+                self.assertNotIn(answer.headers["x-request-id"], seen_by_engines)
+            elif answer.status == 200 and answer.is_whole:
+                self.assert_right(answer, chats[number])
+        for number, answer in enumerate(answers[30:]):
+            runs = self.count_runs(f"POST /app/once/{number} x")
+            self.assertLessEqual(runs, 0 if answer.is_not_run else 1)
+        self.assertTrue(any(answer.status == 200 for answer in answers))
+
+
+if __name__ == "__main__":
+    unittest.main()
