Fuzz the edges, and mend two of them

- The time limit on headers began anew with every byte, so that a slow sender held its connection for ever; it now counts from the first byte.
- Headers beyond the limit passed when they came in one piece: h11's limit is on incomplete ones.
Their size is now checked.
Ruled out: reading less at a time (more calls for every request).
Claims and settings have tests of their own; a claim whose judge lets anyone run is caught by the same state machine.

--- /dev/null
+++ b/catkintrack/claims/tests/test_claims.py
@@ -0,0 +1,128 @@
+"""Interleave claims of one call with every failure of the platform."""
+
+import unittest
+from collections import Counter
+
+import hypothesis.strategies as st
+from hypothesis import given, settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from catkintrack import claims
+from catkintrack.claims import ClaimStatus, ClaimVerdict
+from catkintrack.testing.profiles import DETERMINISTIC
+
+FINGERPRINT = claims.fingerprint_call(b"POST", b"/deposit", b"100")
+askers = st.sampled_from(["a", "b", "c", "d"])
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Drive the claim's decisions with writes that are late, lost or both.
+
+    Each asker does what the store does: conditional write, read, judge.  Between
+    any two steps others act, writes arrive late, and askers die.
+    """
+
+    judge = staticmethod(claims.judge_claim)
+
+    def __init__(self):
+        super().__init__()
+        self.version = 0
+        self.stored = None
+        self.in_flight = []
+        self.runs = Counter()
+        self.ran_by = set()
+
+    def write(self, value, expected):
+        if self.version != expected:
+            return False
+        self.version += 1
+        self.stored = value
+        return True
+
+    @rule(owner=askers, fate=st.sampled_from(["answered", "lost", "late"]))
+    def take(self, owner, fate):
+        """Try to create the claim; a late write may arrive at any time."""
+        wanted = claims.Claim(owner, FINGERPRINT)
+        expected = 0
+        if self.stored is not None and self.stored.status is ClaimStatus.NOT_RUN:
+            expected = self.version
+        if fate == "late":
+            self.in_flight.append((wanted, expected))
+            return
+        is_written = self.write(wanted, expected)
+        if is_written and fate == "answered":
+            self.run(owner)
+        elif self.stored is not None:
+            verdict = self.judge(self.stored, owner, FINGERPRINT)
+            if verdict is ClaimVerdict.RUN:
+                self.run(owner)
+
+    @rule(index=st.integers(0, 9))
+    def late_write_arrives(self, index):
+        if self.in_flight:
+            wanted, expected = self.in_flight.pop(index % len(self.in_flight))
+            self.write(wanted, expected)
+
+    def run(self, owner):
+        # One request asks with one owner name, once.
+        if owner not in self.ran_by:
+            self.ran_by.add(owner)
+            self.runs[self.version] += 1
+
+    @rule(owner=askers, has_run=st.booleans())
+    def finish(self, owner, has_run):
+        """End a call; only its owner may, and "not run" only if it did not."""
+        if self.stored is None or self.stored.owner != owner:
+            return
+        if owner in self.ran_by:
+            has_run = True
+        done = claims.finish_claim(self.stored, has_run, b"answer")
+        self.write(done, self.version)
+
+    @invariant()
+    def at_most_once(self):
+        assert sum(self.runs.values()) <= 1, self.runs
+
+
+class ClaimTest(unittest.TestCase):
+    def check(self, machine):
+        run_state_machine_as_test(
+            machine,
+            settings=settings(DETERMINISTIC, max_examples=300, stateful_step_count=30),
+        )
+
+    def test_runs_at_most_once(self):
+        self.check(ClaimMachine)
+
+    def test_catches_a_judge_that_lets_anyone_run(self):
+        machine = type(
+            "FaultyClaimMachine",
+            (ClaimMachine,),
+            {"judge": staticmethod(lambda found, owner, fp: ClaimVerdict.RUN)},
+        )
+        with self.assertRaises(AssertionError):
+            self.check(machine)
+
+    def test_same_key_of_another_workspace_is_another_call(self):
+        one = claims.claim_name("w1", "r", "k")
+        self.assertNotEqual(one, claims.claim_name("w2", "r", "k"))
+
+    @given(st.binary(max_size=80))
+    @settings(DETERMINISTIC)
+    def test_damaged_claims_are_noticed(self, data):
+        found = claims.decode_claim(data)
+        self.assertTrue(found is None or isinstance(found, claims.Claim))
+
+    def test_large_response_is_not_kept(self):
+        claim = claims.Claim("a", FINGERPRINT)
+        kept = claims.finish_claim(claim, True, b"x" * 100_000)
+        self.assertEqual((kept.status, kept.response), (ClaimStatus.DONE, b""))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/catkintrack/http/server.py
+++ b/catkintrack/http/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket as std_socket
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -233,6 +234,7 @@
     if head is None:
         return None
     headers = tuple((key.lower(), value) for key, value in head.headers)
+    _check_head_size(head, limits)
     _check_framing(headers, limits)
     try:
         async with curio.timeout_after(limits.body_timeout_s):
@@ -244,7 +246,8 @@
 
 async def _read_head(connection: Connection) -> h11.Request | None:
     limits = connection.server.limits
-    timeout_s = limits.idle_timeout_s
+    # The time limit counts from the first byte on, however the rest drips in.
+    deadline: float | None = None
     while True:
         try:
             event = connection.h11.next_event()
@@ -255,19 +258,29 @@
             return event
         if event is not h11.NEED_DATA:
             return None
+        timeout_s = limits.idle_timeout_s
+        if deadline is not None:
+            timeout_s = max(0.0, deadline - time.monotonic())
         try:
             data = await curio.timeout_after(
                 timeout_s, connection.sock.recv, READ_SIZE_BYTES
             )
         except curio.TaskTimeout as error:
-            if timeout_s == limits.idle_timeout_s:
+            if deadline is None:
                 return None
             raise BadRequest(408, "slow_head", "headers took too long") from error
-        if data:
-            timeout_s = limits.head_timeout_s
+        if data and deadline is None:
+            deadline = time.monotonic() + limits.head_timeout_s
         connection.h11.receive_data(data)
 
 
+def _check_head_size(head: h11.Request, limits: ServerLimits) -> None:
+    """Refuse a head that is too large, also when it came in one piece."""
+    size = len(head.target) + sum(len(k) + len(v) for k, v in head.headers)
+    if size > limits.max_head_bytes:
+        raise BadRequest(431, "malformed_request", "headers are too large")
+
+
 def _check_framing(headers: Headers, limits: ServerLimits) -> None:
     """Refuse ambiguous body lengths (RFC 9112, section 6.3)."""
     lengths = [value for key, value in headers if key == b"content-length"]
--- a/catkintrack/testing/cases.py
+++ b/catkintrack/testing/cases.py
@@ -38,11 +38,13 @@
     zones: tuple[str, ...] = ("z1", "z2")
     workspaces: dict[str, dict[str, Any]] = {"w1": make_workspace()}
     engine_options: dict[str, Any] = {}
+    settings: dict[str, Any] = {}
     fleet: Fleet
 
     def setUp(self) -> None:
         """Start the fleet."""
         self.fleet = self.enterContext(open_fleet())
+        self.fleet.settings |= self.settings
         self.fleet.start_platform()
         for number in range(self.engines):
             self.fleet.start_engine(f"e{number}", **self.engine_options)
--- /dev/null
+++ b/catkintrack/tests/test_edges.py
@@ -0,0 +1,232 @@
+"""Send malformed, oversized and slow input to the edges of the processes."""
+
+import contextlib
+import os
+import socket
+import threading
+import time
+import unittest
+
+import hypothesis.strategies as st
+import zmq
+from hypothesis import given, settings
+
+from catkintrack.links import Envelope, Probe, decode_envelope, encode_envelope
+from catkintrack.testing.caller import call_http
+from catkintrack.testing.cases import FleetTestCase, long_answer_chat, make_chat
+from catkintrack.testing.fleet import HOST, wait_until
+from catkintrack.testing.profiles import DETERMINISTIC
+
+CHAT = long_answer_chat()
+GROWTH_ALLOWED_KB = 16 * 1024
+
+
+def send_raw(port, *parts, pause_s=0.0, timeout_s=5.0):
+    """Return all that a router answers to raw bytes."""
+    with socket.create_connection((HOST, port), timeout=timeout_s) as sock:
+        try:
+            for part in parts:
+                sock.sendall(part)
+                time.sleep(pause_s)
+            sock.shutdown(socket.SHUT_WR)
+            received = b""
+            while data := sock.recv(65536):
+                received += data
+        except OSError:
+            return b""
+    return received
+
+
+def read_memory_kb(process):
+    """Return the resident memory of a process."""
+    with open(f"/proc/{process.popen.pid}/status") as status:
+        for line in status:
+            if line.startswith("VmRSS"):
+                return int(line.split()[1])
+    return 0
+
+
+class HttpEdgeTest(FleetTestCase):
+    engines = 1
+    instances = 1
+    settings = {
+        "router": {
+            "callers": {
+                "max_head_bytes": 4096,
+                "max_body_bytes": 65536,
+                "max_connections": 40,
+                "head_timeout_s": 0.5,
+                "body_timeout_s": 0.5,
+            }
+        }
+    }
+
+    def refusal(self, *parts, **options):
+        return send_raw(self.ports[0], *parts, **options)
+
+    def request(self, *lines, body=b""):
+        key = f"x-api-key: {self.key()}".encode()
+        head = (b"POST /app/edge HTTP/1.1", b"host: x", key, *lines)
+        return b"\r\n".join(head) + b"\r\n\r\n" + body
+
+    def assert_code(self, answer, code):
+        self.assertIn(f'"code":"{code}"'.encode(), answer)
+        self.assertIn(b"x-not-run: true", answer)
+
+    def test_typed_refusals(self):
+        cases = [
+            (b"nonsense\r\n\r\n", "malformed_request"),
+            (b"GET / HTTP/1.1\r\n\r\n", "malformed_request"),
+            (b"GET / HTTP/1.1\r\nhost: x\r\nbad header\r\n\r\n", "malformed_request"),
+            (b"GET /" + b"a" * 9000, "malformed_request"),
+            (self.request(b"a: " + b"b" * 9000), "malformed_request"),
+            (
+                self.request(
+                    b"content-length: 3", b"transfer-encoding: chunked", body=b"abc"
+                ),
+                "conflicting_lengths",
+            ),
+            (
+                self.request(b"content-length: 3", b"content-length: 4", body=b"abcd"),
+                "malformed_request",
+            ),
+            (self.request(b"content-length: 999999"), "body_too_large"),
+            (self.request(b"content-length: 9", body=b"abc"), "malformed_body"),
+            (
+                self.request(b"transfer-encoding: chunked", body=b"zz\r\nabc\r\n"),
+                "malformed_body",
+            ),
+        ]
+        for raw, code in cases:
+            self.assert_code(self.refusal(raw), code)
+        self.assertEqual(self.fleet.count_service("s0")["runs"], {})
+
+    def test_slow_senders_are_refused(self):
+        head = self.request(b"content-length: 10")
+        answer = self.refusal(head[:40], pause_s=0.8)
+        self.assert_code(answer, "slow_head")
+        answer = self.refusal(head[:4], head[4:8], head[8:12], pause_s=0.2)
+        self.assert_code(answer, "slow_head")
+        answer = self.refusal(head, b"a", pause_s=0.4)
+        self.assert_code(answer, "slow_body")
+
+    def test_smuggled_request_is_not_served(self):
+        hidden = b"GET /app/hidden HTTP/1.1\r\nhost: x\r\n\r\n"
+        self.refusal(
+            self.request(
+                b"content-length: %d" % len(hidden),
+                b"transfer-encoding: chunked",
+                body=b"0\r\n\r\n" + hidden,
+            )
+        )
+        self.assertEqual(self.fleet.count_service("s0")["runs"], {})
+
+    def test_too_many_connections_harm_nobody_for_long(self):
+        sockets = [socket.create_connection((HOST, self.ports[0])) for _ in range(60)]
+        time.sleep(0.2)
+        for sock in sockets:
+            sock.close()
+        chat = make_chat(1)
+        wait_until(lambda: self.chat(0, chat).status == 200, 5)
+
+    def test_random_input_harms_nobody(self):
+        self.fleet.set_engine("e0", speed=0.3)
+        started = threading.Event()
+        answers = []
+
+        def stream():
+            answers.append(
+                self.chat(0, CHAT, max_tokens=48, on_event=lambda _: started.set())
+            )
+
+        thread = threading.Thread(target=stream)
+        thread.start()
+        self.assertTrue(started.wait(10))
+        before = read_memory_kb(self.nodes[0].router)
+        pieces = st.sampled_from(
+            [
+                b"GET / HTTP/1.1\r\n",
+                b"POST /v1/chat/completions HTTP/1.1\r\n",
+                b"host: x\r\n",
+                b"content-length: 5\r\n",
+                b"transfer-encoding: chunked\r\n",
+                b"\r\n",
+                b"5\r\nhello\r\n",
+                b"0\r\n\r\n",
+                b"\x00\xff",
+                b'{"model": "m1"}',
+            ]
+        )
+
+        @given(st.lists(pieces | st.binary(max_size=200), max_size=8))
+        @settings(DETERMINISTIC, max_examples=150)
+        def check(parts):
+            answer = send_raw(self.ports[0], b"".join(parts))
+            self.assertTrue(answer == b"" or answer.startswith(b"HTTP/1.1 "))
+            self.assertNotIn(b"internal", answer)
+
+        check()
+        thread.join()
+        self.assert_right(answers[0], CHAT, 48)
+        grown = read_memory_kb(self.nodes[0].router) - before
+        self.assertLess(grown, GROWTH_ALLOWED_KB)
+        self.assertNotIn("Traceback", self.nodes[0].router.read_log())
+
+
+class LinkEdgeTest(FleetTestCase):
+    engines = 1
+    instances = 1
+
+    def connect(self, public, secret, port):
+        context = zmq.Context()
+        self.addCleanup(context.destroy, 0)
+        sock = context.socket(zmq.DEALER)
+        sock.linger = 0
+        sock.sndtimeo = 1000
+        sock.curve_publickey = public
+        sock.curve_secretkey = secret
+        sock.curve_serverkey = self.fleet.settings["links"]["public_key"].encode()
+        sock.connect(f"tcp://{HOST}:{port}")
+        return sock
+
+    def received_types(self):
+        page = call_http(self.nodes[0].agent_ops_port, "GET", "/metrics").body.decode()
+        return page
+
+    def test_stranger_is_rejected(self):
+        public, secret = zmq.curve_keypair()
+        sock = self.connect(public, secret, self.nodes[0].mesh_port)
+        time.sleep(0.5)
+        with contextlib.suppress(zmq.Again):
+            sock.send(encode_envelope(Envelope("stranger", 1, Probe())))
+        time.sleep(0.5)
+        self.assertNotIn('type="Probe"', self.received_types())
+
+    def test_malformed_messages_harm_nobody(self):
+        links = self.fleet.settings["links"]
+        keys = links["public_key"].encode(), links["secret_key"].encode()
+        sock = self.connect(*keys, self.nodes[0].mesh_port)
+        other = self.connect(*keys, self.nodes[0].routers_port)
+        good = encode_envelope(Envelope("n9", 1, Probe()))
+        messages = [b"", b"\x00", good[:-1], good + b"x", os.urandom(500), b"\x93" * 99]
+        messages += [good] * 3 + [b"x" * 100_000]
+        for message in messages:
+            sock.send(message)
+            other.send(message)
+        wait_until(lambda: 'type="Probe"' in self.received_types(), 5)
+        chat = make_chat(1)
+        self.assert_right(self.chat(0, chat), chat)
+        self.assertNotIn("task failed", self.nodes[0].agent.read_log())
+
+    @given(st.binary(max_size=300))
+    @settings(DETERMINISTIC, max_examples=500)
+    def check_decoding(self, data):
+        envelope = decode_envelope(data)
+        self.assertTrue(envelope is None or isinstance(envelope, Envelope))
+
+    def test_decoding_never_fails(self):
+        self.check_decoding()
+
+
+if __name__ == "__main__":
+    unittest.main()
