Let a paid request see only the prefill that goes before it

Cause: a router held a paid request while an engine's prefill queue was long, though the engine would have put it first; the paid tier's p99 stayed near the free tier's. Ruled out: a larger weight in the fair queue (the wait was at the engine's door, not in the order); sending paid requests without any window (it floods a returned engine).

--- a/catkintrack/decisions/load.py
+++ b/catkintrack/decisions/load.py
@@ -6,9 +6,9 @@
     NEWS_MIN_TOKENS,
     Prefill,
     add_prefill,
-    count_pending_tokens,
     end_prefill,
     expiry_after,
+    split_pending_tokens,
 )
 from .tables import ModelRequest, RunningRow, Tables, UpstreamRow
 
@@ -21,13 +21,19 @@
 MAX_PREFILL_WAIT_S = 0.5
 
 
-def estimate_prefill_tokens(tables: Tables, row: UpstreamRow, now: float) -> float:
-    """Return the tokens that the upstream still has to prefill."""
-    known = count_pending_tokens(tables.prefills, row.name) + row.small_prefill_tokens
+def estimate_prefill_tokens(
+    tables: Tables, row: UpstreamRow, now: float, priority: int
+) -> float:
+    """Return the tokens that the upstream prefills before a request of `priority`.
+
+    Engines honour priorities, so that what is less urgent does not count.
+    """
+    before, after = split_pending_tokens(tables.prefills, row.name, priority)
+    known = before + row.small_prefill_tokens
     age_s = now - row.reported_at
     if age_s > REPORT_LIFETIME_S:
         return known
-    left = row.reported_prefill_tokens - age_s * row.prefill_tokens_per_s
+    left = row.reported_prefill_tokens - age_s * row.prefill_tokens_per_s - after
     return max(left, known)
 
 
@@ -39,20 +45,23 @@
     return max(row.in_flight, reported + row.sent_since_report)
 
 
-def estimate_wait_s(tables: Tables, row: UpstreamRow, now: float) -> float:
+def estimate_wait_s(
+    tables: Tables, row: UpstreamRow, now: float, priority: int
+) -> float:
     """Return the seconds before the upstream would begin a new prefill."""
-    prefill_s = estimate_prefill_tokens(tables, row, now) / row.prefill_tokens_per_s
+    prefill_s = (
+        estimate_prefill_tokens(tables, row, now, priority) / row.prefill_tokens_per_s
+    )
     excess = estimate_running(row, now) + row.held + 1 - row.max_running
     if excess <= 0:
         return prefill_s
     return prefill_s + excess * row.service_s / row.max_running
 
 
-def is_open(tables: Tables, row: UpstreamRow, now: float) -> bool:
+def is_open(tables: Tables, row: UpstreamRow, now: float, priority: int) -> bool:
     """Report whether this router may send the upstream another request now."""
-    if estimate_prefill_tokens(tables, row, now) > MAX_PREFILL_WAIT_S * (
-        row.prefill_tokens_per_s
-    ):
+    prefill_tokens = estimate_prefill_tokens(tables, row, now, priority)
+    if prefill_tokens > MAX_PREFILL_WAIT_S * row.prefill_tokens_per_s:
         return False
     ramp = ramp_fraction(row, now)
     if ramp >= 1.0 and estimate_running(row, now) < row.max_running * ROOMY_FRACTION:
@@ -76,9 +85,11 @@
     if uncached < NEWS_MIN_TOKENS:
         row.small_prefill_tokens += uncached
         return
-    wait_s = estimate_wait_s(tables, row, now)
+    wait_s = estimate_wait_s(tables, row, now, request.priority)
     expires_at = expiry_after(now, wait_s, uncached, row.prefill_tokens_per_s)
-    prefill = Prefill(request.id, row.name, request.blocks, uncached, expires_at)
+    prefill = Prefill(
+        request.id, row.name, request.blocks, uncached, expires_at, request.priority
+    )
     add_prefill(tables.prefills, prefill)
 
 
--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -119,7 +119,7 @@
     credit = FIRST_CHOICE_CREDIT * uncached if rank == 0 else 0.0
     prefill_s = (uncached - credit) / row.prefill_tokens_per_s
     return (
-        estimate_wait_s(tables, row, now)
+        estimate_wait_s(tables, row, now, request.priority)
         + prefill_s * (1 + DUPLICATION_WEIGHT)
         + rank * RANK_COST_S
     )
--- a/catkintrack/decisions/prefills.py
+++ b/catkintrack/decisions/prefills.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter, defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -23,6 +24,7 @@
     blocks: tuple[int, ...]
     tokens: int
     expires_at: float
+    priority: int = 5
 
 
 @dataclass(slots=True)
@@ -31,7 +33,9 @@
 
     prefill_by_id: dict[str, Prefill] = field(default_factory=dict)
     id_by_block: dict[int, str] = field(default_factory=dict)
-    tokens_by_upstream: dict[str, int] = field(default_factory=dict)
+    tokens_by_priority_by_upstream: dict[str, Counter[int]] = field(
+        default_factory=lambda: defaultdict(Counter)
+    )
 
 
 def expiry_after(now: float, wait_s: float, tokens: int, rate: float) -> float:
@@ -46,8 +50,8 @@
     prefills.prefill_by_id[prefill.id] = prefill
     for block in prefill.blocks:
         prefills.id_by_block.setdefault(block, prefill.id)
-    known = prefills.tokens_by_upstream.get(prefill.upstream, 0)
-    prefills.tokens_by_upstream[prefill.upstream] = known + prefill.tokens
+    tokens = prefills.tokens_by_priority_by_upstream[prefill.upstream]
+    tokens[prefill.priority] += prefill.tokens
 
 
 def end_prefill(prefills: Prefills, prefill_id: str) -> Prefill | None:
@@ -58,7 +62,8 @@
     for block in prefill.blocks:
         if prefills.id_by_block.get(block) == prefill_id:
             del prefills.id_by_block[block]
-    prefills.tokens_by_upstream[prefill.upstream] -= prefill.tokens
+    tokens = prefills.tokens_by_priority_by_upstream[prefill.upstream]
+    tokens[prefill.priority] -= prefill.tokens
     return prefill
 
 
@@ -78,6 +83,10 @@
     return None
 
 
-def count_pending_tokens(prefills: Prefills, upstream: str) -> int:
-    """Return the tokens of the prefills in progress at an upstream."""
-    return prefills.tokens_by_upstream.get(upstream, 0)
+def split_pending_tokens(
+    prefills: Prefills, upstream: str, priority: int
+) -> tuple[int, int]:
+    """Return the tokens in progress that go before `priority`, and the others."""
+    tokens = prefills.tokens_by_priority_by_upstream[upstream]
+    before = sum(count for level, count in tokens.items() if level <= priority)
+    return before, tokens.total() - before
--- a/catkintrack/decisions/systems.py
+++ b/catkintrack/decisions/systems.py
@@ -227,7 +227,8 @@
                 return Refusal(request, reason, MIN_RETRY_AFTER_S)
             continue
         is_held = policy in WINDOWED_POLICIES and (
-            placement.is_awaiting or not load.is_open(tables, placement.upstream, now)
+            placement.is_awaiting
+            or not load.is_open(tables, placement.upstream, now, request.priority)
         )
         if is_held:
             # Those behind it see that they would wait for it as well.
@@ -386,16 +387,18 @@
     upstream: str,
     blocks: tuple[int, ...],
     tokens: int,
+    priority: int,
     now: float,
 ) -> None:
     """Note a long prefill that another router has begun."""
     row = tables.upstream_by_name.get(upstream)
     if row is None:
         return
-    wait_s = load.estimate_wait_s(tables, row, now)
+    wait_s = load.estimate_wait_s(tables, row, now, priority)
     expires_at = expiry_after(now, wait_s, tokens, row.prefill_tokens_per_s)
     add_prefill(
-        tables.prefills, Prefill(prefill_id, upstream, blocks, tokens, expires_at)
+        tables.prefills,
+        Prefill(prefill_id, upstream, blocks, tokens, expires_at, priority),
     )
 
 
--- a/catkintrack/decisions/tests/test_systems.py
+++ b/catkintrack/decisions/tests/test_systems.py
@@ -104,7 +104,8 @@
             assert row.in_flight == sum(u == name for u in self.running.values())
             assert row.small_prefill_tokens >= 0
         pending = self.tables.prefills
-        assert all(tokens >= 0 for tokens in pending.tokens_by_upstream.values())
+        for tokens in pending.tokens_by_priority_by_upstream.values():
+            assert all(count >= 0 for count in tokens.values())
         assert set(pending.id_by_block.values()) <= set(pending.prefill_by_id)
 
     @invariant()
@@ -267,7 +268,7 @@
     def test_prefix_in_prefill_is_waited_for(self):
         tables = make_tables(upstreams=3, max_running=16)
         blocks = make_blocks(5, 20)
-        decisions.note_remote_prefill(tables, "other", "u2", blocks, 5000, 0.0)
+        decisions.note_remote_prefill(tables, "other", "u2", blocks, 5000, 5, 0.0)
         decisions.submit(tables, make_request("r", blocks=blocks), 0.0)
         self.assertEqual(decisions.tick(tables, 0.0, Random(1), "catkintrack"), [])
         decisions.note_remote_prefill_end(tables, "other", "life", 0.5)
@@ -277,7 +278,7 @@
     def test_prefill_whose_end_is_lost_holds_nobody_for_long(self):
         tables = make_tables(upstreams=3)
         blocks = make_blocks(5, 20)
-        decisions.note_remote_prefill(tables, "other", "u2", blocks, 5000, 0.0)
+        decisions.note_remote_prefill(tables, "other", "u2", blocks, 5000, 5, 0.0)
         decisions.submit(tables, make_request("r", blocks=blocks), 0.0)
         self.assertTrue(decisions.tick(tables, 4.0, Random(1), "catkintrack"))
 
--- a/catkintrack/links/messages.py
+++ b/catkintrack/links/messages.py
@@ -154,6 +154,7 @@
     upstream: str
     blocks: tuple[int, ...]
     tokens: int
+    priority: int
 
 
 class PrefillEnd(Message):
--- a/catkintrack/router/agent_links.py
+++ b/catkintrack/router/agent_links.py
@@ -261,7 +261,13 @@
 ) -> None:
     """Note a prefill that another router has begun."""
     note_remote_prefill(
-        router.decisions, body.id, body.upstream, body.blocks, body.tokens, now
+        router.decisions,
+        body.id,
+        body.upstream,
+        body.blocks,
+        body.tokens,
+        body.priority,
+        now,
     )
 
 
--- a/catkintrack/router/dump.py
+++ b/catkintrack/router/dump.py
@@ -10,6 +10,8 @@
 from .agent_links import are_keys_known
 from .state import Router
 
+LEAST_URGENT = 9
+
 
 def dump_router(router: Router) -> dict[str, Any]:
     """Return the router's state, without keys or secrets."""
@@ -36,7 +38,7 @@
                 "incarnation": row.incarnation,
                 "in_flight": row.in_flight,
                 "running": estimate_running(row, now),
-                "wait_s": round(estimate_wait_s(decisions, row, now), 4),
+                "wait_s": round(estimate_wait_s(decisions, row, now, LEAST_URGENT), 4),
                 "is_leaving": row.is_leaving,
                 "is_ejected": now < row.ejected_until,
             }
--- a/catkintrack/router/model_calls.py
+++ b/catkintrack/router/model_calls.py
@@ -244,7 +244,13 @@
 
 async def _tell_begun(router: Router, call: ModelCall, decision: Dispatch) -> None:
     blocks = call.request.blocks
-    news = PrefillNews(call.id, decision.upstream, blocks, decision.uncached_tokens)
+    news = PrefillNews(
+        call.id,
+        decision.upstream,
+        blocks,
+        decision.uncached_tokens,
+        call.request.priority,
+    )
     await tell_prefill(router, news)
 
 
