Spread news of a death at once, and test membership in virtual time

Cause: the news of a death went only with the next six heartbeats, so at 64 members most learnt of it late. New news now goes out with the next tick, to more members. A ring of two successors and a heartbeat each 0.25 s take the place of three and 0.4 s: a pause of 2 s stays forgiven and 3 s still find the dead at 64 members. Ruled out: a heartbeat to everybody at a death (its cost grows with the fleet). The ring's order is kept until a member changes.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 
-.PHONY: install test lint unit demo serve bench bench-relay bench-state soak clean
+.PHONY: install test lint unit demo serve bench bench-relay bench-state seeded soak clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -35,6 +35,9 @@
 bench-state: install
 	$(BIN)/python bin/bench_state.py
 
+seeded: install
+	$(BIN)/python bin/check_seeded.py
+
 soak: install
 	$(BIN)/python bin/soak.py
 
--- /dev/null
+++ b/bin/bench_state.py
@@ -0,0 +1,349 @@
+"""Measure what shared state costs, against the number of table entries.
+
+Each figure is a slope over several sizes, in one process with stand-in tables, plus
+one run of real processes.  Writes build/state.json.
+"""
+
+from __future__ import annotations
+
+import json
+import resource
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import fire
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from catkintrack import decisions, limits
+from catkintrack.cli.output import format_rows
+from catkintrack.config import Change, Put, State, apply_change, compile_tables
+from catkintrack.decisions.residency import credit_blocks, find_depths
+from catkintrack.links import (
+    CacheEvents,
+    ConfigChanges,
+    Envelope,
+    Heartbeat,
+    LoadReport,
+    LoadReports,
+    MemberNews,
+    PrefillNews,
+    decode_envelope,
+    encode_envelope,
+)
+from catkintrack.membership import Members, learn_news, run_detector
+from catkintrack.testing.caller import call_http
+from catkintrack.testing.configs import make_kinds, make_workspace
+from catkintrack.testing.decision_tables import make_blocks, make_request, make_tables
+from catkintrack.testing.fleet import call_json, open_fleet
+
+BUILD = Path(__file__).resolve().parent.parent / "build"
+REPEATS = 200
+
+
+def time_call(call: Callable[[], Any], repeats: int = REPEATS) -> float:
+    """Return the seconds of one call, the median of five rounds."""
+    rounds = []
+    for _ in range(5):
+        started = time.perf_counter()
+        for _ in range(repeats):
+            call()
+        rounds.append((time.perf_counter() - started) / repeats)
+    return sorted(rounds)[2]
+
+
+def measure_bytes(build: Callable[[], Any]) -> float:
+    """Return the bytes that what `build` returns takes."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = build()
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return float(after - before)
+
+
+def fit_slope(points: list[tuple[int, float]]) -> tuple[float, float]:
+    """Return (base, slope) of the least-squares line through `points`."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    above = sum((x - mean_x) * (y - mean_y) for x, y in points)
+    below = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = above / below
+    return mean_y - slope * mean_x, slope
+
+
+def make_news(number: int) -> MemberNews:
+    """Return the news of one member."""
+    return MemberNews(
+        f"i{number}", 10**12, 0, True, f"z{number % 9}", "10.0.0.1", 8090, "10.0.0.1", 1
+    )
+
+
+def make_members(count: int) -> Members:
+    """Return a table of members that all live."""
+    members = Members(make_news(0))
+    learn_news(members, [make_news(n) for n in range(1, count)], 0.0)
+    return members
+
+
+def size_of(body: Any) -> int:
+    """Return the bytes of a message on the wire, without ZeroMQ's own."""
+    return len(encode_envelope(Envelope("instance-1", 10**12, body)))
+
+
+def measure_membership(counts: list[int]) -> list[dict]:
+    """Measure a tick's time, its messages and a member's memory."""
+    ticks, messages, memory = [], [], []
+    for count in counts:
+        members = make_members(count)
+        members.pending_news.clear()
+        rng = Random(1)
+        clock = [0.0]
+
+        def run_tick(members=members, rng=rng, clock=clock) -> int:
+            clock[0] += 0.1
+            for row in members.row_by_instance.values():
+                row.heard_at = clock[0]
+            return len(run_detector(members, clock[0], rng))
+
+        def refresh(members=members, clock=clock) -> None:
+            for row in members.row_by_instance.values():
+                row.heard_at = clock[0]
+
+        sent = sum(run_tick() for _ in range(100)) / 10.0
+        ticks.append((count, time_call(run_tick, 20) - time_call(refresh, 20)))
+        messages.append((count, sent))
+        memory.append((count, measure_bytes(lambda count=count: make_members(count))))
+    return [
+        make_row("membership: one tick (10 a second)", "s", "member", ticks),
+        make_row(
+            "membership: heartbeats sent a second", "messages", "member", messages
+        ),
+        make_row("membership: table", "bytes", "member", memory),
+    ]
+
+
+def make_row(what: str, unit: str, per: str, points: list[tuple[int, float]]) -> dict:
+    """Return one measurement with its slope."""
+    base, slope = fit_slope(points)
+    return {
+        "what": what,
+        "unit": unit,
+        "per": per,
+        "base": base,
+        "slope": slope,
+        "points": points,
+    }
+
+
+def measure_decisions(counts: list[int]) -> list[dict]:
+    """Measure one decision against the number of upstreams of a model."""
+    points = []
+    for count in counts:
+        tables = make_tables(upstreams=count, max_running=16)
+        blocks = make_blocks(1, 20)
+        for row in list(tables.upstream_by_name.values())[::7]:
+            credit_blocks(tables.residency, row.slot, blocks[:10])
+        place = decisions.POLICY_BY_NAME["catkintrack"]
+        request = make_request("r", blocks=blocks)
+        rng = Random(1)
+        call = lambda t=tables, r=request, g=rng, p=place: p(t, r, 0.0, g)  # noqa: E731
+        points.append((count, time_call(call, 50)))
+    return [make_row("placement: one decision", "s", "upstream", points)]
+
+
+def measure_residency(counts: list[int]) -> list[dict]:
+    """Measure memory and time of the table of cached blocks."""
+
+    def build(count: int) -> decisions.Residency:
+        residency = decisions.Residency(max_blocks=10**9)
+        credit_blocks(residency, 3, make_blocks(1, count))
+        return residency
+
+    memory = [(n, measure_bytes(lambda n=n: build(n))) for n in counts]
+    blocks = make_blocks(1, 1000)
+    residency = build(counts[-1])
+    event = time_call(lambda: credit_blocks(residency, 5, blocks), 20) / 1000
+    chain = make_blocks(1, 32)
+    depth = time_call(lambda: find_depths(residency, chain))
+    return [
+        make_row("cached blocks: table", "bytes", "block", memory),
+        make_point("cached blocks: one event", "s", event),
+        make_point("cached blocks: look up 32 blocks", "s", depth),
+    ]
+
+
+def make_point(what: str, unit: str, value: float) -> dict:
+    """Return one measurement that has no slope."""
+    return {"what": what, "unit": unit, "per": "", "base": value, "slope": 0.0}
+
+
+def measure_limits(counts: list[int]) -> list[dict]:
+    """Measure memory and time of the shares against the workspaces in use."""
+
+    def build(count: int) -> limits.Holder:
+        holder = limits.Holder("i0", 1)
+        spec = limits.LimitSpec(1000.0, 1000.0)
+        holder.shares.spec_by_workspace = {f"w{n}": spec for n in range(count)}
+        for name in holder.shares.spec_by_workspace:
+            limits.find_share(holder.shares, name, 0.0).parts = 1000
+        return holder
+
+    memory = [(n, measure_bytes(lambda n=n: build(n))) for n in counts]
+    holder = build(counts[-1])
+    clock = iter(range(10**9))
+    debit = time_call(lambda: limits.debit(holder.shares, "w1", 1, float(next(clock))))
+    ledgers = []
+    for count in counts:
+        names = [f"w{n}" for n in range(count)]
+        members = {f"i{n}": 1 for n in range(400)}
+        ledger = limits.build_ledger(limits.Ledger(), 1, members, {}, (), names)
+        ledgers.append((count, float(len(limits.encode_ledger(ledger)))))
+    return [
+        make_row("limits: shares", "bytes", "workspace", memory),
+        make_point("limits: one debit", "s", debit),
+        make_row("limits: ledger of 400 members", "bytes", "workspace", ledgers),
+    ]
+
+
+def measure_config(counts: list[int]) -> list[dict]:
+    """Measure compiling and changing configuration against its upstreams."""
+    compiled, changed, memory = [], [], []
+    for count in counts:
+        ports = {f"e{n}": 1000 + n % 60000 for n in range(count)}
+        kinds = make_kinds({"w1": make_workspace()}, ports)
+        state = State(1, kinds)
+        compiled.append((count, time_call(lambda s=state: compile_tables(s), 1)))
+        change = Change(2, "c", puts=(Put("tier", "t", {"weight": 1, "priority": 1}),))
+        changed.append(
+            (count, time_call(lambda s=state, c=change: apply_change(s, c), 20))
+        )
+        memory.append(
+            (count, measure_bytes(lambda s=state: compile_tables(s).unwrap()))
+        )
+    return [
+        make_row("configuration: compile all tables", "s", "upstream", compiled),
+        make_row("configuration: apply one change", "s", "upstream", changed),
+        make_row("configuration: compiled tables", "bytes", "upstream", memory),
+    ]
+
+
+def measure_messages() -> list[dict]:
+    """Measure the size and the coding time of the messages between processes."""
+    put = Put("workspace", "w1", make_workspace())
+    load = LoadReport("upstream-12", "abcdef012345", "v1", 9, 1, 4000, 256, False, 0.4)
+    bodies = {
+        "heartbeat with one news": Heartbeat(1000, 0.1, 10, (make_news(1),)),
+        "one change": ConfigChanges((Change(1000, "a" * 32, "operator", (put,)),)),
+        "one load report": LoadReports((load,)),
+        "one cache event of ten": CacheEvents(
+            "upstream-12", "abcdef012345", False, make_blocks(1, 10), ()
+        ),
+        "prefill news of 20 blocks": PrefillNews(
+            "a" * 32, "upstream-12", make_blocks(1, 20), 5000, 5
+        ),
+    }
+    rows = []
+    for name, body in bodies.items():
+        data = encode_envelope(Envelope("instance-1", 10**12, body))
+        coding = time_call(lambda b=body: size_of(b)) + time_call(
+            lambda d=data: decode_envelope(d)
+        )
+        rows.append(make_point(f"message: {name}", "bytes", float(len(data))))
+        rows.append(make_point(f"message: code {name}", "s", coding))
+    return rows
+
+
+def measure_processes(instances: list[int], idle_s: float) -> list[dict]:
+    """Measure idle real agents: calls to the platform, mesh bytes, processor time."""
+    calls, traffic, cpu, memory = [], [], [], []
+    for count in instances:
+        with open_fleet() as fleet:
+            fleet.start_platform()
+            for number in range(2):
+                fleet.start_engine(f"e{number}")
+            kinds = make_kinds({"w1": make_workspace()}, fleet.engine_port_by_name)
+            fleet.apply_config(kinds)
+            for number in range(count):
+                fleet.make_node(f"n{number:02}", f"z{number % 3}")
+            fleet.list_instances()
+            for node in fleet.node_by_name.values():
+                node.agent.start()
+            time.sleep(4.0)
+            before = read_usage(fleet)
+            time.sleep(idle_s)
+            after = read_usage(fleet)
+        spent = [(after[i] - before[i]) / idle_s / count for i in range(3)]
+        calls.append((count, spent[0]))
+        traffic.append((count, spent[1]))
+        cpu.append((count, spent[2]))
+        memory.append((count, after[3]))
+    return [
+        make_row("idle agent: platform calls a second", "calls", "instance", calls),
+        make_row("idle agent: mesh bytes sent a second", "bytes", "instance", traffic),
+        make_row("idle agent: processor time a second", "s", "instance", cpu),
+        make_row("idle agent: resident memory", "bytes", "instance", memory),
+    ]
+
+
+def read_usage(fleet: Any) -> tuple[float, float, float, float]:
+    """Return platform calls, mesh bytes, processor seconds and memory of an agent."""
+    counts = call_json(fleet.platform_port, "/counts")
+    sent = cpu = memory = 0.0
+    ticks = 100.0
+    for node in fleet.node_by_name.values():
+        pid = node.agent.popen.pid
+        fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+        cpu += (int(fields[11]) + int(fields[12])) / ticks
+        pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+        memory = max(memory, pages * float(resource.getpagesize()))
+        sent += read_mesh_bytes(node)
+    return float(sum(counts.values())), sent, cpu, memory
+
+
+def read_mesh_bytes(node: Any) -> float:
+    """Return the bytes that an agent has sent to its peers."""
+    page = call_http(node.agent_ops_port, "GET", "/metrics").body.decode()
+    return sum(
+        float(line.rsplit(" ", 1)[1])
+        for line in page.splitlines()
+        if line.startswith("catkintrack_agent_mesh_bytes_total{")
+        and 'direction="sent"' in line
+    )
+
+
+def main(idle_s: float = 6.0, processes: bool = True) -> None:
+    """Measure and print everything."""
+    rows = measure_membership([8, 16, 32, 64, 400])
+    rows += measure_decisions([11, 50, 100, 200, 375])
+    rows += measure_residency([10_000, 50_000, 100_000])
+    rows += measure_limits([5, 100, 300, 630])
+    rows += measure_config([10, 100, 1000])
+    rows += measure_messages()
+    if processes:
+        rows += measure_processes([4, 8, 16], float(idle_s))
+    BUILD.mkdir(exist_ok=True)
+    (BUILD / "state.json").write_text(json.dumps(rows, indent=1) + "\n")
+    shown = [
+        {
+            "what": row["what"],
+            "unit": row["unit"],
+            "base": f"{row['base']:.4g}",
+            "slope": f"{row['slope']:.4g}",
+            "per": row["per"],
+            "points": ", ".join(f"{x}: {y:.4g}" for x, y in row.get("points", [])),
+        }
+        for row in rows
+    ]
+    print(format_rows(shown))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/catkintrack/agent/mesh.py
+++ b/catkintrack/agent/mesh.py
@@ -24,6 +24,7 @@
     learn_news,
     list_alive,
     list_all_news,
+    needs_introduction,
     record_heard,
     run_detector,
     take_news,
@@ -154,7 +155,7 @@
     """Learn a peer's news, and tell a new member everything."""
     body: Heartbeat = envelope.body
     now = time.monotonic()
-    is_new = envelope.sender not in list_alive(agent.members)
+    is_new = needs_introduction(agent.members, envelope.sender)
     if learn_news(agent.members, body.news, now):
         agent.metrics.members_alive.set({}, len(list_alive(agent.members)))
     record_heard(agent.members, envelope.sender, envelope.incarnation, now)
--- a/catkintrack/membership/__init__.py
+++ b/catkintrack/membership/__init__.py
@@ -16,6 +16,7 @@
     learn_news,
     list_alive,
     list_all_news,
+    needs_introduction,
     pass_on,
     take_news,
 )
@@ -32,6 +33,7 @@
     "list_alive",
     "list_all_news",
     "list_ring",
+    "needs_introduction",
     "pass_on",
     "record_heard",
     "run_detector",
--- a/catkintrack/membership/detector.py
+++ b/catkintrack/membership/detector.py
@@ -22,14 +22,15 @@
     pass_on,
 )
 
-HEARTBEAT_INTERVAL_S = 0.4
+HEARTBEAT_INTERVAL_S = 0.25
 SUSPECT_AFTER_S = 1.0
-DEAD_AFTER_S = 2.7
+DEAD_AFTER_S = 2.5
 PROBE_INTERVAL_S = 0.3
 VOUCH_AGE_S = 1.0
 SELF_PAUSE_S = 0.8
-RING_SUCCESSORS = 3
+RING_SUCCESSORS = 2
 RANDOM_TARGETS = 1
+URGENT_TARGETS = 4
 VOUCHERS = 3
 HELLO_CHANCE = 0.2
 
@@ -49,9 +50,15 @@
 
 def list_ring(members: Members) -> list[str]:
     """Return the live members in ring order, beginning after oneself."""
+    if members.ring is None:
+        members.ring = _order_ring(members)
+    return list(members.ring)
+
+
+def _order_ring(members: Members) -> tuple[str, ...]:
     names = sorted(list_alive(members), key=ring_position)
     own = names.index(members.own.instance)
-    return names[own + 1 :] + names[:own]
+    return tuple(names[own + 1 :] + names[:own])
 
 
 def list_watched(members: Members) -> list[str]:
@@ -65,10 +72,11 @@
     outgoing: list[Outgoing] = []
     for name in list_watched(members):
         outgoing += _check_member(members, name, now, rng)
-    if now >= members.next_heartbeat_at:
+    if members.has_urgent_news or now >= members.next_heartbeat_at:
         members.next_heartbeat_at = now + HEARTBEAT_INTERVAL_S
         targets = choose_heartbeat_targets(members, rng)
         outgoing += [Outgoing(name, None) for name in targets]
+        members.has_urgent_news = False
     return outgoing
 
 
@@ -91,7 +99,7 @@
         return []
     if silence_s >= DEAD_AFTER_S:
         learn_news(members, [as_dead(row.news)], now)
-        return [Outgoing(target, None) for target in list_ring(members)]
+        return []
     row.state = MemberState.SUSPECT
     if now - row.probed_at < PROBE_INTERVAL_S:
         return []
@@ -103,11 +111,12 @@
 
 
 def choose_heartbeat_targets(members: Members, rng: Random) -> list[str]:
-    """Return the ring's successors, a random member and sometimes a dead one."""
+    """Return the ring's successors, some random members and sometimes a dead one."""
     ring = list_ring(members)
     targets = ring[:RING_SUCCESSORS]
     rest = ring[RING_SUCCESSORS:]
-    targets += rng.sample(rest, min(RANDOM_TARGETS, len(rest)))
+    wanted = URGENT_TARGETS if members.has_urgent_news else RANDOM_TARGETS
+    targets += rng.sample(rest, min(wanted, len(rest)))
     dead = [
         name
         for name, row in members.row_by_instance.items()
--- a/catkintrack/membership/table.py
+++ b/catkintrack/membership/table.py
@@ -9,7 +9,7 @@
 
 from catkintrack.links import MemberNews
 
-NEWS_REPEATS = 6
+NEWS_REPEATS = 10
 MAX_NEWS_PER_MESSAGE = 16
 
 
@@ -39,13 +39,18 @@
 
 @dataclass(slots=True)
 class Members:
-    """Hold the members, keyed by instance, and the news still to pass on."""
+    """Hold the members, keyed by instance, and the news still to pass on.
+
+    `ring` is the order of the live members, None after a change.
+    """
 
     own: MemberNews
     row_by_instance: dict[str, MemberRow] = field(default_factory=dict)
     pending_news: deque[tuple[MemberNews, int]] = field(default_factory=deque)
     last_tick_at: float = 0.0
     next_heartbeat_at: float = 0.0
+    has_urgent_news: bool = False
+    ring: tuple[str, ...] | None = None
 
 
 def is_newer(new: MemberNews, old: MemberNews) -> bool:
@@ -79,6 +84,7 @@
         members.row_by_instance[news.instance] = row
     row.news = news
     row.state = state
+    members.ring = None
     if news.is_alive:
         row.heard_at = now
     else:
@@ -133,6 +139,7 @@
     """Have news sent along with the next heartbeats."""
     kept = [item for item in members.pending_news if item[0].instance != news.instance]
     members.pending_news = deque([(news, NEWS_REPEATS), *kept])
+    members.has_urgent_news = True
 
 
 def take_news(members: Members) -> tuple[MemberNews, ...]:
@@ -161,9 +168,15 @@
     return {members.own.instance: members.own, **alive}
 
 
+def needs_introduction(members: Members, instance: str) -> bool:
+    """Report whether a sender is new here or taken for dead, and should be told."""
+    return instance not in list_alive(members)
+
+
 def forget_removed(members: Members, instances: Iterable[str]) -> None:
     """Drop dead members that the platform no longer lists."""
     for name in instances:
         row = members.row_by_instance.get(name)
         if row is not None and row.state is MemberState.DEAD:
             del members.row_by_instance[name]
+            members.ring = None
--- /dev/null
+++ b/catkintrack/membership/tests/test_detector.py
@@ -0,0 +1,209 @@
+"""Run many members in virtual time: kills, pauses, cuts, herds of restarts."""
+
+import unittest
+from dataclasses import dataclass, field
+from random import Random
+
+import hypothesis.strategies as st
+from hypothesis import given, settings
+
+from catkintrack.links import MemberNews, Probe, Vouch, VouchRequest
+from catkintrack.membership import (
+    Members,
+    answer_vouch,
+    learn_news,
+    list_alive,
+    list_all_news,
+    needs_introduction,
+    record_heard,
+    run_detector,
+    take_news,
+)
+from catkintrack.testing.profiles import DETERMINISTIC
+
+TICK_S = 0.1
+DETECTED_WITHIN_S = 3.0
+
+
+def make_news(name, incarnation=1):
+    return MemberNews(name, incarnation, 0, True, "z1", "127.0.0.1", 1, "127.0.0.1", 2)
+
+
+@dataclass
+class Network:
+    """Hold members, what is in flight, and which members are frozen or dead."""
+
+    members: dict = field(default_factory=dict)
+    in_flight: list = field(default_factory=list)
+    frozen: set = field(default_factory=set)
+    dead: set = field(default_factory=set)
+    cut: set = field(default_factory=set)
+    now: float = 100.0
+    rng: Random = field(default_factory=lambda: Random(1))
+    sent: int = 0
+
+    def start(self, name, incarnation=1):
+        self.dead.discard(name)
+        self.members[name] = Members(make_news(name, incarnation))
+        for other, table in self.members.items():
+            if other != name and other not in self.dead:
+                news = [make_news(name, incarnation)]
+                learn_news(table, news, self.now)
+                learn_news(self.members[name], list_all_news(table), self.now)
+
+    def send(self, sender, receiver, message):
+        self.sent += 1
+        if frozenset((sender, receiver)) not in self.cut:
+            incarnation = self.members[sender].own.incarnation
+            self.in_flight.append((self.now, sender, incarnation, receiver, message))
+
+    def heartbeat(self, name):
+        table = self.members[name]
+        return (table.own, *take_news(table))
+
+    def step(self):
+        self.now += TICK_S
+        due, self.in_flight = self.in_flight, []
+        for message in due:
+            receiver = message[3]
+            if receiver in self.frozen:
+                self.in_flight.append(message)
+            elif receiver in self.members and receiver not in self.dead:
+                self.receive(*message[1:])
+        for name, table in self.members.items():
+            if name in self.dead or name in self.frozen:
+                continue
+            for outgoing in run_detector(table, self.now, self.rng):
+                message = outgoing.message or self.heartbeat(name)
+                self.send(name, outgoing.receiver, message)
+
+    def receive(self, sender, incarnation, receiver, message):
+        table = self.members[receiver]
+        record_heard(table, sender, incarnation, self.now)
+        if isinstance(message, tuple):
+            if needs_introduction(table, sender):
+                self.send(receiver, sender, list_all_news(table))
+            learn_news(table, message, self.now)
+        elif isinstance(message, Probe):
+            self.send(receiver, sender, self.heartbeat(receiver))
+        elif isinstance(message, VouchRequest):
+            vouch = answer_vouch(table, message.instance, self.now)
+            if vouch is not None:
+                self.send(receiver, sender, vouch)
+        elif isinstance(message, Vouch):
+            record_heard(table, message.instance, message.incarnation, self.now)
+
+    def run(self, seconds):
+        for _ in range(round(seconds / TICK_S)):
+            self.step()
+
+    def views(self, name):
+        """Return who believes that `name` lives."""
+        return {
+            other
+            for other, table in self.members.items()
+            if other not in self.dead | self.frozen
+            and other != name
+            and name in list_alive(table)
+        }
+
+
+def make_network(count):
+    network = Network()
+    for number in range(count):
+        network.start(f"i{number}")
+    network.run(3.0)
+    return network
+
+
+class DetectorTest(unittest.TestCase):
+    def test_dead_member_is_known_to_all_in_time(self):
+        for count in (3, 8, 64):
+            network = make_network(count)
+            network.dead.add("i1")
+            network.run(DETECTED_WITHIN_S)
+            self.assertEqual(network.views("i1"), set(), count)
+
+    def test_zone_that_dies_at_once_is_found(self):
+        network = make_network(12)
+        network.dead |= {"i1", "i2", "i3", "i4"}
+        network.run(2 * DETECTED_WITHIN_S)
+        for name in network.dead:
+            self.assertEqual(network.views(name), set())
+
+    @given(st.integers(0, 7), st.floats(0.1, 2.0), st.integers(0, 4))
+    @settings(DETERMINISTIC, max_examples=40)
+    def test_short_pause_kills_nobody(self, index, seconds, phase):
+        network = make_network(8)
+        network.run(phase * TICK_S)
+        name = f"i{index}"
+        network.frozen.add(name)
+        network.run(seconds)
+        self.assertEqual(len(network.views(name)), 7)
+        network.frozen.clear()
+        network.run(3.0)
+        for other in network.members:
+            self.assertEqual(len(network.views(other)), 7)
+
+    def test_long_pause_is_death_and_refuted(self):
+        network = make_network(8)
+        network.frozen.add("i2")
+        network.run(6.0)
+        self.assertEqual(network.views("i2"), set())
+        network.frozen.clear()
+        network.run(6.0)
+        for other in network.members:
+            self.assertEqual(len(network.views(other)), 7, other)
+
+    def test_one_cut_link_kills_nobody(self):
+        network = make_network(8)
+        network.cut.add(frozenset(("i0", "i1")))
+        network.run(10.0)
+        self.assertEqual(len(network.views("i0")), 7)
+        self.assertEqual(len(network.views("i1")), 7)
+
+    def test_cut_off_zone_comes_back(self):
+        network = make_network(8)
+        zone = {"i0", "i1"}
+        network.cut = {
+            frozenset((a, b)) for a in zone for b in network.members if b not in zone
+        }
+        network.run(8.0)
+        self.assertEqual(network.views("i0"), {"i1"})
+        network.cut = set()
+        network.run(15.0)
+        for name in network.members:
+            self.assertEqual(len(network.views(name)), 7, name)
+
+    def test_herd_of_restarts_settles(self):
+        network = make_network(16)
+        for number in range(0, 16, 2):
+            network.start(f"i{number}", incarnation=2)
+        network.run(4.0)
+        for table in network.members.values():
+            incarnations = {
+                name: news.incarnation for name, news in list_alive(table).items()
+            }
+            self.assertEqual(len(incarnations), 16)
+            self.assertEqual(incarnations["i2"], 2)
+
+    def test_old_life_never_comes_back(self):
+        network = make_network(4)
+        network.start("i1", incarnation=5)
+        for table in network.members.values():
+            learn_news(table, [make_news("i1", 3)], network.now)
+            self.assertEqual(list_alive(table)["i1"].incarnation, 5)
+
+    def test_messages_of_each_member_do_not_grow_with_the_fleet(self):
+        rates = []
+        for count in (8, 64):
+            network = make_network(count)
+            network.run(5.0)
+            network.sent = 0
+            network.run(10.0)
+            rates.append(network.sent / count / 10.0)
+        self.assertLessEqual(rates[1], rates[0] * 1.05)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/catkintrack/testing/fleet.py
+++ b/catkintrack/testing/fleet.py
@@ -29,6 +29,8 @@
 POLL_S = 0.02
 FIRST_PORT = 10000
 LAST_PORT = 29999
+# Names a fault to run routers and agents with (see `catkintrack.testing.seeded`).
+SEEDED_FAULT = "CATKINTRACK_SEEDED_FAULT"
 
 
 def find_free_port() -> int:
@@ -229,14 +231,17 @@
         own_path.write_text(yaml.safe_dump(own))
         files = f"--settings={base_path},{own_path}"
         python = sys.executable
+        prefix = [python, "-m"]
+        if fault := os.environ.get(SEEDED_FAULT):
+            prefix += ["catkintrack.testing.seeded", fault]
         agent = Process(
             f"{name}-agent",
-            [python, "-m", "catkintrack.agent.main", files],
+            [*prefix, "catkintrack.agent.main", files],
             self.directory / f"{name}-agent.log",
         )
         router = Process(
             f"{name}-router",
-            [python, "-m", "catkintrack.router.main", files],
+            [*prefix, "catkintrack.router.main", files],
             self.directory / f"{name}-router.log",
         )
         node = Node(name, zone, *ports, agent, router)
--- /dev/null
+++ b/catkintrack/testing/seeded.py
@@ -0,0 +1,162 @@
+"""Run a process with one of its mechanisms broken on purpose.
+
+A test that proves a promise must fail when the promise's mechanism is out; this is
+how that is shown.  `python -m catkintrack.testing.seeded FAULT MODULE ARGUMENTS`.
+"""
+
+from __future__ import annotations
+
+import importlib
+import runpy
+import sys
+from collections.abc import Callable
+from typing import Any
+
+
+def _replace(path: str, name: str, value: Any) -> None:
+    setattr(importlib.import_module(path), name, value)
+
+
+def _credit_dead_engines() -> None:
+    _replace("catkintrack.decisions.residency", "forget_slot", lambda *_: None)
+    _replace("catkintrack.decisions.systems", "forget_slot", lambda *_: None)
+
+
+def _ignore_missing_tokens() -> None:
+    events = importlib.import_module("catkintrack.router.events")
+    events.StreamProgress.delivered = property(lambda self: "")
+
+
+def _wait_for_the_platform() -> None:
+    freshness = importlib.import_module("catkintrack.agent.freshness")
+
+    def are_current(evidence: Any) -> bool:
+        return evidence.platform_age_s < 1.0
+
+    freshness.are_keys_current = are_current
+    _replace("catkintrack.agent.routers", "are_keys_current", are_current)
+
+
+def _accept_any_key() -> None:
+    _replace("catkintrack.router.authentication", "is_secret_valid", lambda *_: True)
+
+
+def _keep_keys() -> None:
+    _replace(
+        "catkintrack.router.service_calls", "strip_keys", lambda headers, _: headers
+    )
+
+
+def _cut_nothing() -> None:
+    async def cut_nothing(_router: Any) -> None:
+        """Leave calls of withdrawn keys running."""
+
+    _replace("catkintrack.router.agent_links", "cut_withdrawn", cut_nothing)
+
+
+def _lend_twice() -> None:
+    lending = importlib.import_module("catkintrack.limits.lending")
+    original = lending.lend
+
+    def lend(holder: Any, peer: str, workspace: str, *rest: Any) -> Any:
+        row = holder.shares.share_by_workspace.get(workspace)
+        before = (row.parts, row.tokens) if row else None
+        grant = original(holder, peer, workspace, *rest)
+        if before is not None:
+            row.parts, row.tokens = before
+        return grant
+
+    _replace("catkintrack.limits", "lend", lend)
+
+
+def _trust_any_answer() -> None:
+    client = importlib.import_module("catkintrack.http.client")
+
+    def check(self: Any, _headers: Any) -> None:
+        self.has_echo = True
+
+    client.Exchange._check_echo = check
+    client.Exchange.has_unread_input = lambda self: False
+    client.Exchange.is_reusable = lambda self: True
+
+
+def _call_everything_not_run() -> None:
+    refusals = importlib.import_module("catkintrack.router.refusals")
+    refusals.UpstreamFailed.is_not_run = True
+    refusals.OutcomeUnknown.is_not_run = True
+
+
+def _claim_without_asking() -> None:
+    claims = importlib.import_module("catkintrack.claims")
+
+    async def ask(*_: Any) -> Any:
+        return claims.ClaimVerdict.RUN, b""
+
+    _replace("catkintrack.router.service_calls", "ask_claim", ask)
+
+
+def _ignore_leaving() -> None:
+    systems = importlib.import_module("catkintrack.decisions.systems")
+    original = systems.sync_upstreams
+
+    def sync(tables: Any, *rest: Any) -> None:
+        original(tables, *rest)
+        for row in tables.upstream_by_name.values():
+            row.is_leaving = False
+
+    _replace("catkintrack.router.agent_links", "sync_upstreams", sync)
+
+
+def _stop_at_once() -> None:
+    async def drain(_server: Any) -> None:
+        """Let nothing finish."""
+
+    importlib.import_module("catkintrack.router.main")
+    _replace("catkintrack.http.server", "drain_server", drain)
+    _replace("catkintrack.http", "drain_server", drain)
+
+
+def _follow_any_head() -> None:
+    feed = importlib.import_module("catkintrack.agent.config_feed")
+    state = importlib.import_module("catkintrack.config.state")
+
+    def follow(_known: Any, head: Any) -> Any:
+        return state.State(head.revision, _known.value_by_name_by_kind)
+
+    _replace("catkintrack.platform.config_store", "follow_head", follow)
+    original = feed.put_state_in_force
+
+    async def put(agent: Any, new: Any, changes: Any) -> bool:
+        agent.config = new
+        return await original(agent, new, changes)
+
+    feed.put_state_in_force = put
+
+
+FAULT_BY_NAME: dict[str, Callable[[], None]] = {
+    "credit_dead_engines": _credit_dead_engines,
+    "ignore_missing_tokens": _ignore_missing_tokens,
+    "wait_for_the_platform": _wait_for_the_platform,
+    "accept_any_key": _accept_any_key,
+    "keep_keys": _keep_keys,
+    "cut_nothing": _cut_nothing,
+    "lend_twice": _lend_twice,
+    "trust_any_answer": _trust_any_answer,
+    "call_everything_not_run": _call_everything_not_run,
+    "claim_without_asking": _claim_without_asking,
+    "ignore_leaving": _ignore_leaving,
+    "stop_at_once": _stop_at_once,
+    "follow_any_head": _follow_any_head,
+}
+
+
+def main() -> None:
+    """Break one mechanism and run a module as a program."""
+    fault, module, *arguments = sys.argv[1:]
+    FAULT_BY_NAME[fault]()
+    sys.argv = [module, *arguments]
+    runpy.run_module(module, run_name="__main__")
+
+
+if __name__ == "__main__":
+    main()
