--- a/standins/engine.py
+++ b/standins/engine.py
@@ -371,9 +371,11 @@
     cache_tokens: int = 65536,
     max_running: int = 16,
     checks_fencing: bool = True,
+    answer_tokens: int = 0,
 ) -> None:
-    """Serve a model engine."""
-    batch = Batch(max_running, PrefixCache(cache_tokens // 256))
+    """Serve a model engine; `answer_tokens` fixes the length of every answer."""
+    cache = PrefixCache(cache_tokens // 256)
+    batch = Batch(max_running, cache, answer_tokens=answer_tokens)
     engine = Engine(
         name, str(model), str(weights), checks_fencing, batch, make_incarnation()
     )
--- a/standins/engine_batch.py
+++ b/standins/engine_batch.py
@@ -80,6 +80,7 @@
     prefilled_tokens: int = 0
     hit_tokens: int = 0
     prompt_tokens: int = 0
+    answer_tokens: int = 0
 
 
 async def submit_sequence(
@@ -101,7 +102,7 @@
         hashes=hash_blocks(*cache_key, prompt),
         first_index=first,
         next_index=first,
-        end_index=min(max_tokens, natural_length(prompt)),
+        end_index=min(max_tokens, batch.answer_tokens or natural_length(prompt)),
         tokens=iterate_tokens(prompt, continued_text),
         prompt_tokens=count_tokens(prompt),
     )
