--- a/loadtool/client.py
+++ b/loadtool/client.py
@@ -151,7 +151,8 @@
 
 
 def _read_event(event: bytes, outcome: Outcome, now: float) -> None:
-    data = event.removeprefix(b"data: ")
+    # An engine that is called directly also sends a line with the token's index.
+    data = event.rpartition(b"\n")[2].removeprefix(b"data: ")
     if data == b"[DONE]":
         outcome.is_whole = True
         return
