--- a/bin/check_seeded.py
+++ b/bin/check_seeded.py
@@ -19,7 +19,7 @@
 # Promise, in the brief's order: (fault, test).
 CHECKS = {
     1: ("credit_dead_engines", "test_streams.CacheScopeTest.test_crashed_engine_is_credited_with_nothing"),
-    2: ("ignore_missing_tokens", "test_streams.StreamTest.test_stream_that_breaks_twice_continues_twice"),
+    2: ("ignore_token_order", "test_streams.StreamTest.test_stream_that_breaks_twice_continues_twice"),
     3: ("wait_for_the_platform", "test_restarts.RestartTest.test_killed_router_serves_while_the_platform_is_down"),
     4: ("accept_any_key", "test_whole_path.WholePathTest.test_keys_and_routes_are_checked"),
     5: ("keep_keys", "test_whole_path.WholePathTest.test_key_never_reaches_an_upstream"),
--- a/catkintrack/agent/config_feed.py
+++ b/catkintrack/agent/config_feed.py
@@ -34,8 +34,8 @@
     watch_object,
 )
 
+from .borrowing import put_specs_in_force
 from .feeds import sync_feeds
-from .limit_service import put_specs_in_force
 from .mesh import MeshHandler, send_to_peer
 from .routers import push_config
 from .state import Agent, Body
--- a/catkintrack/agent/main.py
+++ b/catkintrack/agent/main.py
@@ -33,16 +33,11 @@
 )
 from catkintrack.settings import Settings
 
+from .borrowing import level_shares
 from .config_feed import CONFIG_HANDLER_BY_TYPE, poll_instances, watch_platform
 from .dump import dump_agent, is_agent_ready
 from .feeds import push_loads
-from .limit_service import (
-    LIMIT_HANDLER_BY_TYPE,
-    hand_over_shares,
-    keep_ledger,
-    level_shares,
-    repeat_grants,
-)
+from .lending import LENDING_HANDLER_BY_TYPE, hand_over_shares, repeat_grants
 from .mesh import (
     MEMBERSHIP_HANDLER_BY_TYPE,
     MeshHandler,
@@ -52,6 +47,7 @@
     send_to_peer,
 )
 from .metrics import make_agent_metrics
+from .recounting import RECOUNT_HANDLER_BY_TYPE, keep_ledger
 from .routers import (
     PREFILL_HANDLER_BY_TYPE,
     drop_silent_sessions,
@@ -67,7 +63,8 @@
 HANDLER_TABLES = (
     MEMBERSHIP_HANDLER_BY_TYPE,
     CONFIG_HANDLER_BY_TYPE,
-    LIMIT_HANDLER_BY_TYPE,
+    LENDING_HANDLER_BY_TYPE,
+    RECOUNT_HANDLER_BY_TYPE,
     PREFILL_HANDLER_BY_TYPE,
 )
 
--- a/catkintrack/agent/routers.py
+++ b/catkintrack/agent/routers.py
@@ -33,8 +33,8 @@
 )
 from catkintrack.membership import list_alive
 
+from .borrowing import reserve, settle_reservation
 from .freshness import Evidence, are_keys_current
-from .limit_service import reserve, settle_reservation
 from .mesh import MeshHandler, send_to_all
 from .state import Agent, Body, RouterSession
 
--- a/catkintrack/testing/seeded.py
+++ b/catkintrack/testing/seeded.py
@@ -22,8 +22,17 @@
     _replace("catkintrack.decisions.systems", "forget_slot", lambda *_: None)
 
 
-def _ignore_missing_tokens() -> None:
+def _ignore_token_order() -> None:
     events = importlib.import_module("catkintrack.router.events")
+    original = events.EventReader._read_event
+
+    def read_event(self: Any, event: bytes) -> bytes:
+        if event.startswith(b"id: "):
+            data = event.partition(b"\n")[2]
+            event = b"id: %d\n%s" % (self.progress.next_index, data)
+        return original(self, event)
+
+    events.EventReader._read_event = read_event
     events.StreamProgress.delivered = property(lambda self: "")
 
 
@@ -135,7 +144,7 @@
 
 FAULT_BY_NAME: dict[str, Callable[[], None]] = {
     "credit_dead_engines": _credit_dead_engines,
-    "ignore_missing_tokens": _ignore_missing_tokens,
+    "ignore_token_order": _ignore_token_order,
     "wait_for_the_platform": _wait_for_the_platform,
     "accept_any_key": _accept_any_key,
     "keep_keys": _keep_keys,
