--- a/catkintrack/agent/main.py
+++ b/catkintrack/agent/main.py
@@ -25,10 +25,9 @@
 from catkintrack.processes import (
     PauseGuard,
     catch_stop_signals,
-    configure_logging,
-    load_settings_or_exit,
     make_link_keys,
     open_ops_server,
+    run_process,
     wait_for_stop,
 )
 from catkintrack.settings import Settings
@@ -198,9 +197,7 @@
     Args:
         settings: Settings files, comma-separated, each laid over the one before.
     """
-    loaded = load_settings_or_exit(settings)
-    configure_logging(loaded.logging.level, "agent", loaded.instance.id)
-    curio.run(run_agent, loaded)
+    run_process(settings, "agent", run_agent)
 
 
 def main() -> None:
--- a/catkintrack/agent/metrics.py
+++ b/catkintrack/agent/metrics.py
@@ -6,6 +6,8 @@
 
 from aioprometheus import Counter, Gauge, Registry
 
+from catkintrack.processes import bind_metrics
+
 
 @dataclass(slots=True)
 class AgentMetrics:
@@ -27,13 +29,7 @@
 def make_agent_metrics() -> AgentMetrics:
     """Return a new set of metrics in a registry of its own."""
     registry = Registry()
-
-    def counter(name: str, doc: str) -> Counter:
-        return Counter(f"catkintrack_agent_{name}", doc, registry=registry)
-
-    def gauge(name: str, doc: str) -> Gauge:
-        return Gauge(f"catkintrack_agent_{name}", doc, registry=registry)
-
+    counter, gauge = bind_metrics(registry, "catkintrack_agent")
     return AgentMetrics(
         registry=registry,
         revision=gauge("revision", "Configuration revision in force."),
--- /dev/null
+++ b/catkintrack/agent/tests/test_freshness.py
@@ -0,0 +1,55 @@
+"""Check when an instance may rely on the keys that it knows."""
+
+import unittest
+from dataclasses import replace
+
+from catkintrack.agent.freshness import Evidence, are_keys_current
+from catkintrack.processes import PauseGuard
+
+CURRENT = Evidence(
+    revision=7,
+    newest_revision_heard=7,
+    platform_age_s=1.0,
+    peer_age_s=0.2,
+    alive_members=8,
+    known_members=8,
+    is_trusted=True,
+)
+
+
+class FreshnessTest(unittest.TestCase):
+    def test_cases(self):
+        cases = [
+            ({}, True),
+            ({"revision": 0, "newest_revision_heard": 0}, False),
+            ({"newest_revision_heard": 8}, False),
+            ({"platform_age_s": 3600.0}, True),
+            ({"platform_age_s": 3600.0, "alive_members": 5}, True),
+            ({"platform_age_s": 3600.0, "alive_members": 4}, False),
+            ({"platform_age_s": 3600.0, "peer_age_s": 3.0}, False),
+            ({"platform_age_s": 3600.0, "alive_members": 1, "known_members": 1}, True),
+            ({"is_trusted": False}, False),
+        ]
+        for change, wanted in cases:
+            self.assertIs(are_keys_current(replace(CURRENT, **change)), wanted, change)
+
+    def test_two_halves_never_both_serve(self):
+        for one_side in range(9):
+            sides = [
+                are_keys_current(
+                    replace(CURRENT, platform_age_s=99.0, alive_members=alive)
+                )
+                for alive in (one_side, 8 - one_side)
+            ]
+            self.assertLess(sum(sides), 2)
+
+    def test_messages_just_after_a_pause_are_not_trusted(self):
+        guard = PauseGuard(0.0)
+        self.assertTrue(guard.check(0.5))
+        self.assertFalse(guard.check(30.0))
+        self.assertFalse(guard.check(30.4))
+        self.assertTrue(guard.check(30.6))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/catkintrack/config/tests/test_state.py
@@ -0,0 +1,97 @@
+"""Check that configuration only goes forward, whatever arrives in which order."""
+
+import unittest
+from random import Random
+
+import hypothesis.strategies as st
+from hypothesis import given, settings
+from returns.result import Failure
+
+from catkintrack.config import (
+    Change,
+    Delete,
+    Head,
+    Put,
+    State,
+    append_change,
+    apply_changes,
+    compile_tables,
+    decode_head,
+    decode_snapshot,
+    encode_head,
+    encode_snapshot,
+    follow_head,
+    is_snapshot_needed,
+    validate_state,
+)
+from catkintrack.testing.configs import make_kinds, make_workspace
+from catkintrack.testing.profiles import DETERMINISTIC
+
+
+def make_changes(count):
+    changes = []
+    for number in range(1, count + 1):
+        puts = (Put("tier", f"t{number % 3}", {"weight": number, "priority": 1}),)
+        deletes = (Delete("tier", f"t{(number + 1) % 3}"),)
+        changes.append(Change(number, f"c{number}", "", puts, deletes))
+    return changes
+
+
+class StateTest(unittest.TestCase):
+    @given(st.integers(0, 10_000), st.integers(1, 12))
+    @settings(DETERMINISTIC)
+    def test_any_arrival_order_gives_a_state_that_was_accepted(self, seed, count):
+        changes = make_changes(count)
+        accepted = [State()]
+        for change in changes:
+            accepted.append(apply_changes(accepted[-1], [change]))
+        rng = Random(seed)
+        arriving = [rng.choice(changes) for _ in range(3 * count)]
+        state = State()
+        for change in arriving:
+            before = state.revision
+            state = apply_changes(state, [change])
+            self.assertGreaterEqual(state.revision, before)
+            self.assertEqual(state, accepted[state.revision])
+
+    def test_head_brings_any_laggard_up_to_date(self):
+        head = Head()
+        states = [State()]
+        for change in make_changes(150):
+            snapshot = (head.snapshot_name, head.snapshot_revision)
+            if head.revision - head.snapshot_revision >= 32:
+                snapshot = (f"s{head.revision}", head.revision)
+            head = append_change(head, change, *snapshot)
+            states.append(apply_changes(states[-1], [change]))
+        for state in states:
+            start = state
+            if is_snapshot_needed(state, head):
+                start = states[head.snapshot_revision]
+            self.assertEqual(follow_head(start, head), states[-1])
+        self.assertEqual(decode_head(encode_head(head)).unwrap(), head)
+
+    @given(st.integers(0, 400), st.integers(0, 255))
+    @settings(DETERMINISTIC)
+    def test_damaged_snapshot_is_refused(self, place, value):
+        data = bytearray(encode_snapshot(apply_changes(State(), make_changes(3))))
+        place %= len(data)
+        if data[place] == value:
+            return
+        data[place] = value
+        outcome = decode_snapshot(bytes(data))
+        good = decode_snapshot(encode_snapshot(apply_changes(State(), make_changes(3))))
+        self.assertTrue(isinstance(outcome, Failure) or outcome == good)
+
+    def test_newer_format_is_refused(self):
+        newer = encode_head(Head(format_version=2))
+        self.assertIsInstance(decode_head(newer), Failure)
+
+    def test_references_are_checked(self):
+        kinds = make_kinds({"w1": make_workspace(tier="gold")}, {"e0": 1})
+        (error,) = validate_state(State(1, kinds))
+        self.assertEqual(str(error), "workspace/w1: tier: no such tier")
+        self.assertIsInstance(compile_tables(State(1, kinds)), Failure)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/catkintrack/limits/lending.py
+++ b/catkintrack/limits/lending.py
@@ -11,6 +11,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from msgspec import structs
+
 from catkintrack.links import Grant, GrantAck
 
 from .ledger import Ledger
@@ -124,15 +126,7 @@
         row.parts = 0
         row.fresh_parts = 0
         row.tokens = 0.0
-        whole = Grant(
-            grant.generation,
-            grant.receiver_incarnation,
-            grant.sequence,
-            workspace,
-            grant.parts + rest,
-            grant.tokens,
-            0,
-        )
+        whole = structs.replace(grant, parts=grant.parts + rest)
         channel = holder.out_by_peer[peer]
         channel.unconfirmed[-1] = whole
         grants.append(whole)
--- a/catkintrack/membership/table.py
+++ b/catkintrack/membership/table.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from msgspec import structs
+
 from catkintrack.links import MemberNews
 
 NEWS_REPEATS = 10
@@ -100,39 +102,14 @@
         return False
     if news.version < own.version:
         return False
-    members.own = replace_version(own, news.version + 1)
+    members.own = structs.replace(own, version=news.version + 1)
     pass_on(members, members.own)
     return True
 
 
-def replace_version(news: MemberNews, version: int) -> MemberNews:
-    """Return `news` with another version."""
-    return MemberNews(
-        news.instance,
-        news.incarnation,
-        version,
-        news.is_alive,
-        news.zone,
-        news.mesh_host,
-        news.mesh_port,
-        news.routers_host,
-        news.routers_port,
-    )
-
-
 def as_dead(news: MemberNews) -> MemberNews:
     """Return the news that this life has ended."""
-    return MemberNews(
-        news.instance,
-        news.incarnation,
-        news.version,
-        False,
-        news.zone,
-        news.mesh_host,
-        news.mesh_port,
-        news.routers_host,
-        news.routers_port,
-    )
+    return structs.replace(news, is_alive=False)
 
 
 def pass_on(members: Members, news: MemberNews) -> None:
--- /dev/null
+++ b/catkintrack/processes/metrics.py
@@ -0,0 +1,22 @@
+"""Make metrics in a registry of one's own."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from aioprometheus import Counter, Gauge, Registry
+
+MakeCounter = Callable[[str, str], Counter]
+MakeGauge = Callable[[str, str], Gauge]
+
+
+def bind_metrics(registry: Registry, prefix: str) -> tuple[MakeCounter, MakeGauge]:
+    """Return the functions that make counters and gauges under a prefix."""
+
+    def counter(name: str, doc: str) -> Counter:
+        return Counter(f"{prefix}_{name}", doc, registry=registry)
+
+    def gauge(name: str, doc: str) -> Gauge:
+        return Gauge(f"{prefix}_{name}", doc, registry=registry)
+
+    return counter, gauge
--- a/catkintrack/processes/starting.py
+++ b/catkintrack/processes/starting.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 
+import curio
 from returns.result import Failure, Success
 
 from catkintrack.settings import Settings, load_settings
 
+from .logs import configure_logging
+
 EXIT_BAD_SETTINGS = 2
 
 
@@ -23,3 +26,12 @@
             for error in errors:
                 print(error, file=sys.stderr)
             raise SystemExit(EXIT_BAD_SETTINGS)
+
+
+def run_process(
+    files: str, name: str, run: Callable[[Settings], Awaitable[None]]
+) -> None:
+    """Run a process by its settings files until it ends."""
+    settings = load_settings_or_exit(files)
+    configure_logging(settings.logging.level, name, settings.instance.id)
+    curio.run(run, settings)
--- a/catkintrack/router/main.py
+++ b/catkintrack/router/main.py
@@ -23,10 +23,9 @@
 from catkintrack.processes import (
     PauseGuard,
     catch_stop_signals,
-    configure_logging,
-    load_settings_or_exit,
     make_link_keys,
     open_ops_server,
+    run_process,
     wait_for_stop,
 )
 from catkintrack.settings import Settings
@@ -132,9 +131,7 @@
     Args:
         settings: Settings files, comma-separated, each laid over the one before.
     """
-    loaded = load_settings_or_exit(settings)
-    configure_logging(loaded.logging.level, "router", loaded.instance.id)
-    curio.run(run_router, loaded)
+    run_process(settings, "router", run_router)
 
 
 def main() -> None:
--- a/catkintrack/router/metrics.py
+++ b/catkintrack/router/metrics.py
@@ -6,6 +6,8 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
+from catkintrack.processes import bind_metrics
+
 SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.43, 1.0, 2.0, 5.0, 10.0, 30.0)
 
 
@@ -31,13 +33,7 @@
 def make_router_metrics() -> RouterMetrics:
     """Return a new set of metrics in a registry of its own."""
     registry = Registry()
-
-    def counter(name: str, doc: str) -> Counter:
-        return Counter(f"catkintrack_{name}", doc, registry=registry)
-
-    def gauge(name: str, doc: str) -> Gauge:
-        return Gauge(f"catkintrack_{name}", doc, registry=registry)
-
+    counter, gauge = bind_metrics(registry, "catkintrack")
     return RouterMetrics(
         registry=registry,
         requests=counter("requests_total", "Calls by route and status."),
