--- a/catkintrack/agent/recounting.py
+++ b/catkintrack/agent/recounting.py
@@ -80,7 +80,6 @@
 
 def adopt_ledger(agent: Agent, ledger: Ledger) -> None:
     """Put a ledger in force if it is newer."""
-    agent.limits.is_ledger_known = True
     if limits.adopt(agent.limits.holder, ledger, time.monotonic()):
         logger.info(
             "ledger in force",
--- a/catkintrack/agent/state.py
+++ b/catkintrack/agent/state.py
@@ -97,8 +97,6 @@
     recount_reported: curio.Event = field(default_factory=curio.Event)
     next_recount_at: float = 0.0
     recount_backoff_s: float = 0.0
-    ledger_version: int = 0
-    is_ledger_known: bool = False
 
 
 @dataclass(slots=True)
--- a/catkintrack/decisions/systems.py
+++ b/catkintrack/decisions/systems.py
@@ -14,7 +14,7 @@
 
 from . import ejection, load
 from .fairness import charge_workspace, cost_of, order_workspaces
-from .placement import POLICY_BY_NAME, WINDOWED_POLICIES, Placement, list_eligible
+from .placement import POLICY_BY_NAME, WINDOWED_POLICIES, Placement
 from .prefills import Prefill, add_prefill, end_prefill, expire_prefills, expiry_after
 from .residency import credit_blocks, discredit_blocks, forget_slot
 from .tables import (
@@ -413,8 +413,3 @@
     observed_at = now - REPORT_LAG_MAX_S
     if set_incarnation(tables, row, incarnation, observed_at, now):
         credit_blocks(tables.residency, row.slot, prefill.blocks)
-
-
-def has_upstream(tables: Tables, request: ModelRequest, now: float) -> bool:
-    """Report whether some upstream may get the request now."""
-    return bool(list_eligible(tables, request, now))
--- a/catkintrack/router/authentication.py
+++ b/catkintrack/router/authentication.py
@@ -5,7 +5,7 @@
 import re
 
 from catkintrack.config import Key, Route, is_secret_valid, parse_key
-from catkintrack.http import Headers, Request, find_header
+from catkintrack.http import Headers, Request
 
 from .refusals import BadCall, Forbidden, Unauthenticated
 from .state import Router
@@ -77,10 +77,3 @@
         if name not in KEY_HEADERS
         or (route.is_open and not KEY_BYTES_PATTERN.search(value))
     )
-
-
-def find_request_id(headers: Headers) -> str | None:
-    """Return the caller's own request id when it is a plain one."""
-    value = find_header(headers, b"x-request-id") or b""
-    text = value.decode("ascii", "replace")
-    return text if re.fullmatch(r"[A-Za-z0-9._-]{1,64}", text) else None
--- a/catkintrack/router/model_body.py
+++ b/catkintrack/router/model_body.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -83,11 +83,6 @@
     return msgspec.json.encode(fields)
 
 
-def without_prompt(body: ModelBody) -> ModelBody:
-    """Return `body` without its hashed prompt, which a long stream need not keep."""
-    return replace(body, prompt=b"")
-
-
 def _decode(body: bytes) -> dict[str, Any]:
     try:
         fields = msgspec.json.decode(body)
--- a/catkintrack/testing/fleet.py
+++ b/catkintrack/testing/fleet.py
@@ -22,8 +22,6 @@
 import yaml
 import zmq
 
-from .configs import make_key_text
-
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 20.0
 POLL_S = 0.02
@@ -343,8 +341,3 @@
             yield fleet
         finally:
             fleet.stop()
-
-
-def make_keys(workspaces: list[str]) -> dict[str, str]:
-    """Return a key for each workspace."""
-    return {name: make_key_text(name) for name in workspaces}
