--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 
-.PHONY: install test lint unit demo serve bench bench-relay bench-state seeded soak clean
+.PHONY: install test lint unit demo serve bench bench-relay bench-state bench-times seeded soak clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -32,6 +32,9 @@
 bench-relay: install
 	$(BIN)/python bin/bench_relay.py
 
+bench-times: install
+	$(BIN)/python bin/bench_times.py
+
 bench-state: install
 	$(BIN)/python bin/bench_state.py
 
--- a/catkintrack/router/model_calls.py
+++ b/catkintrack/router/model_calls.py
@@ -103,7 +103,7 @@
         if body.is_stream:
             await _run_stream(router, call, connection)
         else:
-            await _attempt(router, call, connection)
+            await _try_upstreams(router, call, connection)
     finally:
         await _settle(router, call)
         _observe(router, call)
@@ -177,7 +177,7 @@
 async def _run_stream(router: Router, call: ModelCall, connection: Connection) -> None:
     """Stream the answer, continuing elsewhere what breaks."""
     try:
-        await _attempt(router, call, connection)
+        await _try_upstreams(router, call, connection)
     except CallError as error:
         if not call.progress.is_started:
             raise
@@ -191,7 +191,9 @@
     # The connection closes without the body's proper end: it never looks whole.
 
 
-async def _attempt(router: Router, call: ModelCall, connection: Connection) -> None:
+async def _try_upstreams(
+    router: Router, call: ModelCall, connection: Connection
+) -> None:
     """Try upstreams in turn until one has given the whole answer."""
     for number in range(MAX_ATTEMPTS):
         decision = await place_call(router, call.request, connection)
@@ -211,13 +213,14 @@
             record_failure(router.decisions, call.id, time.monotonic(), False)
         except UpstreamRefused as error:
             reason = str(error)
-            record_end(router.decisions, call.id, time.monotonic())
         finally:
             record_end(router.decisions, call.id, time.monotonic())
             if is_long and call.first_token_at is None:
                 await tell_prefill(router, PrefillEnd(call.id, ""))
             await run_tick(router)
         if call.progress.is_done:
+            # Only the end of the upstream's body is missing, not of the answer.
+            await connection.finish_response()
             return
         logger.warning(
             "upstream failed; trying another",
