Move the builders and the fleet of processes for tests out of the product

catkintrack.testing starts processes, which no module of the product may. It is now the package testkit beside standins and loadtool.

--- a/bin/bench.py
+++ b/bin/bench.py
@@ -19,8 +19,6 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from catkintrack.cli.output import format_rows
-from catkintrack.testing.configs import make_key_text, make_kinds, make_workspace
-from catkintrack.testing.fleet import Fleet, open_fleet, wait_until
 from loadtool.client import Outcome, replay
 from loadtool.measures import (
     Limit,
@@ -41,6 +39,8 @@
     greedy_workspace,
     write_trace,
 )
+from testkit.configs import make_key_text, make_kinds, make_workspace
+from testkit.fleet import Fleet, open_fleet, wait_until
 
 POLICIES = ("round_robin", "least_loaded", "prefix_hash", "catkintrack")
 CACHE_TOKENS = 65536
--- a/bin/bench_relay.py
+++ b/bin/bench_relay.py
@@ -20,12 +20,12 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from catkintrack.cli.output import format_rows
-from catkintrack.testing.caller import make_messages
-from catkintrack.testing.configs import make_key_text, make_kinds, make_workspace
-from catkintrack.testing.fleet import Fleet, open_fleet
 from loadtool.client import Outcome, replay
 from loadtool.measures import percentile
 from loadtool.workloads import TraceRow
+from testkit.caller import make_messages
+from testkit.configs import make_key_text, make_kinds, make_workspace
+from testkit.fleet import Fleet, open_fleet
 
 BUILD = Path(__file__).resolve().parent.parent / "build"
 ENGINES = 4
--- a/bin/bench_state.py
+++ b/bin/bench_state.py
@@ -37,10 +37,10 @@
     encode_envelope,
 )
 from catkintrack.membership import Members, learn_news, run_detector
-from catkintrack.testing.caller import call_http
-from catkintrack.testing.configs import make_kinds, make_workspace
-from catkintrack.testing.decision_tables import make_blocks, make_request, make_tables
-from catkintrack.testing.fleet import call_json, open_fleet
+from testkit.caller import call_http
+from testkit.configs import make_kinds, make_workspace
+from testkit.decision_tables import make_blocks, make_request, make_tables
+from testkit.fleet import call_json, open_fleet
 
 BUILD = Path(__file__).resolve().parent.parent / "build"
 REPEATS = 200
--- a/bin/bench_times.py
+++ b/bin/bench_times.py
@@ -18,10 +18,10 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from catkintrack.cli.output import format_rows
-from catkintrack.testing.caller import BackgroundCall, call_chat
-from catkintrack.testing.cases import long_answer_chat
-from catkintrack.testing.configs import make_key_kind, make_kinds, make_workspace
-from catkintrack.testing.fleet import Fleet, open_fleet, wait_until
+from testkit.caller import BackgroundCall, call_chat
+from testkit.cases import long_answer_chat
+from testkit.configs import make_key_kind, make_kinds, make_workspace
+from testkit.fleet import Fleet, open_fleet, wait_until
 
 BUILD = Path(__file__).resolve().parent.parent / "build"
 CHANGES = 8
--- a/bin/demo.py
+++ b/bin/demo.py
@@ -16,11 +16,11 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from catkintrack.cli.output import format_rows
-from catkintrack.testing.configs import make_key_text, make_kinds, make_workspace
-from catkintrack.testing.fleet import HOST, Fleet, open_fleet
 from loadtool.client import Outcome, replay
 from loadtool.measures import percentile
 from loadtool.workloads import BLOMAVEFUR, CASES, shorten, write_trace
+from testkit.configs import make_key_text, make_kinds, make_workspace
+from testkit.fleet import HOST, Fleet, open_fleet
 
 ENGINES = 3
 INSTANCES = 3
--- a/bin/soak.py
+++ b/bin/soak.py
@@ -18,11 +18,11 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from catkintrack.testing.caller import call_http
-from catkintrack.testing.configs import make_key_text, make_kinds, make_workspace
-from catkintrack.testing.fleet import Fleet, open_fleet
 from loadtool.client import Outcome, replay
 from loadtool.workloads import BLOMAVEFUR, CASES, shorten, write_trace
+from testkit.caller import call_http
+from testkit.configs import make_key_text, make_kinds, make_workspace
+from testkit.fleet import Fleet, open_fleet
 
 BUILD = Path(__file__).resolve().parent.parent / "build"
 ENGINES = 3
--- a/catkintrack/agent/tests/test_feeds.py
+++ b/catkintrack/agent/tests/test_feeds.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 
 from catkintrack.agent.feeds import EngineEvents, read_events
-from catkintrack.testing.profiles import DETERMINISTIC
+from testkit.profiles import DETERMINISTIC
 
 BLOCKS = ["0a", "0b", "0c"]
 steps = st.lists(
--- a/catkintrack/claims/tests/test_claims.py
+++ b/catkintrack/claims/tests/test_claims.py
@@ -14,7 +14,7 @@
 
 from catkintrack import claims
 from catkintrack.claims import ClaimStatus, ClaimVerdict
-from catkintrack.testing.profiles import DETERMINISTIC
+from testkit.profiles import DETERMINISTIC
 
 FINGERPRINT = claims.fingerprint_call(b"POST", b"/deposit", b"100")
 askers = st.sampled_from(["a", "b", "c", "d"])
--- a/catkintrack/config/tests/test_state.py
+++ b/catkintrack/config/tests/test_state.py
@@ -24,8 +24,8 @@
     is_snapshot_needed,
     validate_state,
 )
-from catkintrack.testing.configs import make_kinds, make_workspace
-from catkintrack.testing.profiles import DETERMINISTIC
+from testkit.configs import make_kinds, make_workspace
+from testkit.profiles import DETERMINISTIC
 
 
 def make_changes(count):
--- a/catkintrack/decisions/tests/test_systems.py
+++ b/catkintrack/decisions/tests/test_systems.py
@@ -16,8 +16,8 @@
 from catkintrack.decisions import CacheScope, Dispatch, LoadRow, hash_prefix
 from catkintrack.decisions.prefix import find_affinity_depth
 from catkintrack.decisions.residency import credit_blocks, find_depths
-from catkintrack.testing.decision_tables import make_blocks, make_request, make_tables
-from catkintrack.testing.profiles import DETERMINISTIC
+from testkit.decision_tables import make_blocks, make_request, make_tables
+from testkit.profiles import DETERMINISTIC
 
 WORKSPACES = ("w1", "w2", "w3")
 UPSTREAMS = ("u0", "u1", "u2")
--- a/catkintrack/limits/tests/test_limit_protocol.py
+++ b/catkintrack/limits/tests/test_limit_protocol.py
@@ -17,7 +17,7 @@
 from catkintrack import limits
 from catkintrack.limits import lending
 from catkintrack.links import Freeze, Thaw
-from catkintrack.testing.profiles import DETERMINISTIC
+from testkit.profiles import DETERMINISTIC
 
 INSTANCES = ("a", "b", "c")
 WORKSPACE = "w"
--- a/catkintrack/membership/tests/test_detector.py
+++ b/catkintrack/membership/tests/test_detector.py
@@ -19,7 +19,7 @@
     run_detector,
     take_news,
 )
-from catkintrack.testing.profiles import DETERMINISTIC
+from testkit.profiles import DETERMINISTIC
 
 TICK_S = 0.1
 DETECTED_WITHIN_S = 3.0
--- a/catkintrack/router/tests/test_events.py
+++ b/catkintrack/router/tests/test_events.py
@@ -8,7 +8,7 @@
 
 from catkintrack.http import UpstreamBroken
 from catkintrack.router.events import EventReader, StreamProgress
-from catkintrack.testing.profiles import DETERMINISTIC
+from testkit.profiles import DETERMINISTIC
 
 TOKENS = [f" t{number}" for number in range(12)]
 
--- a/catkintrack/settings/tests/test_loading.py
+++ b/catkintrack/settings/tests/test_loading.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Success
 
 from catkintrack.settings import load_settings, merge_documents
-from catkintrack.testing.profiles import DETERMINISTIC
+from testkit.profiles import DETERMINISTIC
 
 BASE = {
     "instance": {"id": "i1", "zone": "z1"},
--- a/catkintrack/tests/test_configuration.py
+++ b/catkintrack/tests/test_configuration.py
@@ -10,9 +10,9 @@
 from catkintrack.cli.config_commands import edit_to
 from catkintrack.http import Address
 from catkintrack.platform import PlatformClient, submit_change
-from catkintrack.testing.caller import call_http
-from catkintrack.testing.cases import FleetTestCase, make_chat, run_together
-from catkintrack.testing.fleet import call_json, wait_until
+from testkit.caller import call_http
+from testkit.cases import FleetTestCase, make_chat, run_together
+from testkit.fleet import call_json, wait_until
 
 IN_FORCE_WITHIN_S = 5.0
 
--- a/catkintrack/tests/test_edges.py
+++ b/catkintrack/tests/test_edges.py
@@ -12,10 +12,10 @@
 from hypothesis import given, settings
 
 from catkintrack.links import Envelope, Probe, decode_envelope, encode_envelope
-from catkintrack.testing.caller import call_http
-from catkintrack.testing.cases import FleetTestCase, long_answer_chat, make_chat
-from catkintrack.testing.fleet import HOST, wait_until
-from catkintrack.testing.profiles import DETERMINISTIC
+from testkit.caller import call_http
+from testkit.cases import FleetTestCase, long_answer_chat, make_chat
+from testkit.fleet import HOST, wait_until
+from testkit.profiles import DETERMINISTIC
 
 CHAT = long_answer_chat()
 GROWTH_ALLOWED_KB = 16 * 1024
--- a/catkintrack/tests/test_fleet_limits.py
+++ b/catkintrack/tests/test_fleet_limits.py
@@ -4,10 +4,10 @@
 import time
 import unittest
 
-from catkintrack.testing.caller import call_chat, make_messages, prompt_of
-from catkintrack.testing.cases import FleetTestCase
-from catkintrack.testing.configs import make_key_text, make_workspace
-from catkintrack.testing.fleet import wait_until
+from testkit.caller import call_chat, make_messages, prompt_of
+from testkit.cases import FleetTestCase
+from testkit.configs import make_key_text, make_workspace
+from testkit.fleet import wait_until
 
 RATE = 400
 BURST = 4000
--- a/catkintrack/tests/test_key_withdrawal.py
+++ b/catkintrack/tests/test_key_withdrawal.py
@@ -5,14 +5,14 @@
 import time
 import unittest
 
-from catkintrack.testing.caller import BackgroundCall, call_chat, call_http
-from catkintrack.testing.cases import FleetTestCase, long_answer_chat
-from catkintrack.testing.configs import (
+from testkit.caller import BackgroundCall, call_chat, call_http
+from testkit.cases import FleetTestCase, long_answer_chat
+from testkit.configs import (
     make_key_kind,
     make_key_text,
     make_workspace,
 )
-from catkintrack.testing.fleet import HOST, wait_until
+from testkit.fleet import HOST, wait_until
 
 CHAT = long_answer_chat()
 WITHDRAWN_WITHIN_S = 2.0
--- a/catkintrack/tests/test_leaving.py
+++ b/catkintrack/tests/test_leaving.py
@@ -4,9 +4,9 @@
 import time
 import unittest
 
-from catkintrack.testing.caller import BackgroundCall, call_http
-from catkintrack.testing.cases import FleetTestCase, long_answer_chat, make_chat
-from catkintrack.testing.fleet import wait_until
+from testkit.caller import BackgroundCall, call_http
+from testkit.cases import FleetTestCase, long_answer_chat, make_chat
+from testkit.fleet import wait_until
 
 CHAT = long_answer_chat()
 NO_NEW_WORK_WITHIN_S = 2.0
--- a/catkintrack/tests/test_restarts.py
+++ b/catkintrack/tests/test_restarts.py
@@ -3,9 +3,9 @@
 import time
 import unittest
 
-from catkintrack.testing.caller import call_chat, call_http
-from catkintrack.testing.cases import FleetTestCase, make_chat
-from catkintrack.testing.fleet import wait_until
+from testkit.caller import call_chat, call_http
+from testkit.cases import FleetTestCase, make_chat
+from testkit.fleet import wait_until
 
 SERVES_WITHIN_S = 3.0
 DETECTED_WITHIN_S = 3.0
--- a/catkintrack/tests/test_single_runs.py
+++ b/catkintrack/tests/test_single_runs.py
@@ -5,8 +5,8 @@
 import time
 import unittest
 
-from catkintrack.testing.caller import BackgroundCall, call_http
-from catkintrack.testing.cases import FleetTestCase, make_chat, run_together
+from testkit.caller import BackgroundCall, call_http
+from testkit.cases import FleetTestCase, make_chat, run_together
 
 DEPOSIT = b'{"deposit": 100}'
 
--- a/catkintrack/tests/test_streams.py
+++ b/catkintrack/tests/test_streams.py
@@ -3,19 +3,19 @@
 import threading
 import unittest
 
-from catkintrack.testing.caller import (
+from testkit.caller import (
     BackgroundCall,
     call_chat,
     call_http,
     make_messages,
 )
-from catkintrack.testing.cases import (
+from testkit.cases import (
     FleetTestCase,
     long_answer_chat,
     make_chat,
     run_together,
 )
-from catkintrack.testing.fleet import wait_until
+from testkit.fleet import wait_until
 
 CHAT = long_answer_chat()
 
--- a/catkintrack/tests/test_whole_path.py
+++ b/catkintrack/tests/test_whole_path.py
@@ -5,14 +5,14 @@
 
 import openai
 
-from catkintrack.testing.caller import (
+from testkit.caller import (
     call_chat,
     call_http,
     expected_text,
     make_messages,
 )
-from catkintrack.testing.configs import make_key_text, make_kinds, make_workspace
-from catkintrack.testing.fleet import HOST, open_fleet, wait_until
+from testkit.configs import make_key_text, make_kinds, make_workspace
+from testkit.fleet import HOST, open_fleet, wait_until
 
 CHAT = make_messages("You tag orders.", "A wreath for Friday, please. " * 200)
 
--- a/loadtool/client.py
+++ b/loadtool/client.py
@@ -19,7 +19,7 @@
     find_header,
     open_exchange,
 )
-from catkintrack.testing.caller import expected_text, prompt_of
+from testkit.caller import expected_text, prompt_of
 
 from .workloads import TraceRow
 
--- a/loadtool/measures.py
+++ b/loadtool/measures.py
@@ -8,7 +8,7 @@
 
 from catkintrack.decisions import CacheScope, Residency, hash_prefix
 from catkintrack.decisions.residency import credit_blocks, find_depths
-from catkintrack.testing.caller import prompt_of
+from testkit.caller import prompt_of
 
 from .client import Outcome
 from .workloads import TraceRow
--- a/loadtool/workloads.py
+++ b/loadtool/workloads.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, replace
 from random import Random
 
-from catkintrack.testing.caller import make_messages
+from testkit.caller import make_messages
 
 WORDS = [
     "lily",
--- a/catkintrack/testing/fleet.py
+++ b/testkit/fleet.py
@@ -27,7 +27,7 @@
 POLL_S = 0.02
 FIRST_PORT = 10000
 LAST_PORT = 29999
-# Names a fault to run routers and agents with (see `catkintrack.testing.seeded`).
+# Names a fault to run routers and agents with (see `testkit.seeded`).
 SEEDED_FAULT = "CATKINTRACK_SEEDED_FAULT"
 
 
@@ -231,7 +231,7 @@
         python = sys.executable
         prefix = [python, "-m"]
         if fault := os.environ.get(SEEDED_FAULT):
-            prefix += ["catkintrack.testing.seeded", fault]
+            prefix += ["testkit.seeded", fault]
         agent = Process(
             f"{name}-agent",
             [*prefix, "catkintrack.agent.main", files],
--- a/catkintrack/testing/seeded.py
+++ b/testkit/seeded.py
@@ -1,7 +1,7 @@
 """Run a process with one of its mechanisms broken on purpose.
 
 A test that proves a promise must fail when the promise's mechanism is out; this is
-how that is shown.  `python -m catkintrack.testing.seeded FAULT MODULE ARGUMENTS`.
+how that is shown.  `python -m testkit.seeded FAULT MODULE ARGUMENTS`.
 """
 
 from __future__ import annotations
