Ask one question in one place: may this holder lend, how much room has it

That a holder is a member and not frozen was written out at four places, and the room in a share at two. A first debit built the same request anew for each peer; it is built once.

--- a/catkintrack/agent/borrowing.py
+++ b/catkintrack/agent/borrowing.py
@@ -149,12 +149,6 @@
         await reservation.done.set()
 
 
-def _can_borrow(agent: Agent) -> bool:
-    """Report whether peers may lend to this agent now."""
-    holder = agent.limits.holder
-    return holder.is_member and not holder.is_frozen
-
-
 def settle_reservation(agent: Agent, workspace: str, tokens: int) -> None:
     """Give back reserved tokens that were not used; negative ones are owed."""
     now = time.monotonic()
@@ -169,9 +163,9 @@
     With `excess` each is asked for its even part times that, else for everything.
     """
     state = agent.limits
-    peers = list_lenders(agent)
-    if not _can_borrow(agent):
+    if not state.holder.can_lend:
         return None
+    peers = list_lenders(agent)
     wanted = missing if excess is None else missing * excess / max(1, len(peers))
     gather = Gather(agent.rng.getrandbits(32), wanted, set(peers))
     gather.is_contended = _is_settling(agent)
@@ -208,8 +202,7 @@
     """Return a request to each of so many lenders, who share the room here."""
     holder = agent.limits.holder
     row = limits.find_share(holder.shares, workspace, time.monotonic())
-    spec = holder.shares.spec_by_workspace[workspace]
-    room = max(0.0, limits.burst_of(spec, row.parts) - row.tokens)
+    room = _room_of(agent, workspace)
     return LendRequest(
         holder.ledger.generation,
         workspace,
@@ -230,7 +223,7 @@
     while True:
         await curio.sleep(LEVEL_INTERVAL_S)
         peers = list_lenders(agent)
-        if not peers or not _can_borrow(agent):
+        if not peers or not agent.limits.holder.can_lend:
             continue
         for workspace in _list_unfilled(agent):
             peer = agent.rng.choice(peers)
@@ -241,15 +234,20 @@
 async def _share_room(agent: Agent, workspace: str) -> None:
     """Take an even part of a first debit from each peer, which may all be full."""
     peers = list_lenders(agent)
-    shares = agent.limits.holder.shares
-    row = limits.find_share(shares, workspace, time.monotonic())
-    room = limits.burst_of(shares.spec_by_workspace[workspace], row.parts) - row.tokens
-    part = room / (len(peers) + 1)
+    part = _room_of(agent, workspace) / (len(peers) + 1)
+    request = _make_request(agent, workspace, part, 0, len(peers))
     for peer in peers:
-        request = _make_request(agent, workspace, part, 0, len(peers))
         await send_to_peer(agent, peer, request)
 
 
+def _room_of(agent: Agent, workspace: str) -> float:
+    """Return the tokens that the share can still hold."""
+    shares = agent.limits.holder.shares
+    row = limits.find_share(shares, workspace, time.monotonic())
+    spec = shares.spec_by_workspace[workspace]
+    return max(0.0, limits.burst_of(spec, row.parts) - row.tokens)
+
+
 def _fill_of(agent: Agent, workspace: str, now: float) -> float:
     """Return how full the share is, from 0 to 1; 1 for a share without parts."""
     shares = agent.limits.holder.shares
--- a/catkintrack/agent/routers.py
+++ b/catkintrack/agent/routers.py
@@ -96,9 +96,8 @@
 
 def are_limits_ready(agent: Agent, now: float) -> bool:
     """Report whether the agent can lend, or has waited for that long enough."""
-    holder = agent.limits.holder
-    can_lend = holder.is_member and not holder.is_frozen
-    return can_lend or now - agent.started_at > LIMITS_PATIENCE_S
+    is_patient = now - agent.started_at <= LIMITS_PATIENCE_S
+    return agent.limits.holder.can_lend or not is_patient
 
 
 async def push_config(agent: Agent) -> None:
--- a/catkintrack/limits/lending.py
+++ b/catkintrack/limits/lending.py
@@ -60,6 +60,11 @@
         """Report whether the ledger lists this incarnation."""
         return self.ledger.members.get(self.instance) == self.incarnation
 
+    @property
+    def can_lend(self) -> bool:
+        """Report whether this holder may lend and be lent to now."""
+        return self.is_member and not self.is_frozen
+
 
 def lend(
     holder: Holder,
@@ -76,7 +81,7 @@
     lender that keeps its parts has room again and goes on accruing.
     """
     peer_incarnation = holder.ledger.members.get(peer)
-    if holder.is_frozen or not holder.is_member or peer_incarnation is None:
+    if not holder.can_lend or peer_incarnation is None:
         return None
     spec = holder.shares.spec_by_workspace.get(workspace)
     channel = _find_out_channel(holder, peer, peer_incarnation)
@@ -140,7 +145,7 @@
 
     A grant for another life, of another generation or during a recount is ignored.
     """
-    if holder.is_frozen or not holder.is_member:
+    if not holder.can_lend:
         return None
     if grant.receiver_incarnation != holder.incarnation:
         return None
