--- a/catkintrack/router/agent_links.py
+++ b/catkintrack/router/agent_links.py
@@ -54,6 +54,8 @@
 logger = logging.getLogger(__name__)
 
 HELLO_INTERVAL_S = 0.25
+# A hello before the link stands is dropped; the first is repeated at this pace.
+FIRST_HELLO_INTERVAL_S = 0.02
 AGENT_SILENCE_S = 0.75
 BACKUP_SILENCE_S = 3.0
 VIEW_LIFETIME_S = 3.0
@@ -101,7 +103,13 @@
         await _keep_backup(router, now)
         for agent in router.agents:
             await send_to_agent(router, agent, RouterHello(router.config.revision))
-        await curio.sleep(HELLO_INTERVAL_S)
+        await curio.sleep(find_hello_interval_s(router.agents))
+
+
+def find_hello_interval_s(agents: list[AgentLink]) -> float:
+    """Return the seconds until the next hello; a router that starts is in a hurry."""
+    is_heard = any(agent.heard_at > 0 for agent in agents)
+    return HELLO_INTERVAL_S if is_heard else FIRST_HELLO_INTERVAL_S
 
 
 async def send_to_agent(router: Router, agent: AgentLink, body: LinkMessage) -> bool:
--- a/catkintrack/router/main.py
+++ b/catkintrack/router/main.py
@@ -69,6 +69,7 @@
     """Run a router until a stop signal, then let all calls finish."""
     with catch_stop_signals() as signals, open_context() as context:
         router = make_router(settings, context)
+        logger.info("router started", extra={"incarnation": router.incarnation})
         await curio.spawn(run_agent_links, router, daemon=True)
         await curio.spawn(run_ticks, router, daemon=True)
         ops = settings.router.ops
