Pass messages in a large fleet through one hub a zone, in batches

Cause: with 78 instances each was woken for each message of each other one, 316 times a second received and as often sent, so that peers cost more than callers: 0.105 of a core an instance, four times what the work takes, and the answers waited behind them.

A hub gathers for 50 ms what its zone says, sends one batch to its zone and one to the hub of each other zone. Any instance serves as hub for whoever picks it; one silent for 0.7 s is passed over. Up to 16 peers nothing changes.

Ruled out: batching at the sender (three messages a second each leave nothing to batch); spreading the relays over a zone, as before (no two messages share a batch).

--- /dev/null
+++ b/catkintrack/instance/hubs.py
@@ -0,0 +1,120 @@
+"""Pass messages between the peers of a large fleet through one hub a zone.
+
+Told directly, each message would wake each instance by itself, so that what an instance
+spends on its peers would grow with the fleet.  A hub gathers what its zone says for a
+moment and passes it on in one batch to its zone, and once to the hub of each other zone.
+Any instance serves as hub for whoever picks it; a hub that falls silent is replaced.
+"""
+
+from __future__ import annotations
+
+import zlib
+
+from .messages import Batch, GatheredMessage, Handed, encode_peer_message
+from .peers import list_heard, send_to
+from .state import Instance, Peer
+
+# Up to here each peer is told directly, which is the quickest.
+HUB_MIN_PEERS = 16
+# As long as a message may wait for others.  A prefill takes some hundred milliseconds,
+# and a message crosses two hubs at most.
+GATHER_S = 0.05
+# A hub passes on the news of its zone many times a second.  Its successor is at work
+# before the peers whose news it lost count as silent.
+HUB_SILENCE_S = 0.7
+MUTE_S = 5.0
+
+
+def has_hubs(instance: Instance) -> bool:
+    """Report whether the fleet is too large to tell each peer directly."""
+    return len(instance.peer_by_address) > HUB_MIN_PEERS
+
+
+def list_candidates(instance: Instance, zone: str, now: float) -> list[Peer | None]:
+    """Return who may be a zone's hub, best first; None stands for oneself."""
+    peers = [p for p in list_heard(instance, now) if p.zone == zone]
+    candidates: list[Peer | None] = [p for p in peers if not p.is_leaving]
+    if zone == instance.site.zone and not instance.is_stopping:
+        candidates.append(None)
+    own_name = instance.site.instance
+
+    def order(peer: Peer | None) -> tuple[bool, int]:
+        is_mute = peer is not None and peer.mute_until > now
+        name = own_name if peer is None else peer.instance
+        return is_mute, zlib.crc32(name.encode())
+
+    return sorted(candidates, key=order)
+
+
+def find_hub(instance: Instance, zone: str, now: float) -> Peer | None:
+    """Return a zone's hub; None for oneself, or where nobody is heard."""
+    candidates = list_candidates(instance, zone, now)
+    return candidates[0] if candidates else None
+
+
+async def hand_over(instance: Instance, data: bytes, now: float) -> None:
+    """Give a message to the hub of one's own zone."""
+    origin = instance.site.instance
+    hub = find_hub(instance, instance.site.zone, now)
+    if hub is None:
+        gather(instance, GatheredMessage(origin, data), is_for_fleet=True)
+    else:
+        await send_to(instance, hub, encode_peer_message(Handed(origin, data)))
+
+
+def gather(instance: Instance, message: GatheredMessage, is_for_fleet: bool) -> None:
+    """Keep a message for the next batch to the zone, and to the fleet."""
+    instance.gathered.append((message, is_for_fleet))
+
+
+async def send_gathered(instance: Instance, now: float) -> None:
+    """Send one batch to each peer of the zone and to the hub of each other one."""
+    gathered, instance.gathered = instance.gathered, []
+    if not gathered:
+        return
+    origin = instance.site.instance
+    for_zone = tuple(message for message, _ in gathered)
+    batch = encode_peer_message(Batch(origin, False, for_zone))
+    for peer in list_members(instance, now):
+        await send_to(instance, peer, batch)
+    for_fleet = tuple(message for message, is_for_fleet in gathered if is_for_fleet)
+    if not for_fleet:
+        return
+    batch = encode_peer_message(Batch(origin, True, for_fleet))
+    for hub in list_other_hubs(instance, now):
+        await send_to(instance, hub, batch)
+
+
+def list_members(instance: Instance, now: float) -> list[Peer]:
+    """Return the peers of the own zone that a batch goes to."""
+    heard = list_heard(instance, now)
+    return [peer for peer in heard if peer.zone == instance.site.zone]
+
+
+def list_other_hubs(instance: Instance, now: float) -> list[Peer]:
+    """Return the hub of each other zone in which somebody is heard."""
+    zones = {peer.zone for peer in list_heard(instance, now)} - {instance.site.zone}
+    hubs = [find_hub(instance, zone, now) for zone in sorted(zones)]
+    return [hub for hub in hubs if hub is not None]
+
+
+def mute_silent_hubs(instance: Instance, now: float) -> list[str]:
+    """Pass over each hub that was relied on for a while and sent nothing.
+
+    Return their names.
+    """
+    hubs = [find_hub(instance, instance.site.zone, now)]
+    if hubs[0] is None:
+        hubs = list(list_other_hubs(instance, now))
+    relied_on: dict[str, float] = {}
+    silent: list[str] = []
+    for hub in hubs:
+        if hub is None:
+            continue
+        since = instance.relied_on_since.get(hub.instance, now)
+        relied_on[hub.instance] = since
+        if now - max(since, hub.batch_at) > HUB_SILENCE_S:
+            hub.mute_until = now + MUTE_S
+            silent.append(hub.instance)
+    instance.relied_on_since = relied_on
+    return silent
--- a/catkintrack/instance/kept_feed.py
+++ b/catkintrack/instance/kept_feed.py
@@ -20,8 +20,9 @@
 )
 from catkintrack.platform import decode_cache_events, make_cache_events_request
 
+from .broadcasting import broadcast
 from .messages import StoreChanged, StoreEmptied
-from .peers import broadcast, find_rank
+from .peers import find_rank
 from .prompts import name_salted_part
 from .reports import make_own_id
 from .state import Instance
--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -27,7 +27,17 @@
 )
 from .clocks import read_boot_clock
 from .feeds import is_heard
+from .hubs import (
+    GATHER_S,
+    gather,
+    has_hubs,
+    mute_silent_hubs,
+    send_gathered,
+)
 from .messages import (
+    Batch,
+    GatheredMessage,
+    Handed,
     LoadBegun,
     News,
     PrefillBegun,
@@ -48,8 +58,10 @@
 logger = logging.getLogger(__name__)
 
 NEWS_INTERVAL_S = 0.25
-# The interval grows with the fleet, so that an instance's traffic stays level.
+# The interval grows with the fleet, up to less than half of the time after which a
+# peer counts as silent.
 NEWS_PEERS_AT_BASE = 16
+NEWS_INTERVAL_MAX_S = 0.5
 
 
 async def run_mesh(instance: Instance) -> None:
@@ -61,16 +73,29 @@
 
     link = bind_link(instance.context, None, site.mesh.host, site.mesh.port, take)
     await curio.spawn(link.run, daemon=True)
+    await curio.spawn(_run_hub, instance, daemon=True)
     for seed in site.seeds:
         meet_peer(instance, "", "", seed.host, seed.port)
     while True:
         await send_news(instance)
         peers = len(instance.peer_by_address)
         scale = max(1.0, peers / NEWS_PEERS_AT_BASE)
-        await curio.sleep(NEWS_INTERVAL_S * scale)
+        await curio.sleep(min(NEWS_INTERVAL_MAX_S, NEWS_INTERVAL_S * scale))
         forget_silent(instance, time.monotonic())
 
 
+async def _run_hub(instance: Instance) -> None:
+    """Send what was gathered and replace silent hubs, until cancelled."""
+    while True:
+        await curio.sleep(GATHER_S)
+        now = time.monotonic()
+        silent = mute_silent_hubs(instance, now) if has_hubs(instance) else []
+        if silent:
+            logger.warning("hubs silent", extra={"peers": silent})
+            await send_news(instance)
+        await send_gathered(instance, now)
+
+
 async def _take(instance: Instance, data: bytes) -> None:
     try:
         message = decode_peer_message(data)
@@ -89,6 +114,26 @@
     await _take(instance, message.data)
 
 
+async def _take_handed(instance: Instance, message: Handed) -> None:
+    """Serve as hub: keep a message for the zone and the fleet, and take it."""
+    gathered = GatheredMessage(message.origin, message.data)
+    gather(instance, gathered, is_for_fleet=True)
+    await _take(instance, message.data)
+
+
+async def _take_batch(instance: Instance, batch: Batch) -> None:
+    """Take what a hub has gathered, and as a hub pass it on to one's own zone."""
+    now = time.monotonic()
+    for peer in list_heard(instance, now):
+        if peer.instance == batch.hub:
+            peer.batch_at = now
+    for message in batch.messages:
+        if batch.is_for_hub:
+            gather(instance, message, is_for_fleet=False)
+        if message.origin != instance.site.instance:
+            await _take(instance, message.data)
+
+
 async def _take_news(instance: Instance, news: News) -> None:
     now = time.monotonic()
     peer = meet_peer(instance, news.instance, news.zone, news.host, news.port)
@@ -230,6 +275,8 @@
     News: _take_news,
     Pull: _take_pull,
     Relayed: _take_relayed,
+    Handed: _take_handed,
+    Batch: _take_batch,
     StoredConfig: _take_config,
     StoredUpstreams: _take_upstreams,
     LoadBegun: _take_load,
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -61,6 +61,28 @@
     data: bytes
 
 
+class GatheredMessage(msgspec.Struct, frozen=True, array_like=True):
+    """Hold an encoded message and the instance that sent it first."""
+
+    origin: str
+    data: bytes
+
+
+class Handed(PeerMessage, frozen=True):
+    """Hand a message to the hub of one's zone, which passes it on to the fleet."""
+
+    origin: str
+    data: bytes
+
+
+class Batch(PeerMessage, frozen=True):
+    """Carry what a hub has gathered, to its zone or to the hub of another zone."""
+
+    hub: str
+    is_for_hub: bool
+    messages: tuple[GatheredMessage, ...]
+
+
 class Pull(PeerMessage, frozen=True):
     """Ask a peer for what it read from the store."""
 
@@ -132,6 +154,8 @@
     | StoreChanged
     | News
     | Relayed
+    | Handed
+    | Batch
     | Pull
     | StoredConfig
     | StoredUpstreams
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -26,8 +26,8 @@
 
 from .attempts import DEADLINE_MARGIN_S, NotRun, Progress, Watch, run_at
 from .beliefs import apply_version, find_retry_budget
+from .broadcasting import broadcast
 from .messages import PrefillBegun, PrefillEnded
-from .peers import broadcast
 from .placing import place_request, run_tick
 from .prompts import make_cache_salt, name_blocks
 from .refusals import NotServed, OutcomeUnknown
--- a/catkintrack/instance/news.py
+++ b/catkintrack/instance/news.py
@@ -7,13 +7,16 @@
 
 from catkintrack.platform import CONFIG_KIND, UPSTREAM_KIND
 
+from .broadcasting import broadcast
 from .feeds import is_heard
 from .messages import LeaseRow, News, PeerRow
-from .peers import broadcast, list_heard
+from .peers import list_heard
 from .state import Instance
 
 STORE_HEARD_S = 1.0
 FULL_NEWS_INTERVAL_S = 2.0
+# The more peers tell everything, the less often each does.
+FULL_NEWS_PEERS = 16
 # Named weights are told again for this long, in case a message was lost.
 NAMED_IS_NEWS_S = 1.0
 TOLD_EARLIER = 3
@@ -28,7 +31,8 @@
 async def send_news(instance: Instance) -> None:
     """Tell all peers the news, and now and then all that is known."""
     now = time.monotonic()
-    is_full = now - instance.told_all_at >= FULL_NEWS_INTERVAL_S
+    scale = max(1.0, len(instance.peer_by_address) / FULL_NEWS_PEERS)
+    is_full = now - instance.told_all_at >= FULL_NEWS_INTERVAL_S * scale
     if is_full:
         instance.told_all_at = now
     await broadcast(instance, make_news(instance, now, is_full))
--- a/catkintrack/instance/peers.py
+++ b/catkintrack/instance/peers.py
@@ -8,7 +8,6 @@
 
 from catkintrack.transport import connect_link
 
-from .messages import PeerMessage, Relayed, encode_peer_message
 from .state import Instance, Peer
 
 PEER_HEARD_S = 1.5
@@ -44,11 +43,12 @@
 
 def list_heard(instance: Instance, now: float) -> list[Peer]:
     """Return the peers that were heard of late."""
-    return [
-        peer
-        for peer in instance.peer_by_address.values()
-        if peer.incarnation and now - peer.heard_at < PEER_HEARD_S
-    ]
+    return [p for p in instance.peer_by_address.values() if is_heard(p, now)]
+
+
+def is_heard(peer: Peer, now: float) -> bool:
+    """Report whether a peer was heard of late."""
+    return peer.incarnation != 0 and now - peer.heard_at < PEER_HEARD_S
 
 
 def find_rank(instance: Instance, now: float) -> int:
@@ -57,16 +57,13 @@
     return sum(name < instance.site.instance for name in names)
 
 
-async def broadcast(instance: Instance, message: PeerMessage) -> None:
-    """Send a message to all peers; whoever is away misses it.
-
-    One peer of each other zone passes it on there, so that it crosses once.
-    """
-    data = encode_peer_message(message)
-    relayed = encode_peer_message(Relayed(data))
-    now = time.monotonic()
-    for peer, is_relay in choose_receivers(instance, now):
-        await send_to(instance, peer, relayed if is_relay else data)
+def list_unheard(instance: Instance, now: float) -> list[Peer]:
+    """Return the silent peers that may only not know of this instance yet."""
+    return [
+        peer
+        for peer in instance.peer_by_address.values()
+        if not is_heard(peer, now) and is_worth_telling(instance, peer, now)
+    ]
 
 
 def choose_receivers(instance: Instance, now: float) -> list[tuple[Peer, bool]]:
@@ -74,13 +71,10 @@
 
     A peer that has not been heard is told directly, so that it hears of this one.
     """
-    receivers: list[tuple[Peer, bool]] = []
+    receivers = [(peer, False) for peer in list_unheard(instance, now)]
     heard_by_zone: dict[str, list[Peer]] = defaultdict(list)
-    for peer in instance.peer_by_address.values():
-        if not peer.incarnation or now - peer.heard_at >= PEER_HEARD_S:
-            if is_worth_telling(instance, peer, now):
-                receivers.append((peer, False))
-        elif peer.zone == instance.site.zone:
+    for peer in list_heard(instance, now):
+        if peer.zone == instance.site.zone:
             receivers.append((peer, False))
         else:
             heard_by_zone[peer.zone].append(peer)
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -21,6 +21,7 @@
 from catkintrack.transport import Link
 from catkintrack.weights import WeightsTables
 
+from .messages import GatheredMessage
 from .metrics import InstanceMetrics
 
 
@@ -36,7 +37,10 @@
 
 @dataclass(slots=True)
 class Peer:
-    """Hold the connection to a peer and what it last said; times in seconds."""
+    """Hold the connection to a peer and what it last said; times in seconds.
+
+    As a hub it sent its last batch at `batch_at` and is passed over until `mute_until`.
+    """
 
     instance: str
     zone: str
@@ -47,6 +51,8 @@
     incarnation: int = 0
     is_leaving: bool = False
     is_store_heard: bool = False
+    batch_at: float = -1e9
+    mute_until: float = -1e9
     in_flight_by_upstream: dict[str, int] = field(default_factory=dict)
 
 
@@ -96,6 +102,8 @@
     patience: PatienceTable = field(default_factory=PatienceTable)
     told: dict[str, dict[str, Any]] = field(default_factory=dict)
     told_all_at: float = -1e9
+    gathered: list[tuple[GatheredMessage, bool]] = field(default_factory=list)
+    relied_on_since: dict[str, float] = field(default_factory=dict)
     waiter_by_id: dict[str, Waiter] = field(default_factory=dict)
     asked_at_by_upstream: dict[str, float] = field(default_factory=dict)
     probed_at_by_upstream: dict[str, float] = field(default_factory=dict)
--- a/catkintrack/instance/weights_holder.py
+++ b/catkintrack/instance/weights_holder.py
@@ -17,9 +17,10 @@
 )
 from catkintrack.weights.plan import PlannedLoad, find_version
 
+from .broadcasting import broadcast
 from .lease_keeper import holds_lease
 from .messages import LoadBegun
-from .peers import broadcast, list_heard
+from .peers import list_heard
 from .reports import exchange_with, make_own_id, refresh_report
 from .state import Instance
 
