Let the calls of both interfaces wait in one waiting room

Cause: the router and the instance each had a copy of how a call waits for its decision (submit, tick, wake, withdraw), and the instance lifted the tables' retry budget at each call to switch it off.

catkintrack/calls/waiting.py holds it once, with the check for callers that have left where an interface needs it. The tables hold a RetryBudget, the same type as the budget by service, or none; the dump shows its level.

Ruled out: watching the router's callers in place of asking now and then (a claimed call must be finished and recorded also when its caller leaves).

--- /dev/null
+++ b/catkintrack/calls/tests/test_waiting.py
@@ -0,0 +1,73 @@
+"""Let calls wait for their place, and leave the tables clean when they go."""
+
+import time
+import unittest
+from random import Random
+
+import curio
+
+from catkintrack.calls import WaitingRoom, run_ticks, wait_for_place
+from catkintrack.decisions import Dispatch, Refusal, record_end
+from catkintrack.http import CallerGone
+from testkit.decision_tables import make_request, make_tables
+
+
+def make_room(tables):
+    return WaitingRoom(tables, Random(1), "catkintrack", lambda count: None)
+
+
+def make_call(id):
+    return make_request(id, arrived_at=time.monotonic())
+
+
+class WaitingTest(unittest.TestCase):
+    def setUp(self):
+        self.tables = make_tables(1)
+        self.room = make_room(self.tables)
+
+    def test_call_is_placed_at_once_where_there_is_room(self):
+        decision = curio.run(wait_for_place, self.room, make_call("r1"))
+        self.assertIsInstance(decision, Dispatch)
+        self.assertEqual(self.room.waiter_by_id, {})
+
+    def test_call_without_an_upstream_is_refused(self):
+        room = make_room(make_tables(0))
+        decision = curio.run(wait_for_place, room, make_call("r1"))
+        self.assertIsInstance(decision, Refusal)
+
+    def test_call_whose_caller_leaves_waits_no_more(self):
+        self.fill()
+        with self.assertRaises(CallerGone):
+            curio.run(wait_for_place, self.room, make_call("late"), lambda: True)
+        self.assertEqual(self.tables.waiting_count, 0)
+
+    def test_waiting_call_is_placed_once_there_is_room(self):
+        self.fill()
+
+        async def run():
+            await curio.spawn(run_ticks, self.room, daemon=True)
+            task = await curio.spawn(wait_for_place, self.room, make_call("late"))
+            await curio.sleep(0.05)
+            self.assertFalse(task.terminated)
+            for request_id in list(self.tables.running_by_id):
+                record_end(self.tables, request_id, time.monotonic())
+            return await task.join()
+
+        self.assertIsInstance(curio.run(run), Dispatch)
+
+    def fill(self):
+        """Take every place of every upstream."""
+        for number in range(500):
+            request = make_call(f"full-{number}")
+
+            async def place(request=request):
+                return await curio.ignore_after(
+                    0.01, wait_for_place, self.room, request
+                )
+
+            if curio.run(place) is None:
+                return
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/catkintrack/decisions/retries.py
+++ b/catkintrack/decisions/retries.py
@@ -10,6 +10,9 @@
 
 # The bound holds over a sliding window, whose ends may cut two bursts apart.
 USED_SHARE = 0.9
+# What a router of its own may send beyond the first attempts.
+ROUTER_RATIO = 0.2
+ROUTER_CAP = 10.0
 
 
 @dataclass(slots=True)
@@ -30,6 +33,11 @@
     return RetryBudget(ratio * USED_SHARE, cap, cap / 2)
 
 
+def make_router_budget() -> RetryBudget:
+    """Return the budget of a router that shares none with others."""
+    return RetryBudget(ROUTER_RATIO, ROUTER_CAP, ROUTER_CAP)
+
+
 def earn_retry(budget: RetryBudget) -> None:
     """Count a request that earns a part of an attempt."""
     budget.level = min(budget.cap, budget.level + budget.ratio)
--- a/catkintrack/decisions/systems.py
+++ b/catkintrack/decisions/systems.py
@@ -25,6 +25,7 @@
 from .placement import POLICY_BY_NAME, WINDOWED_POLICIES, Placement
 from .prefills import Prefill, add_prefill, end_prefill, expire_prefills, expiry_after
 from .residency import credit_blocks, discredit_blocks, forget_slot
+from .retries import earn_retry, spend_retry
 from .tables import (
     ModelRequest,
     RunningRow,
@@ -39,7 +40,6 @@
 # No first token comes sooner than this after a dispatch.
 LEAST_FIRST_TOKEN_S = 0.03
 MAX_WAITING_PER_WORKSPACE = 512
-RETRY_EARNED_PER_REQUEST = 0.2
 MIN_RETRY_AFTER_S = 1.0
 INTERVAL_SMOOTHING = 0.2
 REPORT_LAG_MAX_S = 2.0
@@ -150,14 +150,14 @@
 def submit(tables: Tables, request: ModelRequest, now: float) -> Refusal | None:
     """Queue a request, or refuse it when its wait can't end in time."""
     if request.is_retry:
-        if tables.retry_budget < 1.0:
+        budget = tables.retry_budget
+        if budget is not None and not spend_retry(budget):
             reason = RefusalReason.RETRY_BUDGET
             return Refusal(request, reason, MIN_RETRY_AFTER_S)
-        tables.retry_budget -= 1.0
         tables.retries.append(request)
         return None
-    earned = tables.retry_budget + RETRY_EARNED_PER_REQUEST
-    tables.retry_budget = min(tables.retry_budget_max, earned)
+    if tables.retry_budget is not None:
+        earn_retry(tables.retry_budget)
     row = find_workspace(tables, request.workspace)
     wait_s = predict_wait_s(row, now)
     if len(row.waiting) >= MAX_WAITING_PER_WORKSPACE:
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -12,13 +12,13 @@
 from .prefills import Prefills
 from .prefix import BLOCK_TOKENS
 from .residency import Residency
+from .retries import RetryBudget, make_router_budget
 
 if TYPE_CHECKING:
     from .hopeless import LatePace
     from .kept import KeptStore
     from .transfers import TransferRates
 
-RETRY_BUDGET_MAX = 10.0
 # How much prefilling may stand before an upstream that is sent another request.
 MAX_PREFILL_WAIT_S = 0.5
 PAST_INCARNATIONS = 16
@@ -131,9 +131,8 @@
     retries: deque[ModelRequest] = field(default_factory=deque)
     router_count: int = 1
     virtual_time: float = 0.0
-    retry_budget: float = RETRY_BUDGET_MAX
+    retry_budget: RetryBudget | None = field(default_factory=make_router_budget)
     round_robin_next: int = 0
-    retry_budget_max: float = RETRY_BUDGET_MAX
     max_prefill_wait_s: float = MAX_PREFILL_WAIT_S
     late_pace: LatePace | None = None
     named_by_model: dict[str, NamedWeights] = field(default_factory=dict)
--- a/catkintrack/instance/main.py
+++ b/catkintrack/instance/main.py
@@ -15,6 +15,7 @@
 import zmq
 from returns.result import Failure, Success
 
+from catkintrack.calls import run_ticks
 from catkintrack.decisions.hopeless import LatePace
 from catkintrack.fleet import Site
 from catkintrack.http import (
@@ -52,7 +53,6 @@
 from .metrics import make_instance_metrics
 from .news import send_news
 from .peers import list_heard
-from .placing import run_ticks
 from .probing import probe_suspects
 from .readiness import is_ready, open_readiness_server
 from .refusals import answer_malformed
@@ -93,6 +93,8 @@
         lease=Lease(site.instance, incarnation, site.bounds.lease_s),
     )
     instance.decisions.zone = site.zone
+    # Retries are bounded by service here.
+    instance.decisions.retry_budget = None
     instance.decisions.max_prefill_wait_s = MAX_PREFILL_WAIT_S
     instance.decisions.late_pace = LatePace()
     return instance
@@ -164,7 +166,7 @@
     for kind in FOLLOWED_KINDS:
         await curio.spawn(run_feed, instance, kind, on_change, daemon=True)
     await curio.spawn(run_mesh, instance, daemon=True)
-    await curio.spawn(run_ticks, instance, daemon=True)
+    await curio.spawn(run_ticks, instance.room, daemon=True)
     await curio.spawn(run_lease_keeper, instance, daemon=True)
     await curio.spawn(run_weights_holder, instance, wake, daemon=True)
     await curio.spawn(run_kept_feed, instance, daemon=True)
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -6,6 +6,7 @@
 import time
 from dataclasses import replace
 
+from catkintrack.calls import run_tick, wait_for_place
 from catkintrack.decisions import Dispatch as Placed
 from catkintrack.decisions import (
     ModelRequest,
@@ -28,7 +29,6 @@
 from .beliefs import apply_version, find_retry_budget
 from .broadcasting import broadcast
 from .messages import PrefillBegun, PrefillEnded
-from .placing import place_request, run_tick
 from .prompts import make_cache_salt, name_blocks
 from .refusals import NotServed, OutcomeUnknown
 from .reports import learn_weights
@@ -61,7 +61,7 @@
             progress.reason = "the retry budget is used up"
             break
         asked_at = time.monotonic()
-        placed = await place_request(instance, request)
+        placed = await wait_for_place(instance.room, request)
         progress.waited_s += time.monotonic() - asked_at
         if isinstance(placed, Refusal):
             progress.reason = placed.reason.value
@@ -203,7 +203,7 @@
         record_end(tables, request.id, time.monotonic())
         if is_long and not has_head:
             await broadcast(instance, PrefillEnded(request.id, ""))
-        await run_tick(instance)
+        await run_tick(instance.room)
 
 
 def _find_address(instance: Instance, name: str | None) -> Address | None:
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -6,10 +6,10 @@
 from random import Random
 from typing import Any
 
-import curio
 import zmq
 
-from catkintrack.decisions import Decision, Tables
+from catkintrack.calls import WaitingRoom
+from catkintrack.decisions import Tables
 from catkintrack.decisions.retries import RetryBudget
 from catkintrack.decisions.services import ServiceTables
 from catkintrack.decisions.urgency import PatienceTable
@@ -24,6 +24,8 @@
 from .messages import GatheredMessage
 from .metrics import InstanceMetrics
 
+POLICY = "catkintrack"
+
 
 @dataclass(slots=True)
 class Feed:
@@ -56,14 +58,6 @@
     in_flight_by_upstream: dict[str, int] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class Waiter:
-    """Hold a waiting model call until its decision comes."""
-
-    done: curio.Event = field(default_factory=curio.Event)
-    decision: Decision | None = None
-
-
 @dataclass(slots=True)
 class Departure:
     """Hold an entry that lapsed while the store was away, and when it is believed."""
@@ -104,9 +98,18 @@
     told_all_at: float = -1e9
     gathered: list[tuple[GatheredMessage, bool]] = field(default_factory=list)
     relied_on_since: dict[str, float] = field(default_factory=dict)
-    waiter_by_id: dict[str, Waiter] = field(default_factory=dict)
     asked_at_by_upstream: dict[str, float] = field(default_factory=dict)
     probed_at_by_upstream: dict[str, float] = field(default_factory=dict)
     server: Server | None = None
     is_stopping: bool = False
     next_call: int = 0
+    room: WaitingRoom = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Open the waiting room over the decision tables."""
+        self.room = WaitingRoom(
+            self.decisions,
+            self.rng,
+            POLICY,
+            lambda count: self.metrics.waiting_calls.set({}, count),
+        )
--- a/catkintrack/router/dump.py
+++ b/catkintrack/router/dump.py
@@ -26,7 +26,8 @@
         "are_keys_known": are_keys_known(router, now),
         "open_calls": len(router.open_calls),
         "waiting_calls": decisions.waiting_count,
-        "retry_budget": round(decisions.retry_budget, 2),
+        "retry_budget": decisions.retry_budget
+        and round(decisions.retry_budget.level, 2),
         "known_blocks": len(decisions.residency.holders_by_block),
         "agents": [
             {"instance": agent.instance, "heard_s_ago": round(now - agent.heard_at, 3)}
--- a/catkintrack/router/main.py
+++ b/catkintrack/router/main.py
@@ -11,6 +11,7 @@
 import zmq
 from fire.decorators import SetParseFn
 
+from catkintrack.calls import run_ticks
 from catkintrack.http import (
     ClientLimits,
     Connection,
@@ -36,7 +37,6 @@
 from .dump import dump_router, is_router_ready
 from .metrics import make_router_metrics
 from .refusals import answer_malformed
-from .scheduling import run_ticks
 from .state import Router
 
 logger = logging.getLogger(__name__)
@@ -71,7 +71,7 @@
         router = make_router(settings, context)
         logger.info("router started", extra={"incarnation": router.incarnation})
         await curio.spawn(run_agent_links, router, daemon=True)
-        await curio.spawn(run_ticks, router, daemon=True)
+        await curio.spawn(run_ticks, router.room, daemon=True)
         ops = settings.router.ops
         listen = settings.router.listen
 
--- a/catkintrack/router/model_calls.py
+++ b/catkintrack/router/model_calls.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from catkintrack.calls import run_tick, wait_for_place
 from catkintrack.config import Key, Route, Workspace
 from catkintrack.decisions import (
     Dispatch,
@@ -52,7 +53,6 @@
     encode_error,
     make_capacity_refusal,
 )
-from .scheduling import place_call, run_tick
 from .state import Router
 
 logger = logging.getLogger(__name__)
@@ -196,7 +196,9 @@
 ) -> None:
     """Try upstreams in turn until one has given the whole answer."""
     for number in range(MAX_ATTEMPTS):
-        decision = await place_call(router, call.request, connection)
+        decision = await wait_for_place(
+            router.room, call.request, connection.is_caller_gone
+        )
         if isinstance(decision, Refusal):
             raise _as_error(call, decision)
         is_long = decision.uncached_tokens >= NEWS_MIN_TOKENS
@@ -217,7 +219,7 @@
             record_end(router.decisions, call.id, time.monotonic())
             if is_long and call.first_token_at is None:
                 await tell_prefill(router, PrefillEnd(call.id, ""))
-            await run_tick(router)
+            await run_tick(router.room)
         if call.progress.is_done:
             # Only the end of the upstream's body is missing, not of the answer.
             await connection.finish_response()
@@ -288,7 +290,7 @@
         if head.status >= 500:
             raise UpstreamBroken(f"status {head.status}")
         await _note_first_token(router, call, decision, head)
-        await run_tick(router)
+        await run_tick(router.room)
         if head.status != 200:
             await _pass_error(call, exchange, head, connection, limits.read_timeout_s)
         elif call.body.is_stream:
--- a/catkintrack/router/state.py
+++ b/catkintrack/router/state.py
@@ -8,8 +8,9 @@
 import curio
 import zmq
 
+from catkintrack.calls import WaitingRoom
 from catkintrack.config import ConfigTables, State
-from catkintrack.decisions import Decision, Tables
+from catkintrack.decisions import Tables
 from catkintrack.decisions.services import ServiceTables
 from catkintrack.http import Connection, Pool
 from catkintrack.links import FleetView, Link, LinkKeys, Message
@@ -33,14 +34,6 @@
     view_at: float = -1e9
 
 
-@dataclass(slots=True)
-class Waiter:
-    """Hold a waiting model call until its decision comes."""
-
-    done: curio.Event = field(default_factory=curio.Event)
-    decision: Decision | None = None
-
-
 @dataclass(slots=True)
 class PendingAnswer:
     """Hold a question to an agent until its answer comes."""
@@ -80,8 +73,17 @@
     services: ServiceTables = field(default_factory=ServiceTables)
     leaving_instances: frozenset[str] = frozenset()
     agents: list[AgentLink] = field(default_factory=list)
-    waiter_by_id: dict[str, Waiter] = field(default_factory=dict)
     pending_by_number: dict[int, PendingAnswer] = field(default_factory=dict)
     next_number: int = 1
     open_calls: set[OpenCall] = field(default_factory=set)
     is_stopping: bool = False
+    room: WaitingRoom = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Open the waiting room over the decision tables."""
+        self.room = WaitingRoom(
+            self.decisions,
+            self.rng,
+            self.settings.router.placement.policy,
+            lambda count: self.metrics.waiting_calls.set({}, count),
+        )
