Let one instance of a zone read the store for its zone in a large fleet

The zone's hub follows the store and tells its zone what changed in the same batches; the others rest as long as it hears the store. What a batch missed is asked for after 0.3 s. A hub asks each 2 s, so that a hung watch shows soon; whoever takes over begins where it was told to. Changes of a kind have a revision of their own now, so that changes of other kinds no longer make a peer's list look newer.

Ruled out: two readers a zone (the second only costs; a hub's successor reads at once); rereading the whole list at each change (7 KB to each of 70 instances).

Up to 16 peers nothing changes.

--- a/catkintrack/instance/feeds.py
+++ b/catkintrack/instance/feeds.py
@@ -16,6 +16,7 @@
     UPSTREAM_KIND,
     WEIGHTS_KIND,
     HistoryGone,
+    ObjectEvents,
     ObjectList,
     StoredObject,
     StoreError,
@@ -31,11 +32,22 @@
     apply_upstreams,
     remove_upstream,
 )
+from .hubs import does_hub_read, gather, has_hubs, is_hub
+from .messages import (
+    GatheredMessage,
+    PeerMessage,
+    StoredConfig,
+    UpstreamsChanged,
+    encode_peer_message,
+)
 from .state import Feed, Instance
 
 logger = logging.getLogger(__name__)
 
 WATCH_S = 8.0
+HUB_WATCH_S = 2.0
+FIRST_WATCH_S = 0.05
+REST_S = 0.2
 BACKOFF_S = 0.25
 BACKOFF_MAX_S = 1.0
 # How long entries that lapsed may take to be back once the store is.
@@ -56,6 +68,11 @@
     is_listed = False
     while True:
         asked_at = time.monotonic()
+        if is_listed and does_hub_read(instance, asked_at):
+            _rest(feed)
+            await curio.sleep(REST_S)
+            continue
+        feed.is_resting = False
         if not is_listed:
             error = await _list(instance, feed, on_change)
             is_listed = error is None
@@ -76,11 +93,17 @@
 
     A watch that waits counts as heard until it fails.
     """
-    if feed is None or feed.heard_at < 0:
+    if feed is None or feed.is_resting or feed.heard_at < 0:
         return False
     return feed.broken_at < feed.heard_at or now - feed.heard_at < max_age_s
 
 
+def _rest(feed: Feed) -> None:
+    """Leave a kind to the hub; the store counts as heard again once it answers."""
+    feed.is_resting = True
+    feed.heard_at = -1e9
+
+
 def _note_heard(feed: Feed, now: float) -> None:
     if feed.broken_at >= feed.heard_at > 0:
         logger.info("store regained", extra={"kind": feed.kind})
@@ -103,7 +126,7 @@
     match await list_objects(instance.store, feed.kind):
         case Success(listing):
             _apply_list(instance, feed, listing, time.monotonic())
-            feed.revision = listing.revision
+            feed.revision = feed.changed_revision = listing.revision
             await on_change(feed.kind)
             return None
         case Failure(error):
@@ -129,7 +152,9 @@
 async def _watch(
     instance: Instance, feed: Feed, on_change: OnChange
 ) -> StoreError | None:
-    match await watch_objects(instance.store, feed.kind, feed.revision, WATCH_S):
+    since = feed.changed_revision
+    wait_s = _choose_watch_s(instance, feed)
+    match await watch_objects(instance.store, feed.kind, feed.revision, wait_s):
         case Success(changes):
             now = time.monotonic()
             for event in changes.events:
@@ -138,6 +163,10 @@
                 else:
                     _apply_object(instance, feed.kind, event.object, now)
             feed.revision = max(feed.revision, changes.revision)
+            if changes.events:
+                feed.changed_revision = feed.revision
+            if changes.events and is_hub(instance, now):
+                _tell_zone(instance, feed, since, changes)
             if changes.events:
                 await on_change(feed.kind)
             return None
@@ -145,6 +174,41 @@
             return error
 
 
+def _choose_watch_s(instance: Instance, feed: Feed) -> float:
+    """Return how long a watch may wait, in seconds.
+
+    The first shows soon whether the store is there.  A hub whose watch hangs leaves its
+    zone without news, so that it asks more often.
+    """
+    if feed.heard_at < 0:
+        return FIRST_WATCH_S
+    return HUB_WATCH_S if has_hubs(instance) else WATCH_S
+
+
+def _tell_zone(
+    instance: Instance, feed: Feed, since: int, changes: ObjectEvents
+) -> None:
+    """Pass on to the own zone, which reads nothing itself, what has changed."""
+    now = time.monotonic()
+    if feed.kind == CONFIG_KIND and instance.config is not None:
+        message: PeerMessage = StoredConfig(
+            instance.config_object_revision, instance.config_spec
+        )
+    elif feed.kind == UPSTREAM_KIND:
+        rows = [(event.object, event.is_deleted) for event in changes.events]
+        message = UpstreamsChanged(
+            since,
+            feed.revision,
+            {row.name: row.spec for row, is_deleted in rows if not is_deleted},
+            tuple(row.name for row, is_deleted in rows if is_deleted),
+            _may_have_lapsed(feed, now),
+        )
+    else:
+        return
+    data = encode_peer_message(message)
+    gather(instance, GatheredMessage(instance.site.instance, data), False)
+
+
 def _remove_object(instance: Instance, feed: Feed, name: str, now: float) -> None:
     if feed.kind == UPSTREAM_KIND:
         remove_upstream(instance, name, now, _may_have_lapsed(feed, now))
--- a/catkintrack/instance/hubs.py
+++ b/catkintrack/instance/hubs.py
@@ -52,6 +52,19 @@
     return candidates[0] if candidates else None
 
 
+def is_hub(instance: Instance, now: float) -> bool:
+    """Report whether this instance is its own zone's hub."""
+    return has_hubs(instance) and find_hub(instance, instance.site.zone, now) is None
+
+
+def does_hub_read(instance: Instance, now: float) -> bool:
+    """Report whether another instance follows the store for this zone."""
+    if not has_hubs(instance):
+        return False
+    hub = find_hub(instance, instance.site.zone, now)
+    return hub is not None and hub.is_store_heard and hub.mute_until <= now
+
+
 async def hand_over(instance: Instance, data: bytes, now: float) -> None:
     """Give a message to the hub of one's own zone."""
     origin = instance.site.instance
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -106,6 +106,19 @@
     spec_by_id: dict[str, Any]
 
 
+class UpstreamsChanged(PeerMessage, frozen=True):
+    """Carry what changed in the discovery entries between two revisions.
+
+    Entries in `gone` may have lapsed only because the store was away.
+    """
+
+    since: int
+    revision: int
+    spec_by_id: dict[str, Any]
+    gone: tuple[str, ...]
+    may_have_lapsed: bool
+
+
 class LoadBegun(PeerMessage, frozen=True):
     """Tell that a replica was ordered to load weights, and how long it takes."""
 
@@ -159,6 +172,7 @@
     | Pull
     | StoredConfig
     | StoredUpstreams
+    | UpstreamsChanged
     | LoadBegun
     | PrefillBegun
     | PrefillEnded
--- a/catkintrack/instance/news.py
+++ b/catkintrack/instance/news.py
@@ -64,7 +64,7 @@
         if is_full
         else (),
         config_revision=instance.config_object_revision,
-        upstreams_revision=feed.revision if feed else 0,
+        upstreams_revision=feed.changed_revision if feed else 0,
         named_weights={
             model: tuple(
                 (row.version, round(now - row.named_at, 3))
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -29,12 +29,20 @@
 
 @dataclass(slots=True)
 class Feed:
-    """Hold how well one kind of object is followed; times in seconds."""
+    """Hold how well one kind of object is followed; times in seconds.
+
+    The store's revision grows with each change of any kind; `changed_revision` is that
+    of the last change of this one.  While it is `is_resting` the zone's hub follows it instead.  `behind_since` is when
+    a peer first told of a newer revision, None when no peer knows more.
+    """
 
     kind: str
     revision: int = 0
+    changed_revision: int = 0
     heard_at: float = -1e9
     broken_at: float = -1e9
+    is_resting: bool = False
+    behind_since: float | None = None
 
 
 @dataclass(slots=True)
--- a/catkintrack/instance/tests/test_hubs.py
+++ b/catkintrack/instance/tests/test_hubs.py
@@ -4,22 +4,33 @@
 import unittest
 from collections import Counter
 from dataclasses import replace
+from unittest.mock import patch
 
 import curio
+from returns.result import Success
 
 from catkintrack.decisions.tables import UpstreamRow
 from catkintrack.http import Address
-from catkintrack.instance import mesh
+from catkintrack.instance import feeds, mesh
 from catkintrack.instance.broadcasting import broadcast
 from catkintrack.instance.hubs import (
     HUB_SILENCE_S,
+    does_hub_read,
     find_hub,
     mute_silent_hubs,
     send_gathered,
 )
 from catkintrack.instance.messages import LoadBegun
 from catkintrack.instance.peers import meet_peer
-from testkit.states import make_instance
+from catkintrack.instance.state import Feed
+from catkintrack.platform import (
+    UPSTREAM_KIND,
+    ObjectEvent,
+    ObjectEvents,
+    StoredObject,
+)
+from testkit.instances import make_entry_spec
+from testkit.states import make_instance, make_news
 
 ZONES = ("z1", "z2", "z3", "z4")
 FLEET_SIZE = 78
@@ -156,5 +167,83 @@
         self.assertNotEqual(self.fleet.find_hub(instance, instance.site.zone), hub)
 
 
+class ReadingTest(unittest.TestCase):
+    """Let one instance a zone read the store for all of its zone."""
+
+    def setUp(self):
+        self.fleet = Fleet(FLEET_SIZE)
+        self.hub_name = self.fleet.find_hub(self.fleet.instance_by_name["n05"], "z2")
+        self.hub = self.fleet.instance_by_name[self.hub_name]
+        self.members = [
+            instance
+            for name, instance in self.fleet.instance_by_name.items()
+            if instance.site.zone == "z2" and name != self.hub_name
+        ]
+        for instance in self.fleet.instance_by_name.values():
+            instance.feed_by_kind[UPSTREAM_KIND] = Feed(UPSTREAM_KIND, 10, 10)
+            for peer in instance.peer_by_address.values():
+                peer.is_store_heard = peer.instance == self.hub_name
+
+    def see_change(self, revision):
+        """Let the hub's watch see an entry change."""
+        row = StoredObject("i-1", revision, make_entry_spec())
+        events = ObjectEvents((ObjectEvent(row, False),), revision)
+
+        async def watch(*_arguments):
+            return Success(events)
+
+        async def run():
+            feed = self.hub.feed_by_kind[UPSTREAM_KIND]
+            with patch.object(feeds, "watch_objects", watch):
+                await feeds._watch(self.hub, feed, lambda kind: self.fleet.flush())
+
+        curio.run(run)
+
+    def test_only_the_hub_of_a_zone_reads(self):
+        now = time.monotonic()
+        self.assertFalse(does_hub_read(self.hub, now))
+        reading = [m for m in self.members if not does_hub_read(m, now)]
+        self.assertEqual(reading, [])
+
+    def test_all_read_when_the_hub_does_not_hear_the_store(self):
+        for peer in self.members[0].peer_by_address.values():
+            peer.is_store_heard = False
+        self.assertFalse(does_hub_read(self.members[0], time.monotonic()))
+
+    def test_small_fleet_reads_for_itself(self):
+        small = Fleet(8)
+        for instance in small.instance_by_name.values():
+            for peer in instance.peer_by_address.values():
+                peer.is_store_heard = True
+            self.assertFalse(does_hub_read(instance, time.monotonic()))
+
+    def test_what_the_hub_sees_change_its_zone_knows(self):
+        for member in self.members:
+            member.feed_by_kind[UPSTREAM_KIND].is_resting = True
+        self.see_change(12)
+        for member in self.members:
+            self.assertIn("i-1", member.spec_by_upstream)
+            self.assertEqual(member.feed_by_kind[UPSTREAM_KIND].changed_revision, 12)
+
+    def test_a_change_that_was_missed_is_asked_for_after_a_moment(self):
+        member = self.members[0]
+        feed = member.feed_by_kind[UPSTREAM_KIND]
+        feed.is_resting = True
+        self.hub.feed_by_kind[UPSTREAM_KIND].changed_revision = 11
+        self.see_change(12)
+        self.assertNotIn("i-1", member.spec_by_upstream)
+        news = make_news(
+            instance=self.hub_name, config_revision=0, upstreams_revision=12
+        )
+        site = self.hub.site
+        peer = meet_peer(member, "", "", site.mesh.host, site.mesh.port)
+        now = time.monotonic()
+        curio.run(mesh.pull_newer, member, peer, news, now)
+        self.assertNotIn("i-1", member.spec_by_upstream)
+        later = now + mesh.HUB_PATIENCE_S + 0.01
+        curio.run(mesh.pull_newer, member, peer, news, later)
+        self.assertIn("i-1", member.spec_by_upstream)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/catkintrack/instance/tests/test_mesh.py
+++ b/catkintrack/instance/tests/test_mesh.py
@@ -5,11 +5,11 @@
 import curio
 
 from catkintrack.instance import mesh
-from catkintrack.instance.messages import News, Pull, decode_peer_message
+from catkintrack.instance.messages import Pull, decode_peer_message
 from catkintrack.instance.peers import meet_peer
 from catkintrack.instance.state import Feed
 from catkintrack.platform import UPSTREAM_KIND
-from testkit.states import make_instance
+from testkit.states import make_instance, make_news
 
 NOW = 1000.0
 
@@ -25,29 +25,6 @@
         return True
 
 
-def make_news(**changes):
-    fields = {
-        "instance": "n2",
-        "zone": "z1",
-        "incarnation": 5,
-        "host": "127.0.0.1",
-        "port": 9000,
-        "is_store_heard": True,
-        "is_leaving": False,
-        "is_full": True,
-        "peers": (),
-        "config_revision": 7,
-        "upstreams_revision": 9,
-        "named_weights": {},
-        "version_by_upstream": {},
-        "used_by_workspace": {},
-        "level_by_workspace": {},
-        "in_flight_by_upstream": {},
-        "lease": None,
-    }
-    return News(**(fields | changes))
-
-
 class PullTest(unittest.TestCase):
     def setUp(self):
         self.instance = make_instance()
@@ -66,7 +43,7 @@
 
     def test_what_is_known_gives_way_only_to_a_peer_that_hears_the_store(self):
         self.instance.config_object_revision = 7
-        feed = self.instance.feed_by_kind[UPSTREAM_KIND] = Feed(UPSTREAM_KIND, 4)
+        feed = self.instance.feed_by_kind[UPSTREAM_KIND] = Feed(UPSTREAM_KIND, 4, 4)
         feed.heard_at, feed.broken_at = NOW - 10.0, NOW - 5.0
         self.assertEqual(self.pulls(make_news(is_store_heard=False)), [])
         (pull,) = self.pulls(make_news())
@@ -74,6 +51,6 @@
 
     def test_who_hears_the_store_asks_nobody(self):
         self.instance.config_object_revision = 7
-        feed = self.instance.feed_by_kind[UPSTREAM_KIND] = Feed(UPSTREAM_KIND, 4)
+        feed = self.instance.feed_by_kind[UPSTREAM_KIND] = Feed(UPSTREAM_KIND, 4, 4)
         feed.heard_at = NOW - 0.1
         self.assertEqual(self.pulls(make_news()), [])
--- a/catkintrack/platform/__init__.py
+++ b/catkintrack/platform/__init__.py
@@ -32,6 +32,7 @@
 from .settings import decode_site, load_site, settings_path
 from .store import (
     ObjectEvent,
+    ObjectEvents,
     ObjectList,
     StoreClient,
     StoredObject,
@@ -60,6 +61,7 @@
     "Dispatch",
     "HistoryGone",
     "ObjectEvent",
+    "ObjectEvents",
     "ObjectList",
     "ObjectMissing",
     "RequestFields",
--- a/testkit/states.py
+++ b/testkit/states.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from random import Random
+from typing import Any
 
 from catkintrack.http import Pool
+from catkintrack.instance.messages import News
 from catkintrack.instance.metrics import make_instance_metrics
 from catkintrack.instance.state import Instance
 from catkintrack.leases import Lease
@@ -29,3 +31,27 @@
         limits=PooledLimits(0.0, 0.0),
         lease=Lease("n1", 1, 3.0),
     )
+
+
+def make_news(**changes: Any) -> News:
+    """Return a peer's full news, with some fields changed."""
+    fields: dict[str, Any] = {
+        "instance": "n2",
+        "zone": "z1",
+        "incarnation": 5,
+        "host": "127.0.0.1",
+        "port": 9000,
+        "is_store_heard": True,
+        "is_leaving": False,
+        "is_full": True,
+        "peers": (),
+        "config_revision": 7,
+        "upstreams_revision": 9,
+        "named_weights": {},
+        "version_by_upstream": {},
+        "used_by_workspace": {},
+        "level_by_workspace": {},
+        "in_flight_by_upstream": {},
+        "lease": None,
+    }
+    return News(**(fields | changes))
