Make the instances with the widest links the hubs, and greet strangers briefly

Cause 1: hubs were chosen by a hash, and most instances of the grown fleet have 5 Mbit/s.

Cause 2: while all are strangers each told each other one everything it knew, across zones.

News carry the width of the link, which the settings give; hubs and the order of candidates for the lease put the widest first. Strangers get a greeting; only hubs tell a newcomer all.

Ruled out: processor time of the hubs (the worst zone's hub used less than the best zone's).

Tests: hubs have wide links; strangers get a greeting and nothing else; only hubs welcome.

--- a/catkintrack/fleet/site.py
+++ b/catkintrack/fleet/site.py
@@ -41,5 +41,6 @@
     store_reads_per_s: float
     is_first_start: bool
     memory_mb: int
+    link_mbps: float
     metrics_port: int
     bounds: Bounds
--- a/catkintrack/instance/broadcasting.py
+++ b/catkintrack/instance/broadcasting.py
@@ -4,20 +4,44 @@
 
 import time
 
+import msgspec
+
 from .hubs import hand_over, has_hubs
-from .messages import PeerMessage, Relayed, encode_peer_message
+from .messages import News, PeerMessage, Relayed, encode_peer_message
 from .peers import choose_receivers, list_unheard, send_to
 from .state import Instance
 
 
+async def _greet_unheard(instance: Instance, news: News, now: float) -> None:
+    """Tell the peers that no hub may reach yet only that one is here.
+
+    In a large fleet that starts all are strangers, and whatever each told all of them
+    would cross the zones once for each pair.
+    """
+    greeting = msgspec.structs.replace(
+        news,
+        is_full=False,
+        peers=(),
+        named_weights={},
+        version_by_upstream={},
+        used_by_workspace={},
+        level_by_workspace={},
+        in_flight_by_upstream={},
+        lease=None,
+    )
+    data = encode_peer_message(greeting)
+    for peer in list_unheard(instance, now):
+        await send_to(instance, peer, data)
+
+
 async def broadcast(instance: Instance, message: PeerMessage) -> None:
     """Send a message to all peers, in a large fleet through the zones' hubs."""
     data = encode_peer_message(message)
     now = time.monotonic()
     if has_hubs(instance):
         await hand_over(instance, data, now)
-        for peer in list_unheard(instance, now):
-            await send_to(instance, peer, data)
+        if isinstance(message, News):
+            await _greet_unheard(instance, message, now)
         return
     # One peer of each other zone passes it on there, so that it crosses once.
     relayed = encode_peer_message(Relayed(data))
--- a/catkintrack/instance/hubs.py
+++ b/catkintrack/instance/hubs.py
@@ -36,12 +36,14 @@
     candidates: list[Peer | None] = [p for p in peers if not p.is_leaving]
     if zone == instance.site.zone and not instance.is_stopping:
         candidates.append(None)
-    own_name = instance.site.instance
+    site = instance.site
 
-    def order(peer: Peer | None) -> tuple[bool, int]:
+    def order(peer: Peer | None) -> tuple[bool, float, int]:
+        """Put those that are not mute first, and the widest links: a hub sends much."""
         is_mute = peer is not None and peer.mute_until > now
-        name = own_name if peer is None else peer.instance
-        return is_mute, zlib.crc32(name.encode())
+        link_mbps = site.link_mbps if peer is None else peer.link_mbps
+        name = site.instance if peer is None else peer.instance
+        return is_mute, -link_mbps, zlib.crc32(name.encode())
 
     return sorted(candidates, key=order)
 
--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -33,6 +33,7 @@
     GATHER_S,
     gather,
     has_hubs,
+    is_hub,
     mute_silent_hubs,
     send_gathered,
 )
@@ -155,6 +156,7 @@
     peer.incarnation = news.incarnation
     peer.heard_at = now
     peer.is_leaving = news.is_leaving
+    peer.link_mbps = news.link_mbps
     peer.is_store_heard = news.is_store_heard
     peer.in_flight_by_upstream |= news.in_flight_by_upstream
     for row in news.peers:
@@ -166,10 +168,13 @@
 async def _welcome(instance: Instance, news: News, peer: Peer, now: float) -> None:
     """Tell a process that has just started all that is known.
 
-    Those of its zone do, and whoever it asked directly as a seed.
+    Those of its zone do, and whoever it asked directly as a seed; in a large fleet the
+    hubs.
     """
-    is_seed = not news.peers
-    if is_seed or news.zone == instance.site.zone:
+    is_asked = not news.peers or news.zone == instance.site.zone
+    if has_hubs(instance):
+        is_asked = is_hub(instance, now)
+    if is_asked:
         full = make_news(instance, now, True)
         await send_to(instance, peer, encode_peer_message(full))
 
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -44,6 +44,7 @@
     is_store_heard: bool
     is_leaving: bool
     is_full: bool
+    link_mbps: float
     peers: tuple[PeerRow, ...]
     config_revision: int
     upstreams_revision: int
--- a/catkintrack/instance/peers.py
+++ b/catkintrack/instance/peers.py
@@ -52,9 +52,13 @@
 
 
 def find_rank(instance: Instance, now: float) -> int:
-    """Return this instance's place by name among those that are heard and stay."""
-    names = [p.instance for p in list_heard(instance, now) if not p.is_leaving]
-    return sum(name < instance.site.instance for name in names)
+    """Return this instance's place among those that are heard and stay.
+
+    The widest links come first, then the names decide.
+    """
+    staying = [p for p in list_heard(instance, now) if not p.is_leaving]
+    own = (-instance.site.link_mbps, instance.site.instance)
+    return sum((-peer.link_mbps, peer.instance) < own for peer in staying)
 
 
 def list_unheard(instance: Instance, now: float) -> list[Peer]:
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -61,6 +61,7 @@
     incarnation: int = 0
     is_leaving: bool = False
     is_store_heard: bool = False
+    link_mbps: float = 0.0
     batch_at: float = -1e9
     mute_until: float = -1e9
     in_flight_by_upstream: dict[str, int] = field(default_factory=dict)
--- a/catkintrack/instance/tests/test_hubs.py
+++ b/catkintrack/instance/tests/test_hubs.py
@@ -20,7 +20,7 @@
     mute_silent_hubs,
     send_gathered,
 )
-from catkintrack.instance.messages import LoadBegun
+from catkintrack.instance.messages import LoadBegun, PeerRow
 from catkintrack.instance.peers import meet_peer
 from catkintrack.instance.state import Feed
 from catkintrack.platform import (
@@ -30,10 +30,12 @@
     StoredObject,
 )
 from testkit.instances import make_entry_spec
-from testkit.states import make_instance, make_news
+from testkit.states import RecordingLink, make_instance, make_news
 
 ZONES = ("z1", "z2", "z3", "z4")
 FLEET_SIZE = 78
+NARROW_MBPS, WIDE_MBPS = 5.0, 100.0
+WIDE = frozenset({20, 30, 41, 51, 62, 72, 63, 73})
 
 
 class Wire:
@@ -65,6 +67,7 @@
                 instance.site,
                 instance=name,
                 zone=ZONES[number % len(ZONES)],
+                link_mbps=WIDE_MBPS if number in WIDE else NARROW_MBPS,
                 mesh=Address(f"10.0.0.{number + 1}", 7600),
             )
             self.instance_by_name[name] = instance
@@ -78,6 +81,7 @@
             peer = meet_peer(instance, name, site.zone, site.mesh.host, site.mesh.port)
             if peer is not None:
                 peer.incarnation, peer.heard_at = 1, now
+                peer.link_mbps = site.link_mbps
                 peer.link = Wire(self, name)
 
     async def flush(self):
@@ -121,6 +125,14 @@
             hubs = {self.fleet.find_hub(i, zone) for i in self.instances}
             self.assertEqual(len(hubs), 1, zone)
 
+    def test_hubs_are_those_with_wide_links(self):
+        """Found by a grown day: a hub on 5 Mbit/s held up all of its zone."""
+        for zone in ZONES:
+            hub = self.fleet.instance_by_name[
+                self.fleet.find_hub(self.instances[0], zone)
+            ]
+            self.assertEqual(hub.site.link_mbps, WIDE_MBPS, zone)
+
     def test_what_one_says_reaches_all(self):
         sender = self.instances[5]
         self.tell(sender)
@@ -167,6 +179,65 @@
         self.assertNotEqual(self.fleet.find_hub(instance, instance.site.zone), hub)
 
 
+class MeetingTest(unittest.TestCase):
+    """Load pattern: 78 instances start at once and know only addresses."""
+
+    def setUp(self):
+        self.fleet = Fleet(FLEET_SIZE)
+        self.instance = self.fleet.instance_by_name["n05"]
+
+    def test_strangers_get_a_greeting_only(self):
+        stranger = self.find_peer("n06")
+        stranger.incarnation = 0
+        stranger.link = RecordingLink()
+        site = self.instance.site
+        news = make_news(
+            instance="n05",
+            zone=site.zone,
+            incarnation=1,
+            host=site.mesh.host,
+            port=site.mesh.port,
+            peers=(PeerRow("n07", "z4", "10.0.0.8", 7600),),
+        )
+        curio.run(broadcast, self.instance, news)
+        (greeting,) = stranger.link.sent
+        self.assertEqual((greeting.instance, greeting.peers), ("n05", ()))
+
+    def test_strangers_are_told_nothing_else(self):
+        stranger = self.find_peer("n06")
+        stranger.incarnation = 0
+        stranger.link = RecordingLink()
+        curio.run(broadcast, self.instance, LoadBegun("r1", "m", 9, 30.0))
+        self.assertEqual(stranger.link.sent, [])
+
+    def test_only_hubs_tell_a_newcomer_all(self):
+        telling = set()
+        for name, instance in self.fleet.instance_by_name.items():
+            site = self.fleet.instance_by_name["n06"].site
+            peer = meet_peer(instance, "", "", site.mesh.host, site.mesh.port)
+            if peer is None:
+                continue
+            peer.link = RecordingLink()
+            news = make_news(
+                instance="n06",
+                zone=site.zone,
+                host=site.mesh.host,
+                link_mbps=site.link_mbps,
+                port=site.mesh.port,
+                config_revision=0,
+                upstreams_revision=0,
+            )
+            curio.run(mesh._take_news, instance, news)
+            if peer.link.sent:
+                telling.add(name)
+        hubs = {self.fleet.find_hub(self.instance, zone) for zone in ZONES}
+        self.assertEqual(telling, hubs - {"n06"})
+
+    def find_peer(self, name):
+        site = self.fleet.instance_by_name[name].site
+        return meet_peer(self.instance, "", "", site.mesh.host, site.mesh.port)
+
+
 class ReadingTest(unittest.TestCase):
     """Let one instance a zone read the store for all of its zone."""
 
--- a/catkintrack/instance/tests/test_mesh.py
+++ b/catkintrack/instance/tests/test_mesh.py
@@ -5,26 +5,15 @@
 import curio
 
 from catkintrack.instance import mesh
-from catkintrack.instance.messages import Pull, decode_peer_message
+from catkintrack.instance.messages import Pull
 from catkintrack.instance.peers import meet_peer
 from catkintrack.instance.state import Feed
 from catkintrack.platform import UPSTREAM_KIND
-from testkit.states import make_instance, make_news
+from testkit.states import RecordingLink, make_instance, make_news
 
 NOW = 1000.0
 
 
-class RecordingLink:
-    """Keep what is sent."""
-
-    def __init__(self):
-        self.sent = []
-
-    async def send(self, data):
-        self.sent.append(decode_peer_message(data))
-        return True
-
-
 class PullTest(unittest.TestCase):
     def setUp(self):
         self.instance = make_instance()
--- a/catkintrack/instance/tests/test_peers.py
+++ b/catkintrack/instance/tests/test_peers.py
@@ -14,6 +14,7 @@
     peer.incarnation = 1
     peer.heard_at = NOW - heard_s_ago
     peer.is_leaving = is_leaving
+    peer.link_mbps = instance.site.link_mbps
     return peer
 
 
--- /dev/null
+++ b/catkintrack/instance/tests/test_weights_holder.py
@@ -0,0 +1,73 @@
+"""Order replicas to load weights without turning requests away."""
+
+import time
+import unittest
+from unittest.mock import patch
+
+import curio
+
+from catkintrack.fleet import ModelWeights, SwapMode
+from catkintrack.instance import weights_holder
+from catkintrack.instance.beliefs import apply_configuration, apply_upstream
+from catkintrack.instance.messages import LoadBegun
+from catkintrack.weights.plan import PlannedLoad
+from testkit.instances import make_config_spec, make_entry_spec
+from testkit.states import make_instance
+
+
+class AnnounceTest(unittest.TestCase):
+    def setUp(self):
+        self.instance = make_instance()
+        apply_configuration(self.instance, 5, make_config_spec(), "store")
+        apply_upstream(self.instance, "i1", make_entry_spec(), time.monotonic())
+        self.instance.weights.order_count_by_id["i1"] = 0
+        self.planned = PlannedLoad("i1", ModelWeights("m1", 2), SwapMode.UNDER_RUNS)
+        self.said = []
+
+    def load(self, holds_lease=lambda instance: True, has_hubs=False):
+        """Carry out a load and record what was said to whom, in order."""
+
+        async def tell(instance, message):
+            self.said.append(("peers", message, time.monotonic()))
+
+        async def order(instance, upstream, planned):
+            row = instance.decisions.upstream_by_name["i1"]
+            is_spared = row.loading_until > time.monotonic()
+            self.said.append(("replica", is_spared, time.monotonic()))
+            return 202
+
+        async def follow(*_arguments):
+            return None
+
+        with (
+            patch.object(weights_holder, "broadcast", tell),
+            patch.object(weights_holder, "_send_order", order),
+            patch.object(weights_holder, "_follow", follow),
+            patch.object(weights_holder, "holds_lease", holds_lease),
+            patch.object(weights_holder, "has_hubs", lambda instance: has_hubs),
+        ):
+            curio.run(weights_holder._load, self.instance, self.planned)
+
+    def test_peers_know_before_the_replica_is_ordered(self):
+        """Load pattern: 78 instances send on while 12 replicas begin to load."""
+        self.load()
+        (told, message, _), (ordered, is_spared, _) = self.said
+        self.assertEqual((told, ordered), ("peers", "replica"))
+        self.assertIsInstance(message, LoadBegun)
+        self.assertTrue(is_spared)
+
+    def test_hubs_get_the_time_that_they_take(self):
+        self.load(has_hubs=True)
+        (_, message, told_at), (_, is_spared, ordered_at) = self.said
+        self.assertGreaterEqual(ordered_at - told_at, weights_holder.HUB_SPREAD_S)
+        self.assertTrue(is_spared)
+        self.assertGreater(message.ready_in_s, weights_holder.HUB_SPREAD_S)
+
+    def test_lease_that_is_lost_meanwhile_orders_nothing(self):
+        answers = iter([True, False])
+        self.load(holds_lease=lambda instance: next(answers))
+        self.assertEqual([who for who, *_ in self.said], ["peers"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/catkintrack/platform/settings.py
+++ b/catkintrack/platform/settings.py
@@ -28,6 +28,7 @@
 
 class _Limits(msgspec.Struct, frozen=True):
     memory_mb: int = 128
+    link_mbps: float = 1_000.0
 
 
 class _Store(msgspec.Struct, frozen=True):
@@ -140,6 +141,7 @@
         store_reads_per_s=settings.platform.reads_per_s,
         is_first_start=settings.bootstrap,
         memory_mb=settings.limits.memory_mb,
+        link_mbps=settings.limits.link_mbps,
         metrics_port=_read_ports(settings.port_range)[0],
         bounds=Bounds(
             config_apply_s=bounds.config_apply_ms / 1e3,
--- a/testkit/instances.py
+++ b/testkit/instances.py
@@ -18,6 +18,7 @@
 seeds=127.0.0.1:8608,10.2.0.3:8608
 bootstrap=true
 limits.memory_mb=300
+limits.link_mbps=1000.0
 bounds.lease_ms=3000
 bounds.budget_extra=56
 bounds.quota_slack=140000
--- a/testkit/states.py
+++ b/testkit/states.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from catkintrack.http import Pool
-from catkintrack.instance.messages import News
+from catkintrack.instance.messages import News, PeerMessage, decode_peer_message
 from catkintrack.instance.metrics import make_instance_metrics
 from catkintrack.instance.state import Instance
 from catkintrack.leases import Lease
@@ -44,6 +44,7 @@
         "is_store_heard": True,
         "is_leaving": False,
         "is_full": True,
+        "link_mbps": 1000.0,
         "peers": (),
         "config_revision": 7,
         "upstreams_revision": 9,
@@ -55,3 +56,15 @@
         "lease": None,
     }
     return News(**(fields | changes))
+
+
+class RecordingLink:
+    """Keep the messages that are sent to a peer."""
+
+    def __init__(self) -> None:
+        self.sent: list[PeerMessage] = []
+
+    async def send(self, data: bytes) -> bool:
+        """Keep a message as sent."""
+        self.sent.append(decode_peer_message(data))
+        return True
