Let hubs of two zones find each other, and mute only one's own

Cause: a hub passed over another zone's hub that sent it no batch, but that one sent to whom it took for the hub here. Two hubs that had once passed over each other stayed apart for good: 69 of 73 log lines "hubs silent" on grown Periyar came from two hubs that went through all instances of the other zone in turn.

Silence now counts in one's own zone only. Of another zone whoever sends its batches serves as its hub, and where nobody does the widest link; peers that are not heard drop out as before.

Ruled out: lost messages (both hubs' news reached all the others), leases, restarts (none).

--- a/catkintrack/instance/hubs.py
+++ b/catkintrack/instance/hubs.py
@@ -10,6 +10,8 @@
 
 import zlib
 
+from catkintrack.fleet import Site
+
 from .messages import Batch, GatheredMessage, Handed, encode_peer_message
 from .peers import list_heard, send_to
 from .state import Instance, Peer
@@ -39,15 +41,28 @@
     site = instance.site
 
     def order(peer: Peer | None) -> tuple[bool, float, int]:
-        """Put those that are not mute first, and the widest links: a hub sends much."""
-        is_mute = peer is not None and peer.mute_until > now
+        """Put those that serve first, then the widest links: a hub sends much."""
         link_mbps = site.link_mbps if peer is None else peer.link_mbps
         name = site.instance if peer is None else peer.instance
-        return is_mute, -link_mbps, zlib.crc32(name.encode())
+        return _is_passed_over(site, peer, now), -link_mbps, zlib.crc32(name.encode())
 
     return sorted(candidates, key=order)
 
 
+def _is_passed_over(site: Site, peer: Peer | None, now: float) -> bool:
+    """Report whether others of the zone go first.
+
+    In the own zone that is a hub that fell silent.  Of another zone, whoever sends its
+    batches serves as its hub; two hubs that each waited for the other's batches would
+    never choose each other.
+    """
+    if peer is None:
+        return False
+    if peer.zone == site.zone:
+        return peer.mute_until > now
+    return now - peer.batch_at > HUB_SILENCE_S
+
+
 def find_hub(instance: Instance, zone: str, now: float) -> Peer | None:
     """Return a zone's hub; None for oneself, or where nobody is heard."""
     candidates = list_candidates(instance, zone, now)
@@ -113,23 +128,14 @@
     return [hub for hub in hubs if hub is not None]
 
 
-def mute_silent_hubs(instance: Instance, now: float) -> list[str]:
-    """Pass over each hub that was relied on for a while and sent nothing.
-
-    Return their names.
-    """
-    hubs = [find_hub(instance, instance.site.zone, now)]
-    if hubs[0] is None:
-        hubs = list(list_other_hubs(instance, now))
-    relied_on: dict[str, float] = {}
-    silent: list[str] = []
-    for hub in hubs:
-        if hub is None:
-            continue
-        since = instance.relied_on_since.get(hub.instance, now)
-        relied_on[hub.instance] = since
-        if now - max(since, hub.batch_at) > HUB_SILENCE_S:
-            hub.mute_until = now + MUTE_S
-            silent.append(hub.instance)
-    instance.relied_on_since = relied_on
-    return silent
+def mute_silent_hub(instance: Instance, now: float) -> str | None:
+    """Pass over the own zone's hub if it was relied on and sent nothing; name it."""
+    hub = find_hub(instance, instance.site.zone, now)
+    name, since = instance.relied_on
+    if hub is None or hub.instance != name:
+        instance.relied_on = (hub.instance if hub else "", now)
+        return None
+    if now - max(since, hub.batch_at) <= HUB_SILENCE_S:
+        return None
+    hub.mute_until = now + MUTE_S
+    return hub.instance
--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -34,7 +34,7 @@
     gather,
     has_hubs,
     is_hub,
-    mute_silent_hubs,
+    mute_silent_hub,
     send_gathered,
 )
 from .messages import (
@@ -91,13 +91,13 @@
 
 
 async def _run_hub(instance: Instance) -> None:
-    """Send what was gathered and replace silent hubs, until cancelled."""
+    """Send what was gathered and replace a silent hub, until cancelled."""
     while True:
         await curio.sleep(GATHER_S)
         now = time.monotonic()
-        silent = mute_silent_hubs(instance, now) if has_hubs(instance) else []
+        silent = mute_silent_hub(instance, now) if has_hubs(instance) else None
         if silent:
-            logger.warning("hubs silent", extra={"peers": silent})
+            logger.warning("hub silent", extra={"peer": silent})
             await send_news(instance)
         await send_gathered(instance, now)
 
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -106,7 +106,7 @@
     told: dict[str, dict[str, Any]] = field(default_factory=dict)
     told_all_at: float = -1e9
     gathered: list[tuple[GatheredMessage, bool]] = field(default_factory=list)
-    relied_on_since: dict[str, float] = field(default_factory=dict)
+    relied_on: tuple[str, float] = ("", -1e9)
     asked_at_by_upstream: dict[str, float] = field(default_factory=dict)
     probed_at_by_upstream: dict[str, float] = field(default_factory=dict)
     server: Server | None = None
--- a/catkintrack/instance/tests/test_hubs.py
+++ b/catkintrack/instance/tests/test_hubs.py
@@ -17,7 +17,7 @@
     HUB_SILENCE_S,
     does_hub_read,
     find_hub,
-    mute_silent_hubs,
+    mute_silent_hub,
     send_gathered,
 )
 from catkintrack.instance.messages import LoadBegun, PeerRow
@@ -154,8 +154,8 @@
         dead = self.fleet.find_hub(sender, sender.site.zone)
         self.fleet.dead.add(dead)
         now = time.monotonic()
-        self.assertEqual(mute_silent_hubs(sender, now), [])
-        self.assertEqual(mute_silent_hubs(sender, now + HUB_SILENCE_S + 0.1), [dead])
+        self.assertIsNone(mute_silent_hub(sender, now))
+        self.assertEqual(mute_silent_hub(sender, now + HUB_SILENCE_S + 0.1), dead)
         self.assertNotEqual(self.fleet.find_hub(sender, sender.site.zone), dead)
         self.tell(sender)
         others = set(self.fleet.instance_by_name) - {sender.site.instance, dead}
@@ -165,11 +165,39 @@
         sender = self.instances[5]
         hub = self.fleet.find_hub(sender, sender.site.zone)
         now = time.monotonic()
-        mute_silent_hubs(sender, now)
+        mute_silent_hub(sender, now)
         for peer in sender.peer_by_address.values():
             if peer.instance == hub:
                 peer.batch_at = now + HUB_SILENCE_S
-        self.assertEqual(mute_silent_hubs(sender, now + HUB_SILENCE_S + 0.1), [])
+        self.assertIsNone(mute_silent_hub(sender, now + HUB_SILENCE_S + 0.1))
+
+    def test_hubs_of_two_zones_find_each_other_after_a_silence(self):
+        """Found by a grown day: each waited for the other's batches, for good."""
+        first, second = (
+            self.fleet.instance_by_name[self.fleet.find_hub(self.instances[0], zone)]
+            for zone in ZONES[:2]
+        )
+        for passed_s in range(1, 20):
+            now = time.monotonic() + passed_s
+            self.introduce_all(now)
+            for hub, other in ((first, second), (second, first)):
+                mute_silent_hub(hub, now)
+                found = find_hub(hub, other.site.zone, now)
+                self.assertEqual(found.instance, other.site.instance)
+
+    def test_another_zones_hub_is_whoever_sends_its_batches(self):
+        hub = self.fleet.instance_by_name[self.fleet.find_hub(self.instances[0], "z1")]
+        now = time.monotonic()
+        stand_in = next(p for p in hub.peer_by_address.values() if p.zone == "z2")
+        self.assertNotEqual(find_hub(hub, "z2", now), stand_in)
+        stand_in.batch_at = now
+        self.assertEqual(find_hub(hub, "z2", now), stand_in)
+
+    def introduce_all(self, now):
+        """Let everybody have heard of everybody at `now`."""
+        for instance in self.instances:
+            for peer in instance.peer_by_address.values():
+                peer.heard_at = now
 
     def test_stopping_instance_is_no_hub(self):
         sender = self.instances[5]
