Read changes in bunches while a large fleet starts

For its first four seconds an instance of a large fleet pauses a second between two watches, which then bring many changes at once; nobody asks each two seconds yet.

Ruled out: the lease (245 reads), lists (234), the steady state (7 calls a second in all).

Test: a starting instance before a store that always has a change asks at most three times in three seconds.

--- a/catkintrack/instance/feeds.py
+++ b/catkintrack/instance/feeds.py
@@ -32,7 +32,7 @@
     apply_upstreams,
     remove_upstream,
 )
-from .hubs import does_hub_read, gather, has_hubs, is_hub
+from .hubs import does_hub_read, gather, is_hub, is_meeting_hub
 from .messages import (
     GatheredMessage,
     PeerMessage,
@@ -48,6 +48,8 @@
 HUB_WATCH_S = 2.0
 FIRST_WATCH_S = 0.05
 REST_S = 0.2
+# Until an instance knows its hub it reads changes in bunches.
+MEETING_PAUSE_S = 1.0
 BACKOFF_S = 0.25
 BACKOFF_MAX_S = 1.0
 # How long entries that lapsed may take to be back once the store is.
@@ -81,6 +83,8 @@
         if error is None:
             _note_heard(feed, time.monotonic())
             backoff_s = BACKOFF_S
+            if is_meeting_hub(instance, asked_at):
+                await curio.sleep(MEETING_PAUSE_S)
             continue
         is_listed = is_listed and not isinstance(error, HistoryGone)
         _note_broken(instance, feed, error, asked_at)
@@ -180,9 +184,11 @@
     The first shows soon whether the store is there.  A hub whose watch hangs leaves its
     zone without news, so that it asks more often.
     """
+    now = time.monotonic()
     if feed.heard_at < 0:
         return FIRST_WATCH_S
-    return HUB_WATCH_S if has_hubs(instance) else WATCH_S
+    is_relied_on = is_hub(instance, now) and not is_meeting_hub(instance, now)
+    return HUB_WATCH_S if is_relied_on else WATCH_S
 
 
 def _tell_zone(
--- a/catkintrack/instance/hubs.py
+++ b/catkintrack/instance/hubs.py
@@ -25,6 +25,8 @@
 # before the peers whose news it lost count as silent.
 HUB_SILENCE_S = 0.7
 MUTE_S = 5.0
+# All start at once, connect to all others and hear them within this.
+MEETING_S = 4.0
 
 
 def has_hubs(instance: Instance) -> bool:
@@ -74,6 +76,11 @@
     return has_hubs(instance) and find_hub(instance, instance.site.zone, now) is None
 
 
+def is_meeting_hub(instance: Instance, now: float) -> bool:
+    """Report whether a process has just started and may not know its hub yet."""
+    return has_hubs(instance) and now - instance.started_at < MEETING_S
+
+
 def does_hub_read(instance: Instance, now: float) -> bool:
     """Report whether another instance follows the store for this zone."""
     if not has_hubs(instance):
--- a/catkintrack/instance/tests/test_hubs.py
+++ b/catkintrack/instance/tests/test_hubs.py
@@ -27,6 +27,7 @@
     UPSTREAM_KIND,
     ObjectEvent,
     ObjectEvents,
+    ObjectList,
     StoredObject,
 )
 from testkit.instances import make_entry_spec
@@ -309,6 +310,36 @@
             peer.is_store_heard = False
         self.assertFalse(does_hub_read(self.members[0], time.monotonic()))
 
+    def test_fleet_that_starts_reads_in_bunches(self):
+        """Load pattern: 78 instances start, and 34 replicas register meanwhile."""
+        starting = self.members[0]
+        starting.started_at = time.monotonic()
+        calls = []
+
+        async def watch(_store, _kind, revision, _wait_s):
+            calls.append(revision)
+            row = StoredObject("i-1", revision + 1, make_entry_spec())
+            return Success(ObjectEvents((ObjectEvent(row, False),), revision + 1))
+
+        async def listing(_store, _kind):
+            return Success(ObjectList((), 10))
+
+        async def on_change(_kind):
+            return None
+
+        async def run():
+            feed = feeds.run_feed(starting, UPSTREAM_KIND, on_change)
+            await curio.ignore_after(3 * feeds.MEETING_PAUSE_S, feed)
+
+        for peer in starting.peer_by_address.values():
+            peer.is_store_heard = False
+        with (
+            patch.object(feeds, "watch_objects", watch),
+            patch.object(feeds, "list_objects", listing),
+        ):
+            curio.run(run)
+        self.assertLessEqual(len(calls), 3)
+
     def test_small_fleet_reads_for_itself(self):
         small = Fleet(8)
         for instance in small.instance_by_name.values():
