--- a/catkintrack/instance/hubs.py
+++ b/catkintrack/instance/hubs.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import logging
 import zlib
 
 from catkintrack.fleet import Site
@@ -16,6 +17,8 @@
 from .peers import list_heard, send_to
 from .state import Instance, Peer
 
+logger = logging.getLogger(__name__)
+
 # Up to here each peer is told directly, which is the quickest.
 HUB_MIN_PEERS = 16
 # As long as a message may wait for others.  A prefill takes some hundred milliseconds,
@@ -140,7 +143,10 @@
     hub = find_hub(instance, instance.site.zone, now)
     name, since = instance.relied_on
     if hub is None or hub.instance != name:
-        instance.relied_on = (hub.instance if hub else "", now)
+        chosen = hub.instance if hub else ""
+        if chosen != name:
+            logger.info("hub chosen", extra={"peer": chosen or instance.site.instance})
+        instance.relied_on = (chosen, now)
         return None
     if now - max(since, hub.batch_at) <= HUB_SILENCE_S:
         return None
