Write a whole HTTP exchange once

Cause: six places sent a request and read the whole answer with the same four lines: the object API, the platform's store, reports and orders, the kept store's feed, the agent's engines and the command line.

http.fetch does it once; each caller keeps its own request, errors and limits. Ruled out: streams and calls that are relayed, which read as they go.

--- a/catkintrack/agent/feeds.py
+++ b/catkintrack/agent/feeds.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from catkintrack.config import Upstream
-from catkintrack.http import HttpError, Request, open_exchange
+from catkintrack.http import HttpError, Request, fetch
 from catkintrack.links import CacheEvents, LoadReport
 
 from .routers import collect_loads, send_to_routers
@@ -175,11 +175,11 @@
         (b"host", str(upstream.address).encode()),
         (b"x-request-id", f"{feed.upstream}-{feed.next_request_id}".encode()),
     )
+    request = Request(b"GET", path.encode(), headers)
     try:
-        async with open_exchange(agent.upstream_pool, upstream.address) as exchange:
-            await exchange.send(Request(b"GET", path.encode(), headers))
-            head = await exchange.read_head(timeout_s)
-            body = await exchange.read_body(timeout_s)
+        head, body = await fetch(
+            agent.upstream_pool, upstream.address, request, timeout_s
+        )
     except HttpError as error:
         logger.debug(
             "engine did not answer",
--- a/catkintrack/cli/calls.py
+++ b/catkintrack/cli/calls.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from catkintrack.config import InvalidKind, RevisionConflict, State
-from catkintrack.http import Address, HttpError, Pool, Request, open_exchange
+from catkintrack.http import Address, HttpError, Pool, Request, fetch
 from catkintrack.objects import (
     AnswerLost,
     PlatformClient,
@@ -79,10 +79,7 @@
 async def _fetch_page(address: Address, path: str) -> Any:
     request = Request(b"GET", path.encode(), ((b"host", str(address).encode()),))
     try:
-        async with open_exchange(Pool(), address) as exchange:
-            await exchange.send(request)
-            await exchange.read_head(PAGE_TIMEOUT_S)
-            body = await exchange.read_body(PAGE_TIMEOUT_S)
+        _, body = await fetch(Pool(), address, request, PAGE_TIMEOUT_S)
     except HttpError:
         return None
     return msgspec.json.decode(body)
--- a/catkintrack/http/__init__.py
+++ b/catkintrack/http/__init__.py
@@ -1,6 +1,14 @@
 """Speak HTTP/1.1 to callers and upstreams."""
 
-from .client import Address, ClientLimits, Exchange, Pool, close_pool, open_exchange
+from .client import (
+    Address,
+    ClientLimits,
+    Exchange,
+    Pool,
+    close_pool,
+    fetch,
+    open_exchange,
+)
 from .errors import (
     BadRequest,
     CallerGone,
@@ -51,6 +59,7 @@
     "drain_server",
     "end_to_end_headers",
     "find_header",
+    "fetch",
     "open_exchange",
     "open_server",
 ]
--- a/catkintrack/http/client.py
+++ b/catkintrack/http/client.py
@@ -234,6 +234,23 @@
         await _give_back(pool, exchange)
 
 
+async def fetch(
+    pool: Pool,
+    address: Address,
+    request: Request,
+    timeout_s: float,
+    is_fresh: bool = False,
+) -> tuple[ResponseHead, bytes]:
+    """Send a request and return its whole answer; head and body get `timeout_s` each.
+
+    Raise UpstreamUnreachable or UpstreamBroken.
+    """
+    async with open_exchange(pool, address, is_fresh) as exchange:
+        await exchange.send(request)
+        head = await exchange.read_head(timeout_s)
+        return head, await exchange.read_body(timeout_s)
+
+
 async def _give_back(pool: Pool, exchange: Exchange) -> None:
     idle = pool.idle_by_address.setdefault(exchange.address, [])
     if not exchange.is_reusable() or len(idle) >= pool.max_idle_per_address:
--- a/catkintrack/instance/kept_feed.py
+++ b/catkintrack/instance/kept_feed.py
@@ -16,7 +16,7 @@
     Address,
     UpstreamBroken,
     UpstreamUnreachable,
-    open_exchange,
+    fetch,
 )
 from catkintrack.platform import decode_cache_events, make_cache_events_request
 
@@ -75,10 +75,7 @@
     )
     timeout_s = WAIT_S + ANSWER_MARGIN_S
     try:
-        async with open_exchange(instance.pool, address) as exchange:
-            await exchange.send(request)
-            head = await exchange.read_head(timeout_s)
-            body = await exchange.read_body(timeout_s)
+        head, body = await fetch(instance.pool, address, request, timeout_s)
     except (UpstreamUnreachable, UpstreamBroken) as error:
         logger.warning("kept cache not followed", extra={"reason": str(error)})
         return None
--- a/catkintrack/instance/reports.py
+++ b/catkintrack/instance/reports.py
@@ -13,7 +13,7 @@
     ResponseHead,
     UpstreamBroken,
     UpstreamUnreachable,
-    open_exchange,
+    fetch,
 )
 from catkintrack.platform import decode_report, make_report_request
 
@@ -76,12 +76,9 @@
 ) -> tuple[ResponseHead, bytes] | None:
     """Return a replica's answer, or None when there is none in time."""
     try:
-        async with open_exchange(
-            instance.pool, upstream.address, is_fresh=True
-        ) as exchange:
-            await exchange.send(request)
-            head = await exchange.read_head(ANSWER_TIMEOUT_S)
-            return head, await exchange.read_body(ANSWER_TIMEOUT_S)
+        return await fetch(
+            instance.pool, upstream.address, request, ANSWER_TIMEOUT_S, is_fresh=True
+        )
     except (UpstreamUnreachable, UpstreamBroken) as error:
         logger.warning(
             "no answer from a replica",
--- a/catkintrack/objects/client.py
+++ b/catkintrack/objects/client.py
@@ -16,8 +16,8 @@
     ResponseHead,
     UpstreamBroken,
     UpstreamUnreachable,
+    fetch,
     find_header,
-    open_exchange,
 )
 
 from .errors import (
@@ -147,10 +147,7 @@
     fields = (host, length, request_id, *headers)
     request = Request(method, target.encode(), fields, body)
     try:
-        async with open_exchange(client.pool, client.address) as exchange:
-            await exchange.send(request)
-            head = await exchange.read_head(limit_s)
-            return Success((head, await exchange.read_body(limit_s)))
+        return Success(await fetch(client.pool, client.address, request, limit_s))
     except UpstreamUnreachable as error:
         return Failure(Unavailable(str(error)))
     except UpstreamBroken as error:
--- a/catkintrack/platform/store.py
+++ b/catkintrack/platform/store.py
@@ -18,7 +18,7 @@
     ResponseHead,
     UpstreamBroken,
     UpstreamUnreachable,
-    open_exchange,
+    fetch,
 )
 
 from .errors import (
@@ -257,10 +257,7 @@
         headers.append((b"content-length", str(len(body)).encode()))
     request = Request(method, target.encode(), tuple(headers), body)
     try:
-        async with open_exchange(client.pool, client.address) as exchange:
-            await exchange.send(request)
-            head = await exchange.read_head(timeout_s)
-            return Success((head, await exchange.read_body(timeout_s)))
+        return Success(await fetch(client.pool, client.address, request, timeout_s))
     except UpstreamUnreachable as error:
         return Failure(StoreUnavailable(str(error)))
     except UpstreamBroken as error:
