Let a newcomer ask its seeds for the fleet

Cause: in a large fleet only hubs told a newcomer all, and a seed that is no hub kept silent until its next full news: an instance that started at -15.4 s met its peers at -5.9 s.

News say whether their sender hears nobody yet; whoever is asked so tells all it knows.

Ruled out: the pause between watches (not in force, since the fleet seemed small); lost greetings (seeds heard them at once).

--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -168,13 +168,13 @@
 async def _welcome(instance: Instance, news: News, peer: Peer, now: float) -> None:
     """Tell a process that has just started all that is known.
 
-    Those of its zone do, and whoever it asked directly as a seed; in a large fleet the
-    hubs.
+    Whoever it asks as a seed does, and those of its zone; in a large fleet the hubs.
     """
-    is_asked = not news.peers or news.zone == instance.site.zone
     if has_hubs(instance):
-        is_asked = is_hub(instance, now)
-    if is_asked:
+        is_near = is_hub(instance, now)
+    else:
+        is_near = not news.peers or news.zone == instance.site.zone
+    if news.is_asking or is_near:
         full = make_news(instance, now, True)
         await send_to(instance, peer, encode_peer_message(full))
 
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -33,7 +33,8 @@
     """Tell peers that the sender lives, what it knows, and what it has used.
 
     The tables hold what has changed since the last news, or everything where
-    `is_full`.  `is_store_heard` says that the sender's view of the store is current.
+    `is_full`.  `is_store_heard` says that the sender's view of the store is current,
+    `is_asking` that it hears nobody yet and wants to be told all.
     """
 
     instance: str
@@ -44,6 +45,7 @@
     is_store_heard: bool
     is_leaving: bool
     is_full: bool
+    is_asking: bool
     link_mbps: float
     peers: tuple[PeerRow, ...]
     config_revision: int
--- a/catkintrack/instance/news.py
+++ b/catkintrack/instance/news.py
@@ -60,6 +60,7 @@
         is_store_heard=is_store_heard(instance, now),
         is_leaving=instance.is_stopping,
         is_full=is_full,
+        is_asking=not heard,
         link_mbps=site.link_mbps,
         peers=tuple(PeerRow(p.instance, p.zone, p.host, p.port) for p in heard)
         if is_full
--- a/catkintrack/instance/tests/test_hubs.py
+++ b/catkintrack/instance/tests/test_hubs.py
@@ -21,6 +21,7 @@
     send_gathered,
 )
 from catkintrack.instance.messages import LoadBegun, PeerRow
+from catkintrack.instance.news import send_news
 from catkintrack.instance.peers import meet_peer
 from catkintrack.instance.state import Feed
 from catkintrack.platform import (
@@ -97,6 +98,11 @@
         return instance.site.instance if hub is None else hub.instance
 
 
+def address_of(instance):
+    mesh_address = instance.site.mesh
+    return mesh_address.host, mesh_address.port
+
+
 class HubTest(unittest.TestCase):
     def setUp(self):
         self.fleet = Fleet(FLEET_SIZE)
@@ -262,6 +268,26 @@
         hubs = {self.fleet.find_hub(self.instance, zone) for zone in ZONES}
         self.assertEqual(telling, hubs - {"n06"})
 
+    def test_newcomer_learns_of_all_from_the_seeds_that_it_asks(self):
+        """Found by a grown day: it met the fleet ten seconds after its start."""
+        seeds = [self.fleet.instance_by_name[name] for name in ("n00", "n01", "n02")]
+        newcomer = make_instance()
+        newcomer.site = replace(
+            newcomer.site,
+            instance="n99",
+            zone="z3",
+            mesh=Address("10.0.0.99", 7600),
+        )
+        self.fleet.instance_by_name["n99"] = newcomer
+        for seed in seeds:
+            peer = meet_peer(newcomer, "", "", *address_of(seed))
+            peer.link = Wire(self.fleet, seed.site.instance)
+            peer = meet_peer(seed, "", "", *address_of(newcomer))
+            peer.link = Wire(self.fleet, "n99")
+        newcomer.started_at = time.monotonic()
+        curio.run(send_news, newcomer)
+        self.assertEqual(len(newcomer.peer_by_address), FLEET_SIZE)
+
     def find_peer(self, name):
         site = self.fleet.instance_by_name[name].site
         return meet_peer(self.instance, "", "", site.mesh.host, site.mesh.port)
--- a/testkit/states.py
+++ b/testkit/states.py
@@ -44,6 +44,7 @@
         "is_store_heard": True,
         "is_leaving": False,
         "is_full": True,
+        "is_asking": False,
         "link_mbps": 1000.0,
         "peers": (),
         "config_revision": 7,
