Build the news of a test by the shared builder

The builder in testkit knows them; the check is the same (encode, decode, equal), over tables that are not empty. Ruled out: the encoding itself.

--- a/catkintrack/instance/tests/test_beliefs.py
+++ b/catkintrack/instance/tests/test_beliefs.py
@@ -14,7 +14,7 @@
     settle_departures,
 )
 from catkintrack.instance.calls import make_call
-from catkintrack.instance.messages import News, decode_peer_message, encode_peer_message
+from catkintrack.instance.messages import decode_peer_message, encode_peer_message
 from catkintrack.instance.prompts import (
     make_cache_salt,
     name_blocks,
@@ -30,7 +30,7 @@
     make_entry_spec,
     make_prompt,
 )
-from testkit.states import make_instance
+from testkit.states import make_instance, make_news
 
 
 def make_request(host=b"h1.example", key=b"key-1", path=b"/long/1") -> Request:
@@ -212,23 +212,11 @@
 
 class MessageTest(unittest.TestCase):
     def test_news_pass_whole(self):
-        news = News(
-            "n1",
-            "z1",
-            5,
-            "127.0.0.1",
-            80,
-            True,
-            False,
-            True,
-            (),
-            7,
-            9,
-            {"m1": ((2, 0.5),)},
-            {"i1": ("m1", 2)},
-            {"w1": 5},
-            {"w1": -3},
-            {"i1": 1},
-            None,
+        news = make_news(
+            named_weights={"m1": ((2, 0.5),)},
+            version_by_upstream={"i1": ("m1", 2)},
+            used_by_workspace={"w1": 5},
+            level_by_workspace={"w1": -3},
+            in_flight_by_upstream={"i1": 1},
         )
         self.assertEqual(decode_peer_message(encode_peer_message(news)), news)
