--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -32,8 +32,9 @@
     """Hold how well one kind of object is followed; times in seconds.
 
     The store's revision grows with each change of any kind; `changed_revision` is that
-    of the last change of this one.  While it is `is_resting` the zone's hub follows it instead.  `behind_since` is when
-    a peer first told of a newer revision, None when no peer knows more.
+    of the last change of this one.  While it is `is_resting` the zone's hub follows it
+    instead.  `behind_since` is when a peer first told of a newer revision, None when no
+    peer knows more.
     """
 
     kind: str
