--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -67,10 +67,6 @@
 # peer counts as silent.
 NEWS_PEERS_AT_BASE = 16
 NEWS_INTERVAL_MAX_S = 0.5
-# In a large fleet the use of a workspace that is near its limit is told sooner: what is
-# used between two news may be used at each other instance again.
-SCARCE_S = 1.0
-SCARCE_INTERVAL_S = 0.1
 
 
 async def run_mesh(instance: Instance) -> None:
@@ -87,15 +83,12 @@
         meet_peer(instance, "", "", seed.host, seed.port)
     while True:
         await send_news(instance)
-        await curio.sleep(choose_news_interval_s(instance, time.monotonic()))
+        await curio.sleep(choose_news_interval_s(instance))
         forget_silent(instance, time.monotonic())
 
 
-def choose_news_interval_s(instance: Instance, now: float) -> float:
+def choose_news_interval_s(instance: Instance) -> float:
     """Return the seconds until the next news."""
-    is_scarce = now - instance.limits.scarce_at < SCARCE_S
-    if is_scarce and has_hubs(instance):
-        return SCARCE_INTERVAL_S
     scale = max(1.0, len(instance.peer_by_address) / NEWS_PEERS_AT_BASE)
     return min(NEWS_INTERVAL_MAX_S, NEWS_INTERVAL_S * scale)
 
--- a/catkintrack/pooling/buckets.py
+++ b/catkintrack/pooling/buckets.py
@@ -13,8 +13,6 @@
 from catkintrack.fleet import TokenLimit
 
 MIN_RETRY_AFTER_S = 0.05
-# Below this part of the burst, what others use unseen may exceed the limit.
-SCARCE_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -42,8 +40,7 @@
     `heard_share` is the part of the fleet whose use is known, oneself included.
     `initial` is what a bucket holds at `started_at`, when nobody has told its level;
     an infinite one says that nobody can have used anything before.  `early_use` is what
-    peers told of workspaces without a bucket here; `scarce_at` is when a bucket that
-    was not half full was last asked.
+    peers told of workspaces without a bucket here.
     """
 
     initial: float
@@ -51,7 +48,6 @@
     row_by_workspace: dict[str, PooledRow] = field(default_factory=dict)
     early_use_by_workspace: dict[str, dict[str, PeerUse]] = field(default_factory=dict)
     heard_share: float = 1.0
-    scarce_at: float = -math.inf
 
 
 def find_row(
@@ -86,8 +82,6 @@
 ) -> float | None:
     """Take `cost` and return None, or return the seconds after which it is there."""
     row = find_row(limits, workspace, limit, now)
-    if row.level < SCARCE_SHARE * limit.burst:
-        limits.scarce_at = now
     # A cost above the burst goes through a full bucket and leaves a debt.
     needed = min(cost, limit.burst * limits.heard_share)
     if row.level >= needed:
