Add a failing test: a reload signal ends a process that still imports its modules

The same cause still acts in another place: the signal is ignored only once main() runs, after the imports, which take most of a start. The new test holds a process inside an import and sends SIGHUP: instance, router and agent end with -1 for 3.

--- a/catkintrack/tests/test_reloads.py
+++ b/catkintrack/tests/test_reloads.py
@@ -1,21 +1,40 @@
 """Change settings files and send signals while calls are in progress."""
 
 import json
+import os
 import signal
+import subprocess
+import sys
+import tempfile
 import threading
 import time
 import unittest
+from contextlib import contextmanager
+from pathlib import Path
 
 import yaml
 
 from standins.replica import EVENTS_PER_STREAM
 from testkit.cases import FleetTestCase, make_long_answer_chat
-from testkit.fleet import wait_until
+from testkit.fleet import START_TIMEOUT_S, wait_until
 from testkit.site import count_events, open_site
 
 INVALID_SETTINGS = "invalid settings; the previous ones stay in force"
 # Signals of service managers and log rotation that must not end a process.
 HARMLESS_SIGNALS = (signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2, signal.SIGCONT)
+PROCESS_MODULES = (
+    "catkintrack.instance.main",
+    "catkintrack.router.main",
+    "catkintrack.agent.main",
+)
+HELD_IMPORT_STATUS = 3
+# Takes the place of a library: says that it is imported, and goes on when told to.
+HELD_IMPORT = f"""
+import sys
+print("importing", flush=True)
+sys.stdin.read()
+raise SystemExit({HELD_IMPORT_STATUS})
+"""
 
 
 def find_records(process, message):
@@ -99,6 +118,42 @@
             self.site.start_nodes("n0")
 
 
+class StartReloadTest(unittest.TestCase):
+    def test_signal_during_the_imports_ends_no_process(self):
+        statuses = {module: send_early_signal(module) for module in PROCESS_MODULES}
+        self.assertEqual(statuses, dict.fromkeys(PROCESS_MODULES, HELD_IMPORT_STATUS))
+
+
+def send_early_signal(module):
+    """Return the exit status of a module that gets SIGHUP during its imports."""
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        start_with_held_import(module, directory) as process,
+    ):
+        process.send_signal(signal.SIGHUP)
+        process.stdin.close()
+        return process.wait(START_TIMEOUT_S)
+
+
+@contextmanager
+def start_with_held_import(module, directory):
+    """Start a module and yield its process while it imports a library."""
+    Path(directory, "zmq.py").write_text(HELD_IMPORT)
+    process = subprocess.Popen(
+        [sys.executable, "-m", module],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        env=os.environ | {"PYTHONPATH": directory},
+    )
+    try:
+        process.stdout.readline()
+        yield process
+    finally:
+        process.kill()
+        process.wait()
+        process.stdout.close()
+
+
 class FleetReloadTest(FleetTestCase):
     instances = 1
 
