Ignore the reload signal before a process imports its modules

Still open until now: a signal during a start ended the process, and the instance was missing for another start.

Cause: SIGHUP's default action ends a process, and it was ignored only once main() ran. The imports before that take 150 to 350 ms here, most of a start.

Change: the main modules only ignore the signal, by a module that imports nothing else of the project, and then import the process, which moved to process.py. Settings are read after that, so a signal that came too early is not missed.

--- /dev/null
+++ b/catkintrack/instance/process.py
@@ -0,0 +1,252 @@
+"""Run an instance process: its servers, background tasks and graceful shutdown."""
+
+from __future__ import annotations
+
+import logging
+import math
+import signal
+import sys
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from random import Random
+
+import curio
+import zmq
+from returns.result import Failure, Success
+
+from catkintrack.calls import run_ticks
+from catkintrack.decisions.shedding import LateQueue
+from catkintrack.fleet import Site
+from catkintrack.http import (
+    ClientLimits,
+    Connection,
+    Pool,
+    Request,
+    Server,
+    ServerLimits,
+    disable_keep_alive,
+    drain_server,
+    open_server,
+)
+from catkintrack.leases import Lease
+from catkintrack.platform import StoreClient, get_settings_path, load_site
+from catkintrack.pooling import PooledLimits
+from catkintrack.processes import (
+    DroppingHandler,
+    RateLimitFilter,
+    catch_signals,
+    configure_logging,
+    log_suppressed_lines,
+    open_ops_server,
+    wait_for_stop_signal,
+    watch_files,
+)
+from catkintrack.transport import open_context
+
+from .cache_store_feed import run_cache_store_feed
+from .calls import handle_call
+from .clocks import read_boot_clock
+from .dump import dump_instance
+from .feeds import WATCHED_KINDS, run_feed
+from .fleet_state import remove_lapsed_upstreams
+from .gossip import send_gossip
+from .lease_keeper import release_lease, run_lease_keeper
+from .mesh import estimate_report_delay_s, run_mesh
+from .metrics import make_instance_metrics
+from .pauses import limit_after_own_pause
+from .peers import list_live_peers
+from .probing import probe_suspects
+from .readiness import is_ready, open_readiness_server
+from .refusals import respond_to_bad_request
+from .reload import make_site_reload
+from .state import Instance
+from .weights_rollout import run_weights_rollout
+
+logger = logging.getLogger(__name__)
+
+EXIT_BAD_SETTINGS = 2
+# Replaces the longer default in decisions/tables.py, which routers use. A fraction of
+# the shortest target for a first token: requests beyond this prefill backlog queue in
+# the instance, where more urgent ones can overtake them.
+MAX_PREFILL_WAIT_S = 0.2
+CONNECT_TIMEOUT_S = 0.15
+# Share of the memory limit that one complete response may take.
+MAX_BODY_MEMORY_SHARE = 1 / 32
+HOUSEKEEPING_INTERVAL_S = 0.25
+LOG_SUMMARY_INTERVAL_S = 1.0
+# Fraction of the operators' slack over a limit that a bucket holds after a restart.
+RESTART_SLACK_SHARE = 0.5
+# The load balancer checks readiness each second and removes an instance after two
+# failed checks.
+BALANCER_REMOVAL_S = 2.5
+# Replicas respond to outstanding orders within this time.
+ORDER_RESPONSE_S = 0.05
+RELEASE_TIMEOUT_S = 0.5
+# End of the grace period, reserved for the last responses after the drain.
+STOP_MARGIN_S = 1.0
+
+
+def make_instance(site: Site, context: zmq.Context) -> Instance:
+    """Return an instance in its initial state, which knows only its site."""
+    incarnation = time.time_ns() // 1_000_000
+    name = f"{site.instance}/{incarnation}"
+    limits = PooledLimits(
+        _initial_level(site),
+        time.monotonic(),
+        known_instances=len(site.seeds) + 1,
+        incarnation=incarnation,
+        rng=Random(f"{name}/limits"),
+    )
+    instance = Instance(
+        site=site,
+        incarnation=incarnation,
+        started_at=time.monotonic(),
+        context=context,
+        store=StoreClient(site.store),
+        pool=Pool(
+            ClientLimits(
+                connect_timeout_s=CONNECT_TIMEOUT_S,
+                max_body_bytes=round(site.memory_mb * 1e6 * MAX_BODY_MEMORY_SHARE),
+            )
+        ),
+        rng=Random(name),
+        metrics=make_instance_metrics(),
+        limits=limits,
+        lease=Lease(site.instance, incarnation, site.bounds.lease_s),
+    )
+    instance.decisions.zone = site.zone
+    # An instance limits retries per service instead.
+    instance.decisions.retry_budget = None
+    instance.decisions.max_prefill_wait_s = MAX_PREFILL_WAIT_S
+    instance.decisions.late_queue = LateQueue()
+    return instance
+
+
+def _initial_level(site: Site) -> float:
+    """Return what the fleet may use at first of a limit whose past usage is unknown.
+
+    After a restart the burst may just have been spent, so the level is a share of the
+    slack that the operators allow over the limit. The rest of the slack covers usage
+    that peers have not reported yet.
+    """
+    if site.is_bootstrap:
+        return math.inf
+    return RESTART_SLACK_SHARE * site.bounds.limit_slack
+
+
+Logs = tuple[RateLimitFilter, DroppingHandler]
+
+
+async def run_instance(site: Site, logs: Logs) -> None:
+    """Run an instance until a stop signal, then drain its calls."""
+    with catch_signals() as signals, open_context() as context:
+        instance = make_instance(site, context)
+        logger.info("instance started", extra={"incarnation": instance.incarnation})
+        async with _open_servers(instance) as server:
+            await _spawn_tasks(instance)
+            path = get_settings_path()
+            reload = make_site_reload(instance, path)
+            await curio.spawn(watch_files, [path], reload, daemon=True)
+            await curio.spawn(_log_suppressed_lines, logs, daemon=True)
+            await wait_for_stop_signal(signals, reload)
+            await _stop(instance, server)
+        logger.info("instance stopped")
+
+
+@asynccontextmanager
+async def _open_servers(instance: Instance) -> AsyncIterator[Server]:
+    site = instance.site
+
+    async def handle(request: Request, connection: Connection) -> None:
+        await handle_call(instance, request, connection)
+
+    async with (
+        open_server(
+            site.callers.host,
+            site.callers.port,
+            handle,
+            ServerLimits(),
+            respond_to_bad_request,
+            cancels_on_disconnect=True,
+        ) as server,
+        open_readiness_server(instance),
+        open_ops_server(
+            site.callers.host,
+            site.metrics_port,
+            instance.metrics.registry,
+            lambda: is_ready(instance),
+            lambda: dump_instance(instance),
+        ),
+    ):
+        instance.server = server
+        yield server
+
+
+async def _spawn_tasks(instance: Instance) -> None:
+    wake = curio.Event()
+
+    async def on_change(kind: str) -> None:
+        await wake.set()
+        await send_gossip(instance)
+
+    for kind in WATCHED_KINDS:
+        await curio.spawn(run_feed, instance, kind, on_change, daemon=True)
+    await curio.spawn(run_mesh, instance, daemon=True)
+    await curio.spawn(run_ticks, instance.call_queue, daemon=True)
+    await curio.spawn(run_lease_keeper, instance, daemon=True)
+    await curio.spawn(run_weights_rollout, instance, wake, daemon=True)
+    await curio.spawn(run_cache_store_feed, instance, daemon=True)
+    await curio.spawn(_run_housekeeping, instance, daemon=True)
+
+
+async def _log_suppressed_lines(logs: Logs) -> None:
+    """Log how many log lines were suppressed, at intervals, until cancelled."""
+    while True:
+        await curio.sleep(LOG_SUMMARY_INTERVAL_S)
+        log_suppressed_lines(*logs)
+
+
+async def _run_housekeeping(instance: Instance) -> None:
+    """Drop lapsed upstreams, probe silent ones, count live peers; until cancelled."""
+    while True:
+        await curio.sleep(HOUSEKEEPING_INTERVAL_S)
+        now = time.monotonic()
+        limit_after_own_pause(instance, read_boot_clock(), now)
+        remove_lapsed_upstreams(instance, now)
+        await probe_suspects(instance)
+        live_peers = [p for p in list_live_peers(instance, now) if not p.is_leaving]
+        known_count = max(1, len(instance.peer_by_address) + 1)
+        instance.decisions.router_count = len(live_peers) + 1
+        instance.limits.reporting_fraction = (len(live_peers) + 1) / known_count
+        instance.limits.known_instances = known_count
+        instance.limits.report_delay_s = estimate_report_delay_s(instance)
+
+
+async def _stop(instance: Instance, server: Server) -> None:
+    """Announce the stop, serve calls until the load balancer reacts, then drain."""
+    started_at = time.monotonic()
+    instance.is_stopping = True
+    logger.info("instance stopping", extra={"calls": server.active_requests})
+    disable_keep_alive(server)
+    await curio.sleep(ORDER_RESPONSE_S)
+    await curio.ignore_after(RELEASE_TIMEOUT_S, release_lease, instance)
+    instance.full_gossip_at = -1e9
+    await send_gossip(instance)
+    await curio.sleep(BALANCER_REMOVAL_S)
+    remaining_s = instance.site.bounds.grace_s - STOP_MARGIN_S
+    remaining_s -= time.monotonic() - started_at
+    await curio.ignore_after(max(0.1, remaining_s), drain_server, server)
+
+
+def main() -> None:
+    """Run an instance with the settings file that the platform wrote."""
+    # A write to a closed connection fails with an error instead of ending the process.
+    signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+    match load_site(get_settings_path()):
+        case Success(site):
+            logs = configure_logging("INFO", "instance", site.instance, sys.stdout)
+            curio.run(run_instance, site, logs)
+        case Failure(error):
+            print(f"{error.subject}: {error.reason}", file=sys.stderr)
+            raise SystemExit(EXIT_BAD_SETTINGS)
--- a/catkintrack/processes/__init__.py
+++ b/catkintrack/processes/__init__.py
@@ -16,7 +16,7 @@
     make_settings_reload,
     watch_files,
 )
-from .signals import catch_signals, ignore_reload_signal, wait_for_stop_signal
+from .signals import catch_signals, wait_for_stop_signal
 
 __all__ = [
     "PauseDetector",
@@ -25,7 +25,6 @@
     "make_metric_factories",
     "Reload",
     "catch_signals",
-    "ignore_reload_signal",
     "log_changes",
     "log_invalid_settings",
     "make_settings_reload",
--- a/catkintrack/processes/signals.py
+++ b/catkintrack/processes/signals.py
@@ -9,19 +9,15 @@
 
 from curio.io import Socket
 
+from catkintrack.reload_signal import RELOAD_SIGNAL
+
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT)
-RELOAD_SIGNAL = signal.SIGHUP
 # Sent by some log rotation and service tools; their default action ends a process.
 IGNORED_SIGNALS = (signal.SIGUSR1, signal.SIGUSR2)
 CAUGHT_SIGNALS = (*STOP_SIGNALS, RELOAD_SIGNAL, *IGNORED_SIGNALS)
 READ_SIZE_BYTES = 64
 
 
-def ignore_reload_signal() -> None:
-    """Ignore the reload signal until it is caught: a starting process reads its settings."""
-    signal.signal(RELOAD_SIGNAL, signal.SIG_IGN)
-
-
 @contextmanager
 def catch_signals() -> Iterator[Socket]:
     """Yield a socket that receives the number of each caught signal as one byte."""
--- a/catkintrack/processes/startup.py
+++ b/catkintrack/processes/startup.py
@@ -12,7 +12,6 @@
 from catkintrack.settings import Settings, load_settings
 
 from .logs import configure_logging
-from .signals import ignore_reload_signal
 
 EXIT_BAD_SETTINGS = 2
 
@@ -39,7 +38,6 @@
     run: Callable[[Settings, Sequence[Path]], Awaitable[None]],
 ) -> None:
     """Load the settings, configure logging and run the process until it ends."""
-    ignore_reload_signal()
     settings = load_settings_or_exit(files)
     configure_logging(settings.logging.level, name, settings.instance.id)
     curio.run(run, settings, split_paths(files))
--- /dev/null
+++ b/catkintrack/router/process.py
@@ -0,0 +1,173 @@
+"""Run the router, the process of an instance that proxies callers' requests."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from random import Random
+
+import curio
+import fire
+import zmq
+from fire.decorators import SetParseFn
+
+from catkintrack.calls import run_ticks
+from catkintrack.http import (
+    ClientLimits,
+    Connection,
+    Pool,
+    Request,
+    ServerLimits,
+    drain_server,
+    open_server,
+)
+from catkintrack.links import open_context
+from catkintrack.processes import (
+    PauseDetector,
+    catch_signals,
+    make_settings_reload,
+    open_ops_server,
+    wait_for_stop_signal,
+    watch_files,
+)
+from catkintrack.processes.links import read_link_keys
+from catkintrack.processes.startup import run_process
+from catkintrack.settings import Settings
+
+from .agent_links import list_live_agents, run_agent_links
+from .calls import handle_call
+from .dump import dump_router, is_router_ready
+from .metrics import make_router_metrics
+from .refusals import answer_malformed
+from .state import Router
+
+logger = logging.getLogger(__name__)
+
+READY_POLL_INTERVAL_S = 0.02
+
+
+def make_router(settings: Settings, context: zmq.Context) -> Router:
+    """Return a new router, without configuration or connected agents."""
+    incarnation = time.time_ns() // 1_000_000
+    name = f"{settings.instance.id}:{settings.router.listen.port}"
+    return Router(
+        settings=settings,
+        name=name,
+        incarnation=incarnation,
+        context=context,
+        keys=read_link_keys(settings),
+        pool=Pool(make_client_limits(settings)),
+        rng=Random(f"{name}/{settings.router.placement.seed}"),
+        metrics=make_router_metrics(),
+        pause_detector=PauseDetector(time.monotonic()),
+    )
+
+
+async def run_router(settings: Settings, paths: Sequence[Path]) -> None:
+    """Run a router until a stop signal, then drain its open calls.
+
+    The settings files in `paths` are loaded again when they change.
+    """
+    with catch_signals() as signals, open_context() as context:
+        router = make_router(settings, context)
+        reload = make_settings_reload(
+            paths, settings, lambda changed: apply_settings(router, changed)
+        )
+        await curio.spawn(watch_files, paths, reload, daemon=True)
+        logger.info("router started", extra={"incarnation": router.incarnation})
+        await curio.spawn(run_agent_links, router, daemon=True)
+        await curio.spawn(run_ticks, router.call_queue, daemon=True)
+        ops = settings.router.ops
+        listen = settings.router.listen
+
+        async def handle(request: Request, connection: Connection) -> None:
+            await handle_call(router, request, connection)
+
+        async with open_ops_server(
+            str(ops.host),
+            ops.port,
+            router.metrics.registry,
+            lambda: is_router_ready(router),
+            lambda: dump_router(router),
+        ):
+            stop_task = await curio.spawn(wait_for_stop_signal, signals, reload)
+            await _wait_until_ready(router, stop_task)
+            if stop_task.terminated:
+                return
+            async with open_server(
+                str(listen.host),
+                listen.port,
+                handle,
+                make_server_limits(router.settings),
+                answer_malformed,
+            ) as server:
+                router.server = server
+                logger.info("router ready", extra={"port": server.port})
+                await stop_task.join()
+                router.is_stopping = True
+                await drain_server(server)
+        logger.info("router stopped")
+
+
+def apply_settings(router: Router, settings: Settings) -> None:
+    """Apply changed settings to a running router; open calls keep their limits."""
+    router.settings = settings
+    router.pool.limits = make_client_limits(settings)
+    router.call_queue.policy = settings.router.placement.policy
+    if router.server is not None:
+        router.server.limits = make_server_limits(settings)
+
+
+def make_client_limits(settings: Settings) -> ClientLimits:
+    """Return the time and size limits for upstreams' responses."""
+    upstreams = settings.router.upstreams
+    return ClientLimits(
+        upstreams.connect_timeout_s,
+        upstreams.head_timeout_s,
+        upstreams.read_timeout_s,
+        upstreams.max_body_bytes,
+    )
+
+
+def make_server_limits(settings: Settings) -> ServerLimits:
+    """Return the size, count and time limits for callers' connections."""
+    callers = settings.router.callers
+    return ServerLimits(
+        max_head_bytes=callers.max_head_bytes,
+        max_body_bytes=callers.max_body_bytes,
+        max_connections=callers.max_connections,
+        head_timeout_s=callers.head_timeout_s,
+        body_timeout_s=callers.body_timeout_s,
+        idle_timeout_s=callers.idle_timeout_s,
+        write_timeout_s=callers.write_timeout_s,
+    )
+
+
+async def _wait_until_ready(router: Router, stop_task: curio.Task) -> None:
+    """Wait until calls can be served, so that no early call is refused.
+
+    That needs configuration, current keys and token limits, all from an agent.
+    """
+    while not stop_task.terminated:
+        agents = list_live_agents(router, time.monotonic())
+        fleet_view = agents[0].view if agents else None
+        if fleet_view and fleet_view.are_limits_ready and is_router_ready(router):
+            return
+        await curio.sleep(READY_POLL_INTERVAL_S)
+
+
+@SetParseFn(str, "settings")
+def start(settings: str) -> None:
+    """Run a router.
+
+    Args:
+        settings: Comma-separated settings files; later files override earlier ones.
+    """
+    run_process(settings, "router", run_router)
+
+
+def main() -> None:
+    """Run the router's command line."""
+    fire.Fire(start)
