--- a/catkintrack/http/client.py
+++ b/catkintrack/http/client.py
@@ -14,6 +14,7 @@
 
 from .errors import (
     SendForbidden,
+    UpstreamDisconnected,
     UpstreamExchangeError,
     UpstreamResponseTooLarge,
     UpstreamTimeout,
@@ -98,6 +99,7 @@
         self.has_sent_request = False
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
+        self.is_closed_by_peer = False
         self.send_task: curio.Task | None = None
 
     async def send(self, request: Request) -> None:
@@ -153,7 +155,7 @@
                 self._record_keep_alive(headers)
                 return ResponseHead(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
-                raise UpstreamExchangeError("connection closed before the response")
+                raise UpstreamDisconnected("connection closed before the response")
             if time.monotonic() > deadline_at:
                 raise UpstreamTimeout("only informational responses in time")
 
@@ -182,7 +184,7 @@
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
-        raise UpstreamExchangeError("connection closed inside the body")
+        raise UpstreamDisconnected("connection closed inside the body")
 
     async def read_body(self, timeout_s: float) -> bytes:
         """Return the rest of the body, complete within `timeout_s`.
@@ -205,10 +207,14 @@
             try:
                 event = self.h11.next_event()
             except h11.RemoteProtocolError as error:
+                if self.is_closed_by_peer:
+                    raise UpstreamDisconnected(str(error)) from error
                 raise UpstreamExchangeError(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
-            self.h11.receive_data(await self._receive(deadline_at))
+            data = await self._receive(deadline_at)
+            self.is_closed_by_peer = not data
+            self.h11.receive_data(data)
 
     async def _receive(self, deadline_at: float) -> bytes:
         """Return received data; raise UpstreamTimeout after `deadline_at`.
@@ -221,7 +227,7 @@
         except BlockingIOError:
             pass
         except OSError as error:
-            raise UpstreamExchangeError(str(error)) from error
+            raise UpstreamDisconnected(str(error)) from error
         else:
             await self._yield_after_immediate_read()
             return data
@@ -234,7 +240,7 @@
         except curio.TaskTimeout as error:
             raise UpstreamTimeout("no data within the time limit") from error
         except OSError as error:
-            raise UpstreamExchangeError(str(error)) from error
+            raise UpstreamDisconnected(str(error)) from error
 
     async def _yield_after_immediate_read(self) -> None:
         """Let other tasks run after some reads in a row that did not wait."""
--- a/catkintrack/http/errors.py
+++ b/catkintrack/http/errors.py
@@ -36,6 +36,10 @@
     """
 
 
+class UpstreamDisconnected(UpstreamExchangeError):
+    """Report that an upstream closed or reset the connection before the response's end."""
+
+
 class UpstreamTimeout(UpstreamExchangeError):
     """Report that an upstream sent no data within the time limit."""
 
