Add a failing test: prompts of one part crash one replica after the other

Three instances, four replicas that end when they begin to answer a prompt with one part and are replaced; requests with that part come at each instance, no two alike, between sound ones that share its first part. The bounds are the users'.

--- a/catkintrack/tests/test_crashing_prompts.py
+++ b/catkintrack/tests/test_crashing_prompts.py
@@ -1,14 +1,25 @@
 """Send prompts that crash each replica that begins to answer them."""
 
 import json
+import threading
+import time
 import unittest
 
+from standins.replica import EVENTS_PER_STREAM
 from testkit.fleet import wait_until
-from testkit.site import PROMPT_HEADERS, open_site
+from testkit.site import PROMPT_HEADERS, count_events, open_site
 
 NODES = 3
 MODELS = 4
 CRASHING_PART = "dd"
+LOAD_S = 16.0
+CALL_INTERVAL_S = 0.15
+# The users' bounds: how many such requests may reach replicas how long after the fifth
+# crash, and from when on which share of the sound requests is served.
+COUNTED_CRASHES = 5
+STABLE_WINDOW_S = 3.0
+MAX_LATE_ARRIVALS = 3
+MIN_SOUND_SHARE = 0.5
 
 
 def make_prompt_headers(*parts):
@@ -27,6 +38,76 @@
     return None
 
 
+class ReplicaSupervisor:
+    """Replace each replica that ends, as the platform does, and record when it ended."""
+
+    def __init__(self, site):
+        self.site = site
+        self.crashed_at = []
+        self.is_over = False
+        self.names = [f"m{number}" for number in range(MODELS)]
+        for name in self.names:
+            site.set_replica_faults(name, crash_part=CRASHING_PART)
+
+    def run(self):
+        while not self.is_over:
+            for index, name in enumerate(self.names):
+                if self.site.process_by_name[name].popen.poll() is not None:
+                    self.crashed_at.append(time.monotonic())
+                    self.names[index] = self.replace(name)
+            time.sleep(0.01)
+
+    def replace(self, name):
+        self.site.delete_object("servers", name)
+        successor = f"m{MODELS + len(self.crashed_at)}"
+        self.site.start_replica(successor, "models")
+        self.site.set_replica_faults(successor, crash_part=CRASHING_PART)
+        return successor
+
+
+class CrashingPromptTest(unittest.TestCase):
+    def setUp(self):
+        context = open_site(nodes=NODES, models=MODELS, apps=1)
+        self.site = context.__enter__()
+        self.addCleanup(context.__exit__, None, None, None)
+        self.supervisor = ReplicaSupervisor(self.site)
+        self.sound = []
+
+    def send_load(self):
+        """Send crashing requests and sound ones that share their first part."""
+        until = time.monotonic() + LOAD_S
+        number = 0
+        while time.monotonic() < until:
+            number += 1
+            node, other = f"n{number % NODES}", f"n{(number + 1) % NODES}"
+            crashing = make_prompt_headers("aa", CRASHING_PART, f"e{number}")
+            self.site.stream(node, **crashing)
+            sound = make_prompt_headers("aa", f"c{number % 4}", f"f{number}")
+            started_at = time.monotonic()
+            status, _, body = self.site.stream(other, **sound)
+            is_served = status == 200 and count_events(body) == EVENTS_PER_STREAM
+            self.sound.append((started_at, is_served))
+            time.sleep(CALL_INTERVAL_S)
+
+    def test_prompts_of_one_part_end_few_replicas_and_sound_ones_are_served(self):
+        thread = threading.Thread(target=self.supervisor.run)
+        thread.start()
+        try:
+            self.send_load()
+        finally:
+            self.supervisor.is_over = True
+            thread.join()
+        crashed_at = self.supervisor.crashed_at
+        self.assertTrue(crashed_at)
+        counted_at = crashed_at[:COUNTED_CRASHES][-1]
+        late = [at for at in crashed_at if at > counted_at + STABLE_WINDOW_S]
+        self.assertLessEqual(len(late), MAX_LATE_ARRIVALS, len(crashed_at))
+        sound_from = counted_at + 2 * STABLE_WINDOW_S
+        sound = [is_served for at, is_served in self.sound if at > sound_from]
+        self.assertGreater(len(sound), 10)
+        self.assertGreaterEqual(sum(sound) / len(sound), MIN_SOUND_SHARE)
+
+
 class CrashLogTest(unittest.TestCase):
     def test_log_tells_how_far_a_broken_attempt_got(self):
         with open_site(nodes=1, models=1, apps=1) as site:
