Quarantine the parts of prompts whose requests crash replicas

Cause: a query of death. Placement, ejection and retries judge replicas; nothing judged what they ran, so each new request with the part went to the next replica.

Evidence: at each of 13 lost replicas one attempt, at three of them two, had a response head and no event; all of one workspace, none repeated. CrashingPromptTest failed with 30 late arrivals where 3 are allowed and 42 ended replicas.

Change: such a loss is held against the parts of the request's prompt, once for each incarnation; an event for any request with a part clears it, at the peers too; three losses in a row quarantine the part served least recently, which also explains the losses held against other parts. Requests with it get 503 and the time of the next trial. Instances tell each other of losses; gossip and the store hand the parts to new ones.

Why it works: the culprit is the only part that no replica ever answers, so it alone gathers losses; sound parts that share its prompts are cleared by the next event.

--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -109,16 +109,22 @@
 ResponseHeadCallback = Callable[[ResponseFields], Awaitable[None]]
 
 
+async def ignore_first_event() -> None:
+    """Do nothing at the first event of an attempt."""
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptCallbacks:
     """Hold the callbacks of an attempt.
 
-    `on_data` is called after each response head and complete event; `should_abandon` is
-    polled while no data arrives.
+    `on_data` is called after each response head and complete event, `on_first_event`
+    before the first event is forwarded; `should_abandon` is polled while no data
+    arrives.
     """
 
     on_response_head: ResponseHeadCallback
     on_data: Callable[[], None] = lambda: None
+    on_first_event: Callable[[], Awaitable[None]] = ignore_first_event
     should_abandon: Callable[[], bool] = lambda: False
 
 
@@ -236,6 +242,7 @@
     Raise UpstreamExchangeError if the stream is incomplete or invalid.
     """
     splitter = EventSplitter(progress.last_event_id)
+    has_event = False
     while True:
         data = await _read_unless_abandoned(bounds, callbacks, exchange.read_body_part)
         if data is None:
@@ -245,6 +252,9 @@
         if events:
             record_event(bounds, time.monotonic())
             callbacks.on_data()
+            if not has_event:
+                has_event = True
+                await callbacks.on_first_event()
             if progress.first_byte_at is None:
                 progress.first_byte_at = time.monotonic()
                 await connection.start_response(200, make_response_headers(head))
--- a/catkintrack/instance/broadcasting.py
+++ b/catkintrack/instance/broadcasting.py
@@ -30,6 +30,7 @@
         level_by_workspace={},
         in_flight_by_upstream={},
         lease=None,
+        quarantined={},
     )
     data = encode_peer_message(announcement)
     for peer in list_unconfirmed_peers(instance, now):
--- a/catkintrack/instance/dump.py
+++ b/catkintrack/instance/dump.py
@@ -46,6 +46,10 @@
             name: round(row.level)
             for name, row in instance.limits.bucket_by_workspace.items()
         },
+        "quarantined": {
+            f"{part:016x}": round(row.until - now, 1)
+            for part, row in instance.quarantine.row_by_part.items()
+        },
         "waiting": instance.decisions.waiting_count,
         "store_calls": dict(instance.store.count_by_call),
     }
--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -56,9 +56,11 @@
     GossipMessage,
     HubRelay,
     LoadBegun,
+    PartsServed,
     PrefillBegun,
     PrefillEnded,
     Pull,
+    ReplicaLost,
     StoredConfig,
     StoredUpstreams,
     UpstreamsChanged,
@@ -73,6 +75,11 @@
     remove_dead_peers,
     send_to,
 )
+from .quarantining import (
+    adopt_gossiped_quarantine,
+    handle_parts_served,
+    handle_replica_lost,
+)
 from .state import Instance, Peer
 
 logger = logging.getLogger(__name__)
@@ -198,6 +205,7 @@
     for row in gossip.peers:
         get_or_add_peer(instance, row.instance, row.zone, row.host, row.port)
     _apply_gossiped_state(instance, gossip, now)
+    await adopt_gossiped_quarantine(instance, gossip)
     await pull_newer(instance, peer, gossip, now)
 
 
@@ -295,6 +303,8 @@
     LoadBegun: _handle_load_begun,
     PrefillBegun: _handle_prefill_begun,
     PrefillEnded: _handle_prefill_ended,
+    ReplicaLost: handle_replica_lost,
+    PartsServed: handle_parts_served,
     CacheStoreCleared: _handle_cache_store_cleared,
     CacheStoreChanged: _handle_cache_store_changed,
 }
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -39,6 +39,7 @@
     `named_weights` holds each model's target weights, as (version, age in seconds).
     `is_store_heard` says that the sender's own view of the store is current,
     `is_asking` that it has no live peers yet and requests their full state.
+    `quarantined` holds the remaining and the whole seconds of each part's quarantine.
     """
 
     instance: str
@@ -60,6 +61,7 @@
     level_by_workspace: dict[str, int]
     in_flight_by_upstream: dict[str, int]
     lease: LeaseRow | None
+    quarantined: dict[int, tuple[float, float]] = {}
 
 
 class ZoneRelay(PeerMessage, frozen=True, tag="Relayed"):
@@ -159,6 +161,22 @@
     kept: tuple[int, ...] = ()
 
 
+class ReplicaLost(PeerMessage, frozen=True):
+    """Announce that a replica was lost as it began to answer a prompt of these parts.
+
+    `replica` identifies the incarnation.
+    """
+
+    replica: str
+    parts: tuple[int, ...]
+
+
+class PartsServed(PeerMessage, frozen=True):
+    """Announce that a replica has answered prompts of parts that were under suspicion."""
+
+    parts: tuple[int, ...]
+
+
 class CacheStoreCleared(PeerMessage, frozen=True, tag="StoreEmptied"):
     """Announce that the cache store has restarted empty."""
 
@@ -185,6 +203,8 @@
     | LoadBegun
     | PrefillBegun
     | PrefillEnded
+    | ReplicaLost
+    | PartsServed
 )
 
 _decoder = msgspec.msgpack.Decoder(AnyPeerMessage)
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -25,6 +25,7 @@
     orders: Counter
     store_errors: Counter
     waiting_calls: Gauge
+    quarantined_parts: Gauge
     config_revision: Gauge
     peers: Gauge
 
@@ -48,6 +49,7 @@
         hit_tokens=counter("hit_tokens_total", "Prompt tokens believed cached."),
         orders=counter("orders_total", "Orders to replicas, by outcome."),
         store_errors=counter("store_errors_total", "Failed calls, by kind."),
+        quarantined_parts=gauge("quarantined_parts", "Parts that crash replicas."),
         waiting_calls=gauge("waiting_calls", "Model calls that wait."),
         config_revision=gauge("config_revision", "Configuration in force."),
         peers=gauge("peers_heard", "Peers heard of late."),
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -28,6 +28,7 @@
 from catkintrack.http import (
     Address,
     Connection,
+    UpstreamDisconnected,
     UpstreamExchangeError,
     UpstreamUnreachable,
 )
@@ -44,7 +45,13 @@
 from .fleet_state import apply_replica_weights, find_retry_budget
 from .messages import PrefillBegun, PrefillEnded
 from .prompts import hash_prompt_blocks, make_cache_salt
-from .refusals import NotServed, OutcomeUnknown
+from .quarantining import (
+    check_quarantine,
+    report_lost_replica,
+    report_served,
+    start_trial,
+)
+from .refusals import CallError, NotServed, OutcomeUnknown
 from .reports import learn_weights
 from .state import Instance
 
@@ -76,6 +83,7 @@
         if progress.connected_attempts and not take_retry(budget):
             progress.reason = "the retry budget is used up"
             break
+        check_quarantine(instance, request, progress.may_have_run)
         queued_at = time.monotonic()
         decision = await wait_for_decision(instance.call_queue, request)
         progress.waited_s += time.monotonic() - queued_at
@@ -85,6 +93,7 @@
                 break
             raise NotServed(progress.reason, decision.retry_after_s)
         try:
+            _check_quarantine_again(instance, request, progress)
             await _run(instance, call, progress, request, decision, connection)
             return
         except ReplicaRejected as error:
@@ -106,6 +115,18 @@
     raise NotServed(progress.reason or "no replica can take the call", RETRY_AFTER_S)
 
 
+def _check_quarantine_again(
+    instance: Instance, request: ModelRequest, progress: CallProgress
+) -> None:
+    """Refuse a request with a part that was quarantined while the request queued."""
+    try:
+        check_quarantine(instance, request, progress.may_have_run)
+    except CallError:
+        record_end(instance.decisions, request.id, time.monotonic())
+        raise
+    start_trial(instance, request)
+
+
 async def _query_weights(instance: Instance, name: str) -> None:
     upstream = instance.upstream_by_id.get(name)
     if upstream is not None:
@@ -171,8 +192,16 @@
                     instance, request, row, version, saved_blocks
                 )
 
+    has_event = False
+
+    async def handle_first_event() -> None:
+        nonlocal has_event
+        has_event = True
+        await report_served(instance, request)
+
     callbacks = AttemptCallbacks(
         on_response_head=handle_response_head,
+        on_first_event=handle_first_event,
         on_data=lambda: record_bytes_received(row, time.monotonic()),
         should_abandon=lambda: (
             call.route.is_retryable and should_fail_over(row, time.monotonic())
@@ -205,18 +234,22 @@
     )
     if is_long_prefill:
         await _broadcast_prefill_begun(instance, request, decision)
-    event_id_before = progress.last_event_id
     try:
         await run_attempt(
             instance, call, progress, upstream, dispatch, connection, callbacks, False
         )
+        if not has_event:
+            await report_served(instance, request)
     except UpstreamUnreachable:
         record_failure(tables, request.id, time.monotonic(), True)
         raise
-    except UpstreamExchangeError:
+    except UpstreamExchangeError as error:
         if not has_response_head:
             progress.executions += 1
-        has_event = progress.last_event_id != event_id_before
+        is_lost = isinstance(error, UpstreamDisconnected)
+        # A prompt that another replica has begun to answer is not the cause.
+        if is_lost and has_response_head and progress.last_event_id is None:
+            await report_lost_replica(instance, upstream, request)
         parts = [part.id for part in prompt.parts[:MAX_LOGGED_PARTS]]
         progress.record_break(has_response_head, has_event, parts)
         record_failure(tables, request.id, time.monotonic(), False)
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -57,6 +57,7 @@
 from .pauses import limit_after_own_pause
 from .peers import list_live_peers
 from .probing import probe_suspects
+from .quarantining import load_quarantine
 from .readiness import is_ready, open_readiness_server
 from .refusals import respond_to_bad_request
 from .reload import make_site_reload
@@ -193,6 +194,7 @@
     for kind in WATCHED_KINDS:
         await curio.spawn(run_feed, instance, kind, on_change, daemon=True)
     await curio.spawn(run_mesh, instance, daemon=True)
+    await curio.spawn(load_quarantine, instance, daemon=True)
     await curio.spawn(run_ticks, instance.call_queue, daemon=True)
     await curio.spawn(run_lease_keeper, instance, daemon=True)
     await curio.spawn(run_weights_rollout, instance, wake, daemon=True)
--- a/catkintrack/instance/refusals.py
+++ b/catkintrack/instance/refusals.py
@@ -57,6 +57,12 @@
     code = "not_served"
 
 
+class CrashingPrompt(NotServed):
+    """Reject a request whose prompt has a part that crashes replicas."""
+
+    code = "crashing_prompt"
+
+
 class OutcomeUnknown(CallError):
     """Report that a request failed after a replica may have run it."""
 
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -11,6 +11,7 @@
 from catkintrack.calls import CallQueue
 from catkintrack.decisions import Tables
 from catkintrack.decisions.engine_priority import MaxTimeoutTable
+from catkintrack.decisions.quarantine import Quarantine
 from catkintrack.decisions.retries import RetryBudget
 from catkintrack.decisions.services import ServiceTables
 from catkintrack.fleet import Configuration, Site, Upstream
@@ -106,6 +107,7 @@
     weights: WeightsTables = field(default_factory=WeightsTables)
     decisions: Tables = field(default_factory=Tables)
     services: ServiceTables = field(default_factory=ServiceTables)
+    quarantine: Quarantine = field(default_factory=Quarantine)
     retry_budget_by_service: dict[str, RetryBudget] = field(default_factory=dict)
     feed_by_kind: dict[str, Feed] = field(default_factory=dict)
     peer_by_address: dict[tuple[str, int], Peer] = field(default_factory=dict)
--- a/catkintrack/tests/test_crashing_prompts.py
+++ b/catkintrack/tests/test_crashing_prompts.py
@@ -6,12 +6,13 @@
 import unittest
 
 from standins.replica import EVENTS_PER_STREAM
-from testkit.fleet import wait_until
+from testkit.fleet import call_json, wait_until
 from testkit.site import PROMPT_HEADERS, count_events, open_site
 
 NODES = 3
 MODELS = 4
 CRASHING_PART = "dd"
+REFUSAL_CODE = b"crashing_prompt"
 LOAD_S = 16.0
 CALL_INTERVAL_S = 0.15
 # The users' bounds: how many such requests may reach replicas how long after the fifth
@@ -80,8 +81,7 @@
         while time.monotonic() < until:
             number += 1
             node, other = f"n{number % NODES}", f"n{(number + 1) % NODES}"
-            crashing = make_prompt_headers("aa", CRASHING_PART, f"e{number}")
-            self.site.stream(node, **crashing)
+            self.send_crashing(node)
             sound = make_prompt_headers("aa", f"c{number % 4}", f"f{number}")
             started_at = time.monotonic()
             status, _, body = self.site.stream(other, **sound)
@@ -107,6 +107,41 @@
         self.assertGreater(len(sound), 10)
         self.assertGreaterEqual(sum(sound) / len(sound), MIN_SOUND_SHARE)
 
+    def test_instances_that_all_restart_still_refuse_a_quarantined_part(self):
+        thread = threading.Thread(target=self.supervisor.run)
+        thread.start()
+        try:
+            wait_until(lambda: REFUSAL_CODE in self.send_crashing("n0")[2], 30)
+            crashes = self.count_ended_replicas()
+            wait_until(lambda: self.list_stored_parts(), 5)
+            for node in self.site.node_by_name.values():
+                node.process.kill()
+            self.site.start_nodes()
+            answers = [self.send_crashing(f"n{number}") for number in range(NODES)]
+        finally:
+            self.supervisor.is_over = True
+            thread.join()
+        self.assertEqual([status for status, _, _ in answers], [503] * NODES)
+        self.assertTrue(all(REFUSAL_CODE in body for _, _, body in answers), answers)
+        self.assertTrue(all("retry-after" in headers for _, headers, _ in answers))
+        self.assertEqual(self.count_ended_replicas(), crashes)
+
+    def send_crashing(self, node):
+        headers = make_prompt_headers("aa", CRASHING_PART, f"e{time.monotonic_ns():x}")
+        return self.site.stream(node, **headers)
+
+    def count_ended_replicas(self):
+        processes = self.site.process_by_name.items()
+        return sum(
+            process.popen.poll() is not None
+            for name, process in processes
+            if name in self.site.replica_port_by_id
+        )
+
+    def list_stored_parts(self):
+        path = "/-/objects/catkintrack-quarantine"
+        return call_json(self.site.store_ports[0], path)["items"]
+
 
 class CrashLogTest(unittest.TestCase):
     def test_log_tells_how_far_a_broken_attempt_got(self):
