Soak over kept connections, with overlapping faults and runs of planned work only

Callers keep their connections until the process closes them; up to three faults at once; reload signals and changed settings in series; runs in which only planned work is done, in which no call may be lost; runs with prompts that crash replicas, which are replaced; a process that ends by itself and an error that no code expects are violations. The size can be set. Faults and callers have modules of their own.

--- a/testkit/site_soak.py
+++ b/testkit/site_soak.py
@@ -1,285 +1,196 @@
-"""Inject random faults into a running site under load and check its guarantees.
+"""Soak a running site under load and check what callers and replicas saw.
 
-The faults are signals to instances and faults of the stand-ins.  At the end, what
-callers received is compared with what replicas ran.  Reports name the seed, with which
-the choice of faults and requests can be repeated.
+A seed decides the faults, the requests and the sort of run: some runs have planned work
+only, in which no call may be lost, some have prompts that crash replicas.
 """
 
 from __future__ import annotations
 
-import hashlib
-import signal
 import threading
 import time
-from collections.abc import Callable
+from bisect import bisect_left
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from random import Random
 
-from standins.replica import EVENTS_PER_STREAM
-
 from .fleet import wait_until
-from .instances import make_config_spec
-from .site import KEY, PROMPT_HEADERS, Site, open_site
+from .site import Site, open_site
+from .soak_callers import KeptCaller, Outcome
+from .soak_faults import (
+    PLANNED,
+    UNPLANNED,
+    SoakState,
+    clear_faults,
+    inject_until,
+    set_crashing_part,
+    supervise_replicas,
+)
 
-CALLERS = 4
-NODES = 3
-MODELS = 3
-APPS = 2
 PAUSE_S = (0.05, 0.4)
 # Allows for leases to expire, peers to reconnect and weights to load.
 MAX_RECOVERY_S = 20.0
 NOT_RUN_STATUSES = frozenset({401, 404, 429, 503})
+# The users' figures: how long a disruption excuses a lost call, and how many requests
+# with a crashing part may reach replicas how long after the fifth crash.
+STABLE_WINDOW_S = 3.0
+COUNTED_CRASHES = 5
+MAX_LATE_CRASHES = 3
+# Logged for errors that no code expects.
+FAILURE_TEXTS = ('"message": "task failed"', '"message": "call failed"', "\nTraceback")
 
 
 @dataclass(frozen=True)
-class Outcome:
-    """Hold the result of one request as its caller saw it.
+class SoakSize:
+    """Hold the number of processes and callers of a run."""
 
-    `is_right` is False if an answer with status 200 was incomplete or wrong.
-    """
-
-    id: str
-    kind: str
-    status: int
-    is_right: bool
+    nodes: int = 3
+    models: int = 3
+    apps: int = 2
+    callers: int = 4
 
 
 @dataclass
 class SoakRun:
     """Hold the state of one soak run."""
 
-    site: Site
-    rng: Random
-    weights_version: int = 1
-    config_version: int = 7
+    state: SoakState
+    is_planned_only: bool
+    has_crashing_part: bool
     outcomes: list[Outcome] = field(default_factory=list)
     actions: list[str] = field(default_factory=list)
     is_over: bool = False
 
-
-def run_soak(seed: int, seconds: float) -> tuple[list[str], SoakRun]:
-    """Run one soak and return the violated guarantees and the run."""
-    with open_site(nodes=NODES, models=MODELS, apps=APPS) as site:
-        soak = SoakRun(site, Random(seed))
-        threads = [
-            threading.Thread(target=_send_requests, args=(soak, number, seed))
-            for number in range(CALLERS)
-        ]
-        for thread in threads:
-            thread.start()
-        try:
-            _inject_faults(soak, seconds)
-        finally:
-            soak.is_over = True
-            for thread in threads:
-                thread.join()
-        _clear_faults(soak)
-        return find_violations(soak), soak
+    @property
+    def site(self) -> Site:
+        """Return the site under test."""
+        return self.state.site
 
 
-def _send_requests(soak: SoakRun, number: int, seed: int) -> None:
-    """Send requests of random kinds to random instances until the run is over."""
-    rng = Random(f"{seed}/{number}")
-    request_count = 0
-    while not soak.is_over:
-        request_count += 1
-        kind = rng.choice(("order", "lookup", "long", "short"))
-        node = f"n{rng.randrange(NODES)}"
-        soak.outcomes.append(
-            call_once(soak.site, kind, node, f"c{number}-{request_count}")
-        )
-
-
-def call_once(site: Site, kind: str, node: str, id: str) -> Outcome:
-    """Send one request and return its outcome."""
-    if kind in ("long", "short"):
-        path = "/long/1" if kind == "long" else "/long/short/1"
-        status, _, body = site.call(
-            node, path, host="h1.example", id=id, **PROMPT_HEADERS
+def run_soak(
+    seed: int, seconds: float, size: SoakSize = SoakSize()
+) -> tuple[list[str], SoakRun]:
+    """Run one soak and return the violated guarantees and the run."""
+    with open_site(nodes=size.nodes, models=size.models, apps=size.apps) as site:
+        state = SoakState(
+            site,
+            [f"m{number}" for number in range(size.models)],
+            [f"a{number}" for number in range(size.apps)],
         )
-        return Outcome(id, kind, status, status != 200 or is_complete_stream(body))
-    method = "POST" if kind == "order" else "GET"
-    request_body = b"{}" if kind == "order" else b""
-    status, _, body = site.call(
-        node, f"/{kind}/1", method=method, body=request_body, id=id
-    )
-    expected = hashlib.sha256(id.encode() + request_body).hexdigest().encode()
-    return Outcome(id, kind, status, status != 200 or body == expected)
+        soak = SoakRun(state, seed % 3 == 0, seed % 3 == 1)
+        rng = Random(seed)
+        with _open_load(soak, seed, size.callers):
+            if soak.has_crashing_part:
+                set_crashing_part(state, rng)
+            faults = PLANNED if soak.is_planned_only else PLANNED + UNPLANNED
+            until = time.monotonic() + seconds
+            soak.actions = inject_until(state, rng, until, faults, PAUSE_S)
+        clear_faults(state)
+        return find_violations(soak), soak
 
 
-def is_complete_stream(body: bytes) -> bool:
-    """Report whether a stream has each event of the answer exactly once and in order."""
-    texts = [
-        hashlib.sha256(b"{}" + b"/%d" % number).hexdigest().encode()[:16]
-        for number in range(1, EVENTS_PER_STREAM + 1)
-    ]
-    events = [
-        b"id: %d\ndata: %s\n\n" % (number, text)
-        for number, text in enumerate(texts, start=1)
+@contextmanager
+def _open_load(soak: SoakRun, seed: int, callers: int) -> Iterator[None]:
+    """Send requests from several callers and replace replicas that end, meanwhile."""
+    threads = [
+        threading.Thread(target=_send_requests, args=(soak, number, seed))
+        for number in range(callers)
     ]
-    return body == b"".join(events)
-
-
-def _inject_faults(soak: SoakRun, seconds: float) -> None:
-    deadline = time.monotonic() + seconds
-    while time.monotonic() < deadline:
-        action = soak.rng.choice(ACTIONS)
-        soak.actions.append(action.__name__.strip("_"))
-        action(soak)
-        time.sleep(soak.rng.uniform(*PAUSE_S))
-
-
-def _kill(soak: SoakRun) -> None:
-    node = soak.site.node_by_name[f"n{soak.rng.randrange(NODES)}"]
-    node.process.kill()
-    time.sleep(soak.rng.uniform(0.0, 1.0))
-    node.process.start()
-
-
-def _stop(soak: SoakRun) -> None:
-    node = soak.site.node_by_name[f"n{soak.rng.randrange(NODES)}"]
-    node.process.send_signal(signal.SIGTERM)
-    node.process.wait(15)
-    node.process.start()
-
-
-def _freeze(soak: SoakRun) -> None:
-    node = soak.site.node_by_name[f"n{soak.rng.randrange(NODES)}"]
-    node.process.freeze()
-    time.sleep(soak.rng.uniform(0.2, 4.0))
-    node.process.unfreeze()
-
-
-def _lose_store(soak: SoakRun) -> None:
-    node = soak.rng.choice([None, *(f"n{n}" for n in range(NODES))])
-    fault = soak.rng.choice(("is_down", "is_busy"))
-    soak.site.set_store_faults(node, **{fault: True})
-    time.sleep(soak.rng.uniform(0.2, 3.0))
-    soak.site.set_store_faults(node, **{fault: False})
-
-
-def _lose_answers(soak: SoakRun) -> None:
-    soak.site.set_store_faults(lost_answers=soak.rng.randrange(1, 4))
-
-
-def _forget_history(soak: SoakRun) -> None:
-    soak.site.set_store_faults(forget_history=True)
-
-
-def _hurt_model(soak: SoakRun) -> None:
-    id = f"m{soak.rng.randrange(MODELS)}"
-    faults = (
-        {"reject": soak.rng.randrange(1, 5)},
-        {"lose_answers": 1},
-        {"unsigned": 1},
-        {
-            "break_after_events": soak.rng.randrange(EVENTS_PER_STREAM),
-            "break_streams": 2,
-        },
-    )
-    soak.site.set_replica_faults(id, **soak.rng.choice(faults))
-
-
-def _hurt_app(soak: SoakRun) -> None:
-    id = f"a{soak.rng.randrange(APPS)}"
-    faults = ({"reject": 3}, {"lose_answers": 2}, {"unsigned": 1}, {"fail": 2})
-    soak.site.set_replica_faults(id, **soak.rng.choice(faults))
-
-
-def _silence_model(soak: SoakRun) -> None:
-    id = f"m{soak.rng.randrange(MODELS)}"
-    soak.site.set_replica_faults(id, is_silent=True)
-    time.sleep(soak.rng.uniform(0.2, 1.5))
-    soak.site.set_replica_faults(id, is_silent=False)
-
-
-def _name_weights(soak: SoakRun) -> None:
-    soak.weights_version += 1
-    soak.site.write_object(
-        "versions", "m1", {"model": "m1", "version": soak.weights_version}
+    threads.append(
+        threading.Thread(
+            target=supervise_replicas, args=(soak.state, lambda: soak.is_over)
+        )
     )
+    for thread in threads:
+        thread.start()
+    try:
+        yield
+    finally:
+        soak.is_over = True
+        for thread in threads:
+            thread.join()
 
 
-def _change_config(soak: SoakRun) -> None:
-    soak.config_version += 1
-    spec = make_config_spec(soak.config_version)
-    spec["tenants"][0]["api_keys"] = [KEY, f"key-{soak.config_version}"]
-    soak.site.write_object("config", "main", spec)
-
-
-ACTIONS: tuple[Callable[[SoakRun], None], ...] = (
-    _kill,
-    _stop,
-    _freeze,
-    _lose_store,
-    _lose_answers,
-    _forget_history,
-    _hurt_model,
-    _hurt_app,
-    _silence_model,
-    _name_weights,
-    _name_weights,
-    _change_config,
-)
-
-
-def _clear_faults(soak: SoakRun) -> None:
-    """Clear all faults, then publish a new weights version and configuration."""
-    site = soak.site
-    site.set_store_faults(is_down=False, is_busy=False, lost_answers=0)
-    for id in site.replica_port_by_id:
-        site.set_replica_faults(
-            id,
-            is_silent=False,
-            reject=0,
-            fail=0,
-            break_streams=0,
-            lose_answers=0,
-            unsigned=0,
-        )
-    _name_weights(soak)
-    _change_config(soak)
+def _send_requests(soak: SoakRun, number: int, seed: int) -> None:
+    """Send requests of random kinds to random instances until the run is over."""
+    caller = KeptCaller(soak.site, Random(f"{seed}/{number}"), f"c{number}")
+    while not soak.is_over:
+        soak.outcomes.append(caller.call(soak.state.crashing_part))
 
 
 def find_violations(soak: SoakRun) -> list[str]:
     """Return a line for each violation of a guarantee."""
-    site = soak.site
+    state = soak.state
     violations = _check_recovery(soak)
-    counts = {id: site.read_counts(id) for id in site.replica_port_by_id}
+    rows = [soak.site.read_counts(id) for id in (*state.models, *state.apps)]
     for outcome in soak.outcomes:
-        runs = sum(row["runs_by_request"].get(outcome.id, 0) for row in counts.values())
-        request_label = f"{outcome.kind} {outcome.id} ({outcome.status})"
-        if not outcome.is_right:
-            violations.append(f"{request_label}: a wrong or cut answer looked whole")
-        if outcome.kind in ("order", "short") and runs > 1:
-            violations.append(f"{request_label}: ran {runs} times")
-        if (
-            outcome.kind in ("order", "short")
-            and runs
-            and (outcome.status in NOT_RUN_STATUSES)
-        ):
-            violations.append(f"{request_label}: was said not to have run")
-    leaked = sum(row["leaked_headers"] for row in counts.values())
+        runs = sum(row["runs_by_request"].get(outcome.id, 0) for row in rows)
+        violations += _check_outcome(outcome, runs)
+        if _is_lost(soak, outcome, runs):
+            violations.append(f"{_label(outcome)}: lost without an unplanned fault")
+    leaked = sum(row["leaked_headers"] for row in rows)
     if leaked:
         violations.append(f"{leaked} headers of callers reached replicas")
-    for id, row in counts.items():
+    for id, row in zip((*state.models, *state.apps), rows, strict=True):
         violations += _check_orders(id, row["orders"])
+    violations += _check_processes(soak) + _check_crashes(soak)
     if not any(outcome.status == 200 for outcome in soak.outcomes):
         violations.append("nothing was served")
     return violations
 
 
+def _label(outcome: Outcome) -> str:
+    return f"{outcome.kind} {outcome.id} at {outcome.node} ({outcome.status})"
+
+
+def _check_outcome(outcome: Outcome, runs: int) -> list[str]:
+    """Check one response against the runs of its request."""
+    violations = []
+    if not outcome.is_right:
+        violations.append(f"{_label(outcome)}: a wrong or cut answer looked whole")
+    if outcome.kind in ("order", "short") and runs > 1:
+        violations.append(f"{_label(outcome)}: ran {runs} times")
+    if (
+        outcome.kind in ("order", "short")
+        and runs
+        and outcome.status in NOT_RUN_STATUSES
+    ):
+        violations.append(f"{_label(outcome)}: was said not to have run")
+    return violations
+
+
+def _is_lost(soak: SoakRun, outcome: Outcome, runs: int) -> bool:
+    """Report whether a call was lost with no unplanned fault that could be the reason.
+
+    A request that crosses the close of an idle connection and reaches no replica is
+    not lost.
+    """
+    if outcome.status or not outcome.is_connected:
+        return False
+    if outcome.is_reused and not runs:
+        return False
+    began_at = outcome.began_at - STABLE_WINDOW_S
+    is_excused = any(
+        begin < outcome.ended_at and end > began_at
+        for begin, end in soak.state.unplanned
+    )
+    is_excused |= any(
+        began_at < at < outcome.ended_at + 0.1 for at in soak.state.crashed_at
+    )
+    return not is_excused
+
+
 def _check_recovery(soak: SoakRun) -> list[str]:
     """Check that weights and configuration are applied after the faults are cleared."""
-    site = soak.site
-    key = f"key-{soak.config_version}"
+    site, state = soak.site, soak.state
+    key = f"key-{state.config_version}"
 
     def are_weights_loaded() -> bool:
-        rows = [site.read_counts(f"m{n}") for n in range(MODELS)]
-        return all(row["version"] == soak.weights_version for row in rows)
+        rows = [site.read_counts(id) for id in state.models]
+        return all(row["version"] == state.weights_version for row in rows)
 
     def is_config_in_force() -> bool:
-        names = [f"n{n}" for n in range(NODES)]
+        names = sorted(site.node_by_name)
         return all(site.call(n, "/order/1", key=key)[0] == 200 for n in names)
 
     violations = []
@@ -309,3 +220,37 @@
                 f"{sorted(holders)} gave {id} orders with fencing {fence}"
             )
     return violations
+
+
+def _check_processes(soak: SoakRun) -> list[str]:
+    """Check that no instance has ended by itself or failed inside."""
+    violations = []
+    for name, node in soak.site.node_by_name.items():
+        status = node.process.popen.poll()
+        if status is not None:
+            violations.append(f"{name} ended by itself with status {status}")
+        log = node.process.read_log()
+        violations += [f"{name} logged {text}" for text in FAILURE_TEXTS if text in log]
+    return violations
+
+
+def _check_crashes(soak: SoakRun) -> list[str]:
+    """Check that few prompts reach replicas that crash on them, once that is known.
+
+    An instance that was disrupted since may not know it.
+    """
+    crashed_at = sorted(soak.state.crashed_at)
+    if len(crashed_at) < COUNTED_CRASHES:
+        return []
+    late_from = crashed_at[COUNTED_CRASHES - 1] + STABLE_WINDOW_S
+    late = crashed_at[bisect_left(crashed_at, late_from) :]
+    late = [at for at in late if not _is_disrupted(soak, at)]
+    if len(late) <= MAX_LATE_CRASHES:
+        return []
+    return [f"{len(late)} replicas crashed late on one part, {len(crashed_at)} in all"]
+
+
+def _is_disrupted(soak: SoakRun, at: float) -> bool:
+    return any(
+        begin < at < end + STABLE_WINDOW_S for begin, end in soak.state.unplanned
+    )
--- /dev/null
+++ b/testkit/soak_callers.py
@@ -0,0 +1,159 @@
+"""Call instances over kept connections, as the users' callers do, and record outcomes."""
+
+from __future__ import annotations
+
+import hashlib
+import http.client
+import time
+from dataclasses import dataclass, field
+from random import Random
+
+from standins.replica import EVENTS_PER_STREAM
+
+from .fleet import HOST
+from .site import KEY, PROMPT_HEADERS, Site
+
+CALL_TIMEOUT_S = 15.0
+# Callers open a new connection for some of their calls.
+NEW_CONNECTION_SHARE = 0.2
+HOST_BY_KIND = {
+    "order": "h2.example",
+    "lookup": "h2.example",
+    "long": "h1.example",
+    "short": "h1.example",
+}
+PATH_BY_KIND = {
+    "order": "/order/1",
+    "lookup": "/lookup/1",
+    "long": "/long/1",
+    "short": "/long/short/1",
+}
+KINDS = tuple(PATH_BY_KIND)
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """Hold the result of one request as its caller saw it; times in seconds.
+
+    The status is 0 if the connection ended without a complete response. `is_right` is
+    False if a response with status 200 was incomplete or wrong. `is_reused` says that
+    the connection had carried a request before.
+    """
+
+    id: str
+    kind: str
+    node: str
+    status: int
+    is_right: bool
+    is_connected: bool
+    is_reused: bool
+    began_at: float
+    ended_at: float
+
+
+@dataclass
+class KeptCaller:
+    """Hold one caller's open connections, keyed by instance."""
+
+    site: Site
+    rng: Random
+    prefix: str
+    connection_by_node: dict[str, http.client.HTTPConnection] = field(
+        default_factory=dict
+    )
+    request_count: int = 0
+
+    def call(self, crashing_part: str = "") -> Outcome:
+        """Send a random request to a random instance and return its outcome."""
+        self.request_count += 1
+        kind = self.rng.choice(KINDS)
+        node = self.rng.choice(sorted(self.site.node_by_name))
+        id = f"{self.prefix}-{self.request_count}"
+        headers = make_headers(kind, id)
+        if crashing_part and kind == "long" and self.rng.random() < 0.5:
+            prompt = headers["X-Prompt-Prefix"].replace(
+                ",cc", f",{crashing_part}:10,cc"
+            )
+            headers["X-Prompt-Prefix"] = prompt
+        if self.rng.random() < NEW_CONNECTION_SHARE:
+            self.close(node)
+        return self._exchange(kind, node, id, headers)
+
+    def close(self, node: str) -> None:
+        """Close the connection to an instance, if there is one."""
+        connection = self.connection_by_node.pop(node, None)
+        if connection is not None:
+            connection.close()
+
+    def _exchange(
+        self, kind: str, node: str, id: str, headers: dict[str, str]
+    ) -> Outcome:
+        began_at = time.monotonic()
+        is_reused = node in self.connection_by_node
+        is_connected = is_reused
+        status, body = 0, b""
+        try:
+            connection = self._connect(node)
+            is_connected = True
+            is_lookup = kind == "lookup"
+            method, request_body = ("GET", b"") if is_lookup else ("POST", b"{}")
+            connection.request(method, PATH_BY_KIND[kind], request_body, headers)
+            response = connection.getresponse()
+            body = response.read()
+            status = response.status
+            if response.will_close:
+                self.close(node)
+        except (OSError, http.client.HTTPException):
+            self.close(node)
+        return Outcome(
+            id,
+            kind,
+            node,
+            status,
+            status != 200 or is_right_answer(kind, id, body),
+            is_connected,
+            is_reused,
+            began_at,
+            time.monotonic(),
+        )
+
+    def _connect(self, node: str) -> http.client.HTTPConnection:
+        connection = self.connection_by_node.get(node)
+        if connection is None:
+            port = self.site.node_by_name[node].callers_port
+            connection = http.client.HTTPConnection(HOST, port, timeout=CALL_TIMEOUT_S)
+            connection.connect()
+            self.connection_by_node[node] = connection
+        return connection
+
+
+def make_headers(kind: str, id: str) -> dict[str, str]:
+    """Return the headers of a request of one kind."""
+    headers = {
+        "Host": HOST_BY_KIND[kind],
+        "X-Request-Id": id,
+        "X-Deadline-Ms": "5000",
+        "X-Credential": KEY,
+    }
+    return headers | PROMPT_HEADERS if kind in ("long", "short") else headers
+
+
+def is_right_answer(kind: str, id: str, body: bytes) -> bool:
+    """Report whether a body is the whole response to the request with this id."""
+    if kind in ("long", "short"):
+        return is_complete_stream(body)
+    request_body = b"{}" if kind == "order" else b""
+    return body == hashlib.sha256(id.encode() + request_body).hexdigest().encode()
+
+
+def is_complete_stream(body: bytes) -> bool:
+    """Report whether a stream has each event of the answer exactly once and in order."""
+    texts = [
+        hashlib.sha256(b"{}" + b"/%d" % number).hexdigest().encode()[:16]
+        for number in range(1, EVENTS_PER_STREAM + 1)
+    ]
+    events = [
+        b"id: %d\ndata: %s\n\n" % (number, text)
+        for number, text in enumerate(texts, start=1)
+    ]
+    return body == b"".join(events)
--- /dev/null
+++ b/testkit/soak_faults.py
@@ -0,0 +1,250 @@
+"""Inject faults and planned work into a running site, one function a kind."""
+
+from __future__ import annotations
+
+import signal
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from standins.replica import EVENTS_PER_STREAM
+
+from .instances import make_config_spec
+from .site import KEY, Site
+
+CRASHING_PARTS = ("d0", "d1", "d2")
+
+
+@dataclass
+class SoakState:
+    """Hold what the kinds of faults share; times in seconds.
+
+    `unplanned` holds the spans of faults that are not planned work. A lock of
+    `lock_by_node` is held while an instance's process is stopped or restarted.
+    """
+
+    site: Site
+    models: list[str]
+    apps: list[str]
+    weights_version: int = 1
+    config_version: int = 7
+    unplanned: list[tuple[float, float]] = field(default_factory=list)
+    lock_by_node: dict[str, threading.Lock] = field(default_factory=dict)
+    write_lock: threading.Lock = field(default_factory=threading.Lock)
+    crashing_part: str = ""
+    crashed_at: list[float] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        """Create the lock of each instance."""
+        self.lock_by_node = {name: threading.Lock() for name in self.site.node_by_name}
+
+    def choose_node(self, rng: Random) -> str:
+        """Return the name of a random instance."""
+        return rng.choice(sorted(self.site.node_by_name))
+
+
+Fault = Callable[[SoakState, Random], None]
+
+
+def kill(state: SoakState, rng: Random) -> None:
+    """Kill an instance and start it again up to a second later."""
+    name = state.choose_node(rng)
+    node = state.site.node_by_name[name]
+    with state.lock_by_node[name]:
+        node.process.kill()
+        time.sleep(rng.uniform(0.0, 1.0))
+        node.process.start()
+
+
+def stop(state: SoakState, rng: Random) -> None:
+    """Stop an instance as planned and start it again."""
+    name = state.choose_node(rng)
+    node = state.site.node_by_name[name]
+    with state.lock_by_node[name]:
+        node.process.send_signal(signal.SIGTERM)
+        node.process.wait(20)
+        node.process.start()
+
+
+def freeze(state: SoakState, rng: Random) -> None:
+    """Suspend an instance for up to a few seconds."""
+    name = state.choose_node(rng)
+    node = state.site.node_by_name[name]
+    with state.lock_by_node[name]:
+        node.process.freeze()
+        time.sleep(rng.uniform(0.2, 4.0))
+        node.process.unfreeze()
+
+
+def reload_settings(state: SoakState, rng: Random) -> None:
+    """Change settings files and send a series of reload signals to random instances."""
+    for _ in range(rng.randint(1, 6)):
+        name = state.choose_node(rng)
+        path = state.site.directory / f"{name}.conf"
+        if rng.random() < 0.5:
+            with state.write_lock:
+                lines = path.read_text().splitlines()
+                lines = [row for row in lines if "budget_extra" not in row]
+                lines.append(f"bounds.budget_extra={rng.randint(40, 80)}")
+                path.write_text("\n".join(lines) + "\n")
+        state.site.node_by_name[name].process.send_signal(signal.SIGHUP)
+        time.sleep(rng.uniform(0.0, 0.3))
+
+
+def lose_store(state: SoakState, rng: Random) -> None:
+    """Make the store refuse all instances or one for up to a few seconds."""
+    node = rng.choice([None, *sorted(state.site.node_by_name)])
+    fault = rng.choice(("is_down", "is_busy"))
+    state.site.set_store_faults(node, **{fault: True})
+    time.sleep(rng.uniform(0.2, 3.0))
+    state.site.set_store_faults(node, **{fault: False})
+
+
+def lose_answers(state: SoakState, rng: Random) -> None:
+    """Lose the store's next responses to writes."""
+    state.site.set_store_faults(lost_answers=rng.randrange(1, 4))
+
+
+def forget_history(state: SoakState, rng: Random) -> None:
+    """Make the store discard its history of changes."""
+    state.site.set_store_faults(forget_history=True)
+
+
+def hurt_model(state: SoakState, rng: Random) -> None:
+    """Make a model replica reject, lose or break its next responses."""
+    faults = (
+        {"reject": rng.randrange(1, 5)},
+        {"lose_answers": 1},
+        {"unsigned": 1},
+        {"break_after_events": rng.randrange(EVENTS_PER_STREAM), "break_streams": 2},
+    )
+    state.site.set_replica_faults(rng.choice(state.models), **rng.choice(faults))
+
+
+def hurt_app(state: SoakState, rng: Random) -> None:
+    """Make a plain replica reject, lose or fail its next responses."""
+    faults = ({"reject": 3}, {"lose_answers": 2}, {"unsigned": 1}, {"fail": 2})
+    state.site.set_replica_faults(rng.choice(state.apps), **rng.choice(faults))
+
+
+def silence_model(state: SoakState, rng: Random) -> None:
+    """Make a model replica send nothing for up to a second and a half."""
+    id = rng.choice(state.models)
+    state.site.set_replica_faults(id, is_silent=True)
+    time.sleep(rng.uniform(0.2, 1.5))
+    state.site.set_replica_faults(id, is_silent=False)
+
+
+def name_weights(state: SoakState, rng: Random) -> None:
+    """Name a new version of the model's weights."""
+    with state.write_lock:
+        state.weights_version += 1
+        spec = {"model": "m1", "version": state.weights_version}
+        state.site.write_object("versions", "m1", spec)
+
+
+def change_config(state: SoakState, rng: Random) -> None:
+    """Write a configuration with one new key."""
+    with state.write_lock:
+        state.config_version += 1
+        spec = make_config_spec(state.config_version)
+        spec["tenants"][0]["api_keys"] = [KEY, f"key-{state.config_version}"]
+        state.site.write_object("config", "main", spec)
+
+
+PLANNED: tuple[Fault, ...] = (
+    stop,
+    reload_settings,
+    reload_settings,
+    name_weights,
+    change_config,
+)
+UNPLANNED: tuple[Fault, ...] = (
+    kill,
+    freeze,
+    lose_store,
+    lose_answers,
+    forget_history,
+    hurt_model,
+    hurt_app,
+    silence_model,
+)
+
+
+def inject(state: SoakState, fault: Fault, rng: Random) -> None:
+    """Inject one fault and record its span if it is not planned work."""
+    began_at = time.monotonic()
+    try:
+        fault(state, rng)
+    finally:
+        if fault in UNPLANNED:
+            state.unplanned.append((began_at, time.monotonic()))
+
+
+def inject_until(
+    state: SoakState,
+    rng: Random,
+    until: float,
+    faults: tuple[Fault, ...],
+    pause_s: tuple[float, float],
+) -> list[str]:
+    """Inject random faults, up to three at a time, and return their names in order."""
+    names: list[str] = []
+    while time.monotonic() < until:
+        chosen = rng.sample(faults, rng.choice([1, 1, 2, 3]))
+        names.append("+".join(fault.__name__ for fault in chosen))
+        threads = [
+            threading.Thread(target=inject, args=(state, fault, Random(rng.random())))
+            for fault in chosen
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        time.sleep(rng.uniform(*pause_s))
+    return names
+
+
+def clear_faults(state: SoakState) -> None:
+    """Clear all faults, then publish a new weights version and configuration."""
+    site = state.site
+    site.set_store_faults(is_down=False, is_busy=False, lost_answers=0)
+    for id in (*state.models, *state.apps):
+        site.set_replica_faults(
+            id,
+            is_silent=False,
+            reject=0,
+            fail=0,
+            break_streams=0,
+            lose_answers=0,
+            unsigned=0,
+        )
+    name_weights(state, Random(0))
+    change_config(state, Random(0))
+
+
+def supervise_replicas(state: SoakState, is_over: Callable[[], bool]) -> None:
+    """Replace each model replica that ends, as the platform does, until it is over."""
+    while not is_over():
+        for index, name in enumerate(state.models):
+            if state.site.process_by_name[name].popen.poll() is not None:
+                state.crashed_at.append(time.monotonic())
+                state.models[index] = _replace_replica(state, name)
+        time.sleep(0.01)
+
+
+def _replace_replica(state: SoakState, name: str) -> str:
+    successor = f"{name.partition('-')[0]}-{len(state.crashed_at)}"
+    state.site.delete_object("servers", name)
+    state.site.start_replica(successor, "models")
+    state.site.set_replica_faults(successor, crash_part=state.crashing_part)
+    return successor
+
+
+def set_crashing_part(state: SoakState, rng: Random) -> None:
+    """Let all model replicas crash on one part of the prompt from now on."""
+    state.crashing_part = rng.choice(CRASHING_PARTS)
+    for id in state.models:
+        state.site.set_replica_faults(id, crash_part=state.crashing_part)
