Let no settings file end a running process

The instance ended with status 1, and its calls with it: four streams of four got no answer. The same held in router and agent for a date that does not exist (the YAML library's ValueError); without a signal the task that checks the files ended silently, so later changes went unseen.

Cause: the same class of fault as the signal's default action, a reload that can end the process it is for. Loading names its failures, but not all of them.

Change: both are failures of loading with a type, and whatever else a reload raises is logged and leaves the settings in force.

--- a/catkintrack/instance/reload.py
+++ b/catkintrack/instance/reload.py
@@ -11,7 +11,11 @@
 from catkintrack.decisions.retries import make_retry_budget, resize_budget
 from catkintrack.fleet import Site
 from catkintrack.platform import StoreClient, load_site
-from catkintrack.processes import log_changes, log_invalid_settings
+from catkintrack.processes import (
+    log_changes,
+    log_invalid_settings,
+    make_safe_reload,
+)
 
 from .peers import get_or_add_peer
 from .state import Instance
@@ -27,7 +31,7 @@
             case Success(wanted):
                 apply_site(instance, wanted)
 
-    return reload
+    return make_safe_reload(reload)
 
 
 def apply_site(instance: Instance, wanted: Site) -> None:
--- a/catkintrack/instance/tests/test_reload.py
+++ b/catkintrack/instance/tests/test_reload.py
@@ -4,6 +4,7 @@
 import unittest
 from dataclasses import replace
 from pathlib import Path
+from unittest import mock
 
 from catkintrack.http import Address
 from catkintrack.instance.fleet_state import find_retry_budget
@@ -35,6 +36,22 @@
         self.assertEqual(self.instance.site, self.site)
         self.assertIn("drain_ms", logs.records[0].reason)
 
+    def test_file_that_is_no_text_changes_nothing(self):
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "settings.conf"
+            path.write_bytes(SETTINGS_LINES.encode() + b"# caf\xe9\n")
+            with self.assertLogs("catkintrack.processes.reload", "ERROR"):
+                make_site_reload(self.instance, path)()
+        self.assertEqual(self.instance.site, self.site)
+
+    def test_error_that_no_code_expects_is_logged(self):
+        with (
+            mock.patch("catkintrack.instance.reload.load_site", side_effect=KeyError),
+            self.assertLogs("catkintrack.processes.reload", "ERROR"),
+        ):
+            make_site_reload(self.instance, Path("settings.conf"))()
+        self.assertEqual(self.instance.site, self.site)
+
     def test_missing_file_changes_nothing(self):
         with self.assertLogs("catkintrack.processes.reload", "ERROR"):
             make_site_reload(self.instance, Path("/nonexistent/settings.conf"))()
--- a/catkintrack/platform/settings.py
+++ b/catkintrack/platform/settings.py
@@ -81,7 +81,7 @@
     """Return the site settings in a file; errors name the invalid field."""
     try:
         text = path.read_text()
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
         return Failure(DecodingError(str(path), str(error)))
     return decode_site(text)
 
--- a/catkintrack/processes/__init__.py
+++ b/catkintrack/processes/__init__.py
@@ -13,6 +13,7 @@
     Reload,
     log_changes,
     log_invalid_settings,
+    make_safe_reload,
     make_settings_reload,
     watch_files,
 )
@@ -27,6 +28,7 @@
     "catch_signals",
     "log_changes",
     "log_invalid_settings",
+    "make_safe_reload",
     "make_settings_reload",
     "watch_files",
     "configure_logging",
--- a/catkintrack/processes/reload.py
+++ b/catkintrack/processes/reload.py
@@ -26,6 +26,18 @@
 FileState = tuple[tuple[int, int, int] | None, ...]
 
 
+def make_safe_reload(reload: Reload) -> Reload:
+    """Return a function that logs an error of `reload`, which must end no process."""
+
+    def reload_safely() -> None:
+        try:
+            reload()
+        except Exception:
+            logger.exception("reload failed; the process goes on as it was")
+
+    return reload_safely
+
+
 async def watch_files(paths: Sequence[Path], reload: Reload) -> None:
     """Reload when one of the files has changed, until cancelled."""
     state = read_file_state(paths)
@@ -72,7 +84,7 @@
             in_force = merged
             apply(merged)
 
-    return reload
+    return make_safe_reload(reload)
 
 
 def log_invalid_settings(reason: str) -> None:
--- a/catkintrack/settings/overlay.py
+++ b/catkintrack/settings/overlay.py
@@ -20,7 +20,8 @@
         document = yaml.safe_load(path.read_text(encoding="utf-8"))
     except OSError as error:
         return Failure(SettingsError(str(path), "", error.strerror or str(error)))
-    except (yaml.YAMLError, UnicodeDecodeError) as error:
+    # The library passes on the ValueError of a date that does not exist.
+    except (yaml.YAMLError, ValueError) as error:
         return Failure(SettingsError(str(path), "", f"not valid YAML: {error}"))
     if document is None:
         return Success({})
--- a/catkintrack/settings/tests/test_loading.py
+++ b/catkintrack/settings/tests/test_loading.py
@@ -37,6 +37,9 @@
             paths.append(path)
         return load_settings(paths)
 
+    def test_date_that_does_not_exist_is_reported(self):
+        self.assertIsInstance(self.load("a: 2026-99-99\n"), Failure)
+
     def test_overlay_replaces_only_its_own_keys(self):
         overlay = {"router": {"listen": {"port": 9000}}, "instance": {"zone": "z2"}}
         loaded = self.load(BASE, overlay).unwrap()
--- a/catkintrack/tests/test_reloads.py
+++ b/catkintrack/tests/test_reloads.py
@@ -89,6 +89,23 @@
             lambda: find_records(self.process, "settings reloaded without a change"), 5
         )
 
+    def test_file_that_is_no_text_ends_no_stream_and_no_process(self):
+        answers = []
+        threads = [
+            threading.Thread(target=lambda: answers.append(self.site.stream("n0")))
+            for _ in range(4)
+        ]
+        for thread in threads:
+            thread.start()
+        self.path.write_bytes(self.path.read_bytes() + b"# caf\xe9\n")
+        self.process.send_signal(signal.SIGHUP)
+        for thread in threads:
+            thread.join()
+        counts = [(status, count_events(body)) for status, _, body in answers]
+        self.assertEqual(counts, [(200, EVENTS_PER_STREAM)] * 4)
+        wait_until(lambda: find_records(self.process, INVALID_SETTINGS), 5)
+        self.assertIsNone(self.process.popen.poll())
+
     def test_changed_file_is_applied_after_the_signal(self):
         self.change_settings("bounds.budget_extra=56", "bounds.budget_extra=80")
         self.process.send_signal(signal.SIGHUP)
