Ignore SIGUSR1 and SIGUSR2 from the start of a process to its end

Change: what ignores the reload signal before the imports ignores them too, so that the handlers that a stop restores ignore them.

--- a/catkintrack/agent/main.py
+++ b/catkintrack/agent/main.py
@@ -1,13 +1,13 @@
-"""Run the agent's command line, which ignores the reload signal while it starts."""
+"""Run the agent's command line, which ignores harmless signals while it starts."""
 
 from __future__ import annotations
 
-from catkintrack.reload_signal import ignore_reload_signal
+from catkintrack.startup_signals import ignore_early_signals
 
 
 def main() -> None:
-    """Ignore the reload signal, then import and run the process."""
-    ignore_reload_signal()
+    """Ignore harmless signals, then import and run the process."""
+    ignore_early_signals()
     # The imports take most of a start.
     from .process import main as run_process
 
--- a/catkintrack/processes/signals.py
+++ b/catkintrack/processes/signals.py
@@ -9,11 +9,9 @@
 
 from curio.io import Socket
 
-from catkintrack.reload_signal import RELOAD_SIGNAL
+from catkintrack.startup_signals import IGNORED_SIGNALS, RELOAD_SIGNAL
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT)
-# Sent by some log rotation and service tools; their default action ends a process.
-IGNORED_SIGNALS = (signal.SIGUSR1, signal.SIGUSR2)
 CAUGHT_SIGNALS = (*STOP_SIGNALS, RELOAD_SIGNAL, *IGNORED_SIGNALS)
 READ_SIZE_BYTES = 64
 
--- a/catkintrack/tests/test_reloads.py
+++ b/catkintrack/tests/test_reloads.py
@@ -22,6 +22,7 @@
 INVALID_SETTINGS = "invalid settings; the previous ones stay in force"
 # Signals of service managers and log rotation that must not end a process.
 HARMLESS_SIGNALS = (signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2, signal.SIGCONT)
+EARLY_SIGNALS = (signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2)
 PROCESS_MODULES = (
     "catkintrack.instance.main",
     "catkintrack.router.main",
@@ -137,17 +138,18 @@
 
 class StartReloadTest(unittest.TestCase):
     def test_signal_during_the_imports_ends_no_process(self):
-        statuses = {module: send_early_signal(module) for module in PROCESS_MODULES}
-        self.assertEqual(statuses, dict.fromkeys(PROCESS_MODULES, HELD_IMPORT_STATUS))
+        cases = [(m, n) for m in PROCESS_MODULES for n in EARLY_SIGNALS]
+        statuses = {case: send_early_signal(*case) for case in cases}
+        self.assertEqual(statuses, dict.fromkeys(cases, HELD_IMPORT_STATUS))
 
 
-def send_early_signal(module):
-    """Return the exit status of a module that gets SIGHUP during its imports."""
+def send_early_signal(module, number):
+    """Return the exit status of a module that gets a signal during its imports."""
     with (
         tempfile.TemporaryDirectory() as directory,
         start_with_held_import(module, directory) as process,
     ):
-        process.send_signal(signal.SIGHUP)
+        process.send_signal(number)
         process.stdin.close()
         return process.wait(START_TIMEOUT_S)
 
