Tell a reset from a close when the request is still being sent

What callers would see: a replica answers without a length before it has read a long body, and resets the connection on the way. The cut answer was passed on with status 200 as if it were whole.

Cause: Linux reports a reset to one system call of the socket only. A long request is sent in the background; when that send met the reset first, its error was dropped, and the next read returned zero bytes, which is the regular end of a response without length or chunks.

Before: test_reset_that_the_sender_of_the_request_meets_first_is_not_an_end failed: "AssertionError: UpstreamExchangeError not raised".

Now the exchange keeps the error of its send, and a read that returns nothing after one raises UpstreamExchangeError. A broken pipe is no such error: the system reports it when the peer had closed its side before the reset, so what was read is whole (test_response_to_a_request_that_was_not_read_whole_...).

The other tests of test_close_delimited pass on the code before: whole bodies by a close, resets, lengths and chunks that end early, bytes after the end, no reuse, HEAD, 204 and 304, bounds of time and size.

--- a/catkintrack/http/client.py
+++ b/catkintrack/http/client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -99,6 +98,7 @@
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
         self.send_task: curio.Task | None = None
+        self.send_error: OSError | None = None
 
     async def send(self, request: Request) -> None:
         """Send a request; raise UpstreamExchangeError if the connection fails.
@@ -128,10 +128,14 @@
             self.send_task = await curio.spawn(send, daemon=True)
 
     async def _send_remaining(self, data: bytes) -> None:
-        # The reader of the response detects the connection failure as well.
-        with contextlib.suppress(OSError):
+        try:
             await self.sock.sendall(data)
             self.send_task = None
+        except BrokenPipeError:
+            # The peer had ended its response before it reset the connection.
+            pass
+        except OSError as error:
+            self.send_error = error
 
     async def close(self) -> None:
         """Close the connection, cancelling a request that is still being sent."""
@@ -208,7 +212,12 @@
                 raise UpstreamExchangeError(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
-            self.h11.receive_data(await self._receive(deadline_at))
+            data = await self._receive(deadline_at)
+            # The system reports a reset to one call only; if that was a send, the next
+            # read looks like a regular close, which may be the end of a response.
+            if not data and self.send_error is not None:
+                raise UpstreamExchangeError(str(self.send_error))
+            self.h11.receive_data(data)
 
     async def _receive(self, deadline_at: float) -> bytes:
         """Return received data; raise UpstreamTimeout after `deadline_at`.
--- a/testkit/raw_upstreams.py
+++ b/testkit/raw_upstreams.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import struct
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -12,11 +13,17 @@
 
 HOST = "127.0.0.1"
 HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
+# Makes a close discard unsent data and reset the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 Send = Callable[[bytes], None]
 Script = Callable[[Send], None]
 
 
+class ResetConnection(Exception):
+    """Ask the server, from a script, to reset the connection."""
+
+
 def make_chunk(data: bytes) -> bytes:
     """Return `data` as one chunk of a chunked body."""
     return b"%x\r\n%s\r\n" % (len(data), data)
@@ -42,7 +49,12 @@
             received = b""
             while b"\r\n\r\n" not in received:
                 received += sock.recv(65536)
-            script(sock.sendall)
+            try:
+                script(sock.sendall)
+                # Unread data of the request would turn the close into a reset.
+                sock.shutdown(socket.SHUT_WR)
+            except ResetConnection:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         sock.close()
 
     threading.Thread(target=accept, daemon=True).start()
@@ -67,6 +79,22 @@
     return script
 
 
+def send_once(data: bytes) -> Script:
+    """Return a script that sends `data` and closes the connection."""
+    return lambda send: send(data)
+
+
+def send_and_reset(data: bytes, delay_s: float = 0.0) -> Script:
+    """Return a script that resets the connection `delay_s` after sending `data`."""
+
+    def script(send: Send) -> None:
+        send(data)
+        time.sleep(delay_s)
+        raise ResetConnection
+
+    return script
+
+
 def send_slowly(first: bytes, parts: list[bytes], pause_s: float) -> Script:
     """Return a script that sends `parts` after `first`, with a pause before each."""
 
