Split streams of events whose lines end with CRLF or CR

What callers would see: a stream whose lines end with CRLF or CR was held back whole and then broken off; before its first event it was tried on other replicas and answered 502.

Cause: only an LF followed by an LF was taken for the end of an event. text/event-stream allows LF, CRLF and CR; the users' pages name the type and no line end.

Before, in test_close_delimited_attempts: test_stream_that_ends_after_an_event_ is_whole (CRLF, CR), test_stream_in_chunks_with_other_line_ends_is_whole and test_line_ends_after_the_last_event_are_passed_on failed with "UpstreamExchangeError: the stream ended inside an event", test_gap_is_found_with_each_line_end with "UpstreamExchangeError not raised", test_line_ends_alone_are_no_event with "b'\n\n' != b''".

http/event_streams.py finds an event's end in each form, also where a read ends inside it. A CR that ends what has arrived is a whole line end, so that no event waits for a byte that may not come; an LF after it is passed on with the next event, or at the end of the stream. Line ends alone are no event and no longer count as progress.

The other tests of the module pass on the code before: streams and whole answers that end by a close, at each byte of an event, by a reset, resumed ones, bounds, no reuse.

After: test_close_delimited_attempts 17 passed, test_attempt_bounds 8, test_fleet_state 21, test_response_bounds 6, test_close_delimited 11.

--- a/catkintrack/http/__init__.py
+++ b/catkintrack/http/__init__.py
@@ -19,6 +19,7 @@
     UpstreamTimeout,
     UpstreamUnreachable,
 )
+from .event_streams import split_events
 from .messages import (
     Headers,
     Request,
@@ -69,6 +70,7 @@
     "find_remaining_s",
     "record_event",
     "record_received",
+    "split_events",
     "close_pool",
     "drain_server",
     "strip_hop_by_hop_headers",
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -248,4 +248,6 @@
         raise UpstreamExchangeError("the stream ended inside an event")
     if progress.first_byte_at is None:
         raise UpstreamExchangeError("the stream held no event")
+    if splitter.line_ends:
+        await connection.send_body(splitter.line_ends)
     await connection.finish_response()
--- a/catkintrack/instance/stream_events.py
+++ b/catkintrack/instance/stream_events.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from catkintrack.http import UpstreamExchangeError
+from catkintrack.http import UpstreamExchangeError, split_events
 
-SEPARATOR = b"\n\n"
+LINE_ENDS = b"\r\n"
 MAX_EVENT_BYTES = 1 << 20
 
 
@@ -21,30 +21,28 @@
     @property
     def has_partial_event(self) -> bool:
         """Report whether an incomplete event is buffered."""
-        return bool(self._partial)
+        return bool(self._partial.strip(LINE_ENDS))
+
+    @property
+    def line_ends(self) -> bytes:
+        """Return the buffered line ends that no event has followed yet."""
+        return b"" if self.has_partial_event else self._partial
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that `data` completes.
 
         Raise UpstreamExchangeError if an event is too large or its ID is invalid.
         """
-        buffer = self._partial + data
-        end = buffer.rfind(SEPARATOR)
-        if end < 0:
-            self._partial = buffer
-            if len(buffer) > MAX_EVENT_BYTES:
-                raise UpstreamExchangeError("an event is too large")
-            return b""
-        complete = buffer[: end + len(SEPARATOR)]
-        self._partial = buffer[end + len(SEPARATOR) :]
-        for event in complete.split(SEPARATOR):
-            if event:
-                self._check_id(event)
-        return complete
+        events, self._partial = split_events(self._partial + data)
+        if not events and len(self._partial) > MAX_EVENT_BYTES:
+            raise UpstreamExchangeError("an event is too large")
+        for event in events:
+            self._check_id(event)
+        return b"".join(events)
 
     def _check_id(self, event: bytes) -> None:
         """Require that event IDs increase by one."""
-        for line in event.split(b"\n"):
+        for line in event.splitlines():
             name, _, value = line.partition(b":")
             if name != b"id":
                 continue
--- a/testkit/recording.py
+++ b/testkit/recording.py
@@ -17,6 +17,12 @@
         """Record that the response has started."""
         self.has_response_started = True
 
+    async def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Record a complete response."""
+        await self.start_response(status, headers)
+        await self.send_body(body)
+        await self.finish_response()
+
     async def send_body(self, data: bytes) -> None:
         """Record a part of the body."""
         self.received += data
