Take no empty resumed stream for a whole one when only a close ended it

What callers would see: a stream breaks off after some events; the replica that is asked to resume it sends the head of an answer without a length and its connection is closed, as that of a process that is killed.

Cause: the check that a stream holds an event looked at the whole call, not at the resumed part.

Before: test_resumed_stream_without_an_event_or_an_explicit_end_is_not_whole failed: "AssertionError: UpstreamExchangeError not raised".

Now such an answer has been broken off, and the next replica is asked. An answer in chunks or with a length still says itself that nothing is left (test_resumed_stream_without_an_event_but_an_explicit_end_is_whole, passes before and after).

--- a/catkintrack/http/messages.py
+++ b/catkintrack/http/messages.py
@@ -43,6 +43,12 @@
     status: int
     headers: Headers
 
+    @property
+    def is_close_delimited(self) -> bool:
+        """Report whether a body ends with its connection (RFC 9112, section 6.3)."""
+        names = {name for name, _ in self.headers}
+        return names.isdisjoint((b"content-length", b"transfer-encoding"))
+
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, or None; `name` is in lower case."""
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -230,6 +230,7 @@
     Raise UpstreamExchangeError if the stream is incomplete or invalid.
     """
     splitter = EventSplitter(progress.last_event_id)
+    has_event = False
     while True:
         data = await _read_unless_abandoned(bounds, callbacks, exchange.read_body_part)
         if data is None:
@@ -237,6 +238,7 @@
         record_received(bounds, len(data))
         events = splitter.feed(data)
         if events:
+            has_event = True
             record_event(bounds, time.monotonic())
             callbacks.on_data()
             if progress.first_byte_at is None:
@@ -246,7 +248,9 @@
             await connection.send_body(events)
     if splitter.has_partial_event:
         raise UpstreamExchangeError("the stream ended inside an event")
-    if progress.first_byte_at is None:
+    # A resumed stream may have nothing left, but a close alone does not say so.
+    is_end_certain = has_event or not head.is_close_delimited
+    if progress.first_byte_at is None or not is_end_certain:
         raise UpstreamExchangeError("the stream held no event")
     if splitter.line_ends:
         await connection.send_body(splitter.line_ends)
--- a/catkintrack/instance/tests/test_close_delimited_attempts.py
+++ b/catkintrack/instance/tests/test_close_delimited_attempts.py
@@ -128,6 +128,11 @@
         self.assertEqual(self.connection.received, make_events(1, 2, 3, 4))
         self.assertTrue(self.connection.is_finished)
 
+    def test_resumed_stream_without_an_event_or_an_explicit_end_is_not_whole(self):
+        """Nothing but the close of the connection would say that it is complete."""
+        self.assert_not_whole(send_and_reset(HEAD + make_events(1)), make_events(1))
+        self.assert_not_whole(send_once(HEAD), make_events(1))
+
     def test_resumed_stream_without_an_event_but_an_explicit_end_is_whole(self):
         self.assert_not_whole(send_and_reset(HEAD + make_events(1)), make_events(1))
         self.run_against(send_once(CHUNKED_HEAD + b"0\r\n\r\n"))
