Reset the connection of an HTTP/1.0 caller whose response is cut

What callers would see: a stream that its replica breaks off and that nobody can resume ends for an HTTP/1.0 caller like a whole one.

Cause: such a caller knows no chunks, so a response without a length ends with its connection, and a cut one was closed in the same way.

Before: test_response_to_http_1_0_that_is_cut_ends_by_a_reset failed: "AssertionError: ConnectionResetError not raised".

Now Connection.close resets the connection if a response to an HTTP/1.0 caller has started and not ended; the instance's and the router's handlers close through it. HTTP/1.1 callers miss the last chunk as before, and what was sent to them still arrives.

The other tests of test_caller_responses pass on the code before: chunks and a kept connection for HTTP/1.1, a close or a length for HTTP/1.0, no last chunk.

After: test_caller_responses 6 passed, test_drain 6, test_draining 6, test_streams 11, test_close_delimited 11, test_close_delimited_attempts 18.

--- a/catkintrack/http/server.py
+++ b/catkintrack/http/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket as std_socket
+import struct
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -23,6 +24,11 @@
 # request may be on its way when the drain begins.
 DRAIN_READ_S = 0.5
 DRAIN_POLL_INTERVAL_S = 0.02
+# Value of SO_LINGER that makes a close reset the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+# States of a connection whose last response has started and not ended.
+CUT_STATES = (h11.SEND_BODY, h11.ERROR)
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +103,16 @@
             await self.send_body(body)
         await self.finish_response()
 
+    async def close(self) -> None:
+        """Close the connection; reset it if a plain close would complete a response."""
+        if self.sock._socket is None:
+            return
+        is_cut = self.has_response_started and self.h11.our_state in CUT_STATES
+        # HTTP/1.0 callers know no chunks: without a length, the close is the end.
+        if is_cut and self.h11.their_http_version == b"1.0":
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        await self.sock.close()
+
     @property
     def is_idle(self) -> bool:
         """Report whether no byte of a request has been read since the last response."""
@@ -290,7 +306,7 @@
         pass
     finally:
         server.connections.discard(connection)
-        await connection.sock.close()
+        await connection.close()
 
 
 async def _handle_until_disconnect(
--- a/catkintrack/instance/calls.py
+++ b/catkintrack/instance/calls.py
@@ -67,7 +67,7 @@
             # Once the response has started, only closing the connection tells the
             # caller that it is incomplete.
             outcome = f"cut:{error.code}"
-            await connection.sock.close()
+            await connection.close()
         progress.reason = error.message
     except (CallerDisconnected, curio.CancelledError):
         outcome = "caller_gone"
--- a/catkintrack/router/calls.py
+++ b/catkintrack/router/calls.py
@@ -48,7 +48,7 @@
         if connection.has_response_started:
             # Once the response has started, only closing the connection marks it as
             # incomplete.
-            await connection.sock.close()
+            await connection.close()
         else:
             await answer_error(connection, error, call_id)
     except CallerDisconnected:
