Answer HEAD, 204 and 304 without a body and without a false length

What callers would see: our refusal of a HEAD request closed a kept connection without saying so, and the request that followed on it was lost. Answers to HEAD, and answers 204 and 304, claimed "content-length: 0" (RFC 9110, section 8.6: not in a 204; in the others only the length that a GET would bring). HEAD on a stream route was answered 502, "the stream held no event".

Cause: the server sent every response with a body of its own and its length; h11 rejects a body to HEAD, which looked like a caller that had gone. An answer 200 on a stream route was always read as events.

After: test_caller_responses 9 passed, test_close_delimited_attempts 19; the other modules of http.tests and instance.tests and test_malformed_input pass (167 tests with these).

--- a/catkintrack/http/server.py
+++ b/catkintrack/http/server.py
@@ -27,6 +27,7 @@
 # Value of SO_LINGER that makes a close reset the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
+STATUSES_WITHOUT_BODY = (204, 304)
 # States of a connection whose last response has started and not ended.
 CUT_STATES = (h11.SEND_BODY, h11.ERROR)
 
@@ -71,6 +72,7 @@
         self.is_busy = False
         self.is_receiving = False
         self.has_response_started = False
+        self.is_head_request = False
         self.request_id: bytes | None = None
         self.task: curio.Task | None = None
 
@@ -96,10 +98,15 @@
         await self._send(h11.EndOfMessage())
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete response with its content length."""
-        length = (b"content-length", str(len(body)).encode())
-        await self.start_response(status, (*headers, length))
-        if body:
+        """Send a complete response with its content length.
+
+        To HEAD, and with a status that allows no body, `body` gives only the length.
+        """
+        has_no_body = self.is_head_request or status in STATUSES_WITHOUT_BODY
+        if body or not has_no_body:
+            headers = (*headers, (b"content-length", str(len(body)).encode()))
+        await self.start_response(status, headers)
+        if body and not has_no_body:
             await self.send_body(body)
         await self.finish_response()
 
@@ -301,6 +308,7 @@
                 return
             connection.is_busy = False
             connection.has_response_started = False
+            connection.is_head_request = False
             connection.h11.start_next_cycle()
     except (CallerDisconnected, OSError, curio.TaskTimeout, h11.ProtocolError):
         pass
@@ -334,6 +342,7 @@
     head = await _read_head(connection)
     if head is None:
         return None
+    connection.is_head_request = head.method == b"HEAD"
     headers = tuple((key.lower(), value) for key, value in head.headers)
     _check_head_size(head, limits)
     _check_framing(headers, limits)
--- a/catkintrack/http/tests/test_caller_responses.py
+++ b/catkintrack/http/tests/test_caller_responses.py
@@ -91,6 +91,31 @@
         received = self.exchange(refuse, self.request(b"1.0"))
         self.assertTrue(received.endswith(b"\r\n\r\n" + BODY))
 
+    def test_response_to_head_has_the_length_but_no_body(self):
+        received = self.exchange(
+            refuse, self.request(method=b"HEAD"), self.close_request(method=b"HEAD")
+        )
+        self.assertEqual(received.count(b"HTTP/1.1 404"), 2)
+        self.assertEqual(received.count(b"content-length: %d" % len(BODY)), 2)
+        self.assertNotIn(BODY, received)
+
+    def test_response_after_one_to_head_has_its_body(self):
+        received = self.exchange(
+            refuse, self.request(method=b"HEAD"), self.close_request()
+        )
+        self.assertEqual(received.count(b"HTTP/1.1 404"), 2)
+        self.assertTrue(received.endswith(BODY))
+
+    def test_response_that_has_no_body_claims_no_length(self):
+        requests = (
+            self.request(path=b"/204"),
+            self.request(path=b"/304"),
+            self.close_request(method=b"HEAD"),
+        )
+        received = self.exchange(respond_without_body, *requests)
+        self.assertEqual(received.count(b"HTTP/1.1 "), 3)
+        self.assertNotIn(b"content-length", received.lower())
+
     def test_empty_response_to_get_has_a_length(self):
         received = self.exchange(respond_without_body, self.close_request())
         self.assertIn(b"content-length: 0", received)
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -147,7 +147,8 @@
             await exchange.read_body(REJECTION_BODY_TIMEOUT_S)
             raise ReplicaRejected(head.status, fields)
         _check_response(call, fields)
-        if head.status == 200 and call.route.is_stream:
+        has_events = call.route.is_stream and call.method != b"HEAD"
+        if head.status == 200 and has_events:
             await _relay_stream(bounds, progress, exchange, head, connection, callbacks)
             return
         if connection.has_response_started:
--- a/catkintrack/instance/tests/test_close_delimited_attempts.py
+++ b/catkintrack/instance/tests/test_close_delimited_attempts.py
@@ -165,6 +165,11 @@
             self.run_against(send_endless(HEAD, b": x\n\n" * 9000))
         self.assertFalse(self.connection.is_finished)
 
+    def test_response_to_head_on_a_stream_route_has_no_events(self):
+        self.run_against(send_slowly(HEAD, [b""], 1.0), method=b"HEAD", body=b"")
+        self.assertEqual(self.connection.received, b"")
+        self.assertTrue(self.connection.is_finished)
+
 
 class WholeAnswerTest(AttemptTest):
     def test_answer_that_ends_with_its_connection_is_passed_on(self):
