Read engines' and services' event streams with any line end, to a sure end

What callers of the router would see: a model stream whose lines end with CRLF or CR brought no token and was tried elsewhere; an event stream of a service with such lines, or whose separators arrived in two reads, was cut at the route's timeout as if it had stalled; a service's stream without length or chunks that ended inside an event was passed on as whole.

Cause: as in the instance, only LF LF was taken for an event's end, and on service routes only inside one read; the end of a connection was always taken for the end of the stream.

Both use split_events now; a service's stream keeps only the last four bytes of an unfinished event, which is enough to find its end. In chunks or with a length a stream says itself that it is complete, and is passed on as it is.

--- a/catkintrack/router/events.py
+++ b/catkintrack/router/events.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from catkintrack.http import UpstreamExchangeError
+from catkintrack.http import UpstreamExchangeError, split_events
 
 EVENT_SEPARATOR = b"\n\n"
 DONE_EVENT = b"data: [DONE]"
@@ -79,10 +79,11 @@
 
         Raise UpstreamExchangeError if a token is missing or an event is invalid.
         """
-        *events, self.rest = (self.rest + data).split(EVENT_SEPARATOR)
+        events, self.rest = split_events(self.rest + data)
         if len(self.rest) > MAX_EVENT_BYTES:
             raise UpstreamExchangeError("a server-sent event exceeds the size limit")
-        relayed = [body for event in events if (body := self._read_event(event))]
+        texts = (b"\n".join(event.strip(b"\r\n").splitlines()) for event in events)
+        relayed = [body for text in texts if (body := self._read_event(text))]
         if not relayed:
             return b""
         return EVENT_SEPARATOR.join(relayed) + EVENT_SEPARATOR
--- a/catkintrack/router/service_calls.py
+++ b/catkintrack/router/service_calls.py
@@ -38,6 +38,7 @@
     find_remaining_s,
     open_exchange,
     record_event,
+    split_events,
     strip_hop_by_hop_headers,
 )
 
@@ -60,7 +61,8 @@
 MAX_IDEMPOTENCY_KEY_BYTES = 255
 CLAIM_RETRY_AFTER_S = 2.0
 EVENT_STREAM_TYPE = b"text/event-stream"
-EVENT_END = b"\n\n"
+# The longest part of a separator, with the byte before it, that a read can end with.
+EVENT_TAIL_BYTES = 4
 
 T = TypeVar("T")
 
@@ -196,14 +198,20 @@
         if content_length is not None:
             headers = (*headers, (b"content-length", content_length))
         await connection.start_response(head.status, headers)
+        tail = b""
         while True:
             remaining_s = find_remaining_s(bounds, time.monotonic())
             part = await exchange.read_body_part(remaining_s)
             if part is None:
                 break
             await connection.send_body(part)
-            if is_event_stream and EVENT_END in part:
-                record_event(bounds, time.monotonic())
+            if is_event_stream:
+                events, tail = split_events(tail + part)
+                tail = tail[-EVENT_TAIL_BYTES:]
+                if events:
+                    record_event(bounds, time.monotonic())
+        if tail.strip(b"\r\n") and head.is_close_delimited:
+            raise UpstreamExchangeError("the stream ended inside an event")
         await connection.finish_response()
 
     await _try_replicas(
