Let a rejection hold however its body ends

What callers would see: a replica rejects a call with X-Not-Executed, in an answer without a length that is reset, or that stays open. The call was not tried elsewhere if it may not be repeated, though it had not run, and the replica was noted as one that broke an answer off.

Cause: the failure to read the rejection's body was raised in place of the rejection, which its head had already stated.

Now the body is read only so that the connection can be used again, within 0.2 s as before.

--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -144,7 +145,9 @@
         await callbacks.on_response_head(fields)
         if fields.is_not_run:
             progress.may_have_run = might_have_run
-            await exchange.read_body(REJECTION_BODY_TIMEOUT_S)
+            # The head decides; a whole body lets the connection be used again.
+            with contextlib.suppress(UpstreamExchangeError):
+                await exchange.read_body(REJECTION_BODY_TIMEOUT_S)
             raise ReplicaRejected(head.status, fields)
         _check_response(call, fields)
         has_events = call.route.is_stream and call.method != b"HEAD"
--- a/catkintrack/instance/tests/test_close_delimited_attempts.py
+++ b/catkintrack/instance/tests/test_close_delimited_attempts.py
@@ -15,6 +15,7 @@
     AttemptCallbacks,
     CallProgress,
     ReplicaErrorResponse,
+    ReplicaRejected,
     run_attempt,
 )
 from catkintrack.instance.stream_events import EventSplitter
@@ -202,6 +203,29 @@
             self.run_against(send_and_reset(head + b"why", 0.05), LOOKUP, True)
 
 
+class RejectionTest(AttemptTest):
+    def test_rejection_holds_however_its_body_ends(self):
+        """The head says that the call was not run; it may run elsewhere."""
+        head = HEAD.replace(b"200 OK", b"503 -\r\nx-not-executed: 1")
+        cut_head = head.replace(b"\r\n\r\n", b"\r\ncontent-length: 100\r\n\r\n")
+        scripts = {
+            "close": send_once(head + b"full"),
+            "reset": send_and_reset(head + b"full", 0.05),
+            "cut": send_once(cut_head + b"full"),
+            "open": send_slowly(head, [b"full"] * 20, 0.05),
+            "endless": send_endless(head, b"x" * 60_000),
+        }
+        for name, script in scripts.items():
+            with self.subTest(name):
+                self.setUp()
+                started_at = time.monotonic()
+                with self.assertRaises(ReplicaRejected):
+                    self.run_against(script)
+                self.assertLess(time.monotonic() - started_at, 0.9)
+                self.assertFalse(self.progress.may_have_run)
+                self.assert_no_idle_connection()
+
+
 class SeparatorTest(unittest.TestCase):
     """Split streams whose lines end in each of the ways of text/event-stream."""
 
