Count an attempt whose answer breaks off after its head once

What callers saw: a repeatable call of a service whose answer broke off after its head (a reset, too few bytes, the attempt's timeout) was answered 502 though its route allowed a second replica.

Cause: the attempt was counted as a run when its head arrived, and again when it failed, so with `max_attempts` 2 nothing was left. Found by a test over real processes with answers that are reset.

Now an attempt sets the count that it leads to.

--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -115,14 +115,15 @@
     row = ensure_service_row(instance.services, upstream.id)
     row.in_flight += 1
     is_retryable = call.route.is_retryable
-    is_last_attempt = progress.executions + 1 >= call.route.max_attempts
+    executions = progress.executions + 1
+    is_last_attempt = executions >= call.route.max_attempts
 
     async def handle_response_head(fields: ResponseFields) -> None:
         if fields.load is not None:
             row.reported_running, row.reported_waiting = fields.load
             row.reported_at = time.monotonic()
         if not fields.is_not_run:
-            progress.executions += 1
+            progress.executions = executions
 
     progress.record_attempt(
         upstream.id,
@@ -149,14 +150,14 @@
             )
         ejection.record_success(row, time.monotonic())
     except curio.TaskTimeout as error:
-        progress.executions += 1
+        progress.executions = executions
         ejection.record_failure(row, time.monotonic(), False)
         raise UpstreamTimeout("no answer in time") from error
     except UpstreamUnreachable:
         ejection.record_failure(row, time.monotonic(), True)
         raise
     except UpstreamExchangeError:
-        progress.executions += 1
+        progress.executions = executions
         ejection.record_failure(row, time.monotonic(), False)
         raise
     finally:
