--- a/catkintrack/http/__init__.py
+++ b/catkintrack/http/__init__.py
@@ -28,6 +28,7 @@
     strip_hop_by_hop_headers,
 )
 from .server import (
+    RESET_ON_CLOSE,
     BadRequestHandler,
     Connection,
     Handler,
@@ -56,6 +57,7 @@
     "Headers",
     "HttpError",
     "Pool",
+    "RESET_ON_CLOSE",
     "Request",
     "ResponseHead",
     "SendForbidden",
--- a/standins/answers.py
+++ b/standins/answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import parse_qsl, urlsplit
@@ -10,6 +11,7 @@
 import msgspec
 
 from catkintrack.http import (
+    RESET_ON_CLOSE,
     Connection,
     Handler,
     Request,
@@ -45,6 +47,17 @@
     raise ConnectionResetError
 
 
+async def reset_connection(connection: Connection) -> None:
+    """Reset the client's connection, possibly in the middle of a response."""
+    connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    await drop_connection(connection)
+
+
+def end_with_connection(connection: Connection) -> None:
+    """Let the next response end with its connection, as for a client of HTTP/1.0."""
+    connection.h11.their_http_version = b"1.0"
+
+
 def serve_until_stopped(host: str, port: int, handler: Handler, *tasks: Any) -> None:
     """Serve `handler` and run `tasks` in the background until SIGTERM."""
     curio.run(_serve, host, port, handler, tasks)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -23,7 +23,14 @@
     find_header,
 )
 
-from .answers import drop_connection, read_json, respond_json, serve_until_stopped
+from .answers import (
+    drop_connection,
+    end_with_connection,
+    read_json,
+    reset_connection,
+    respond_json,
+    serve_until_stopped,
+)
 
 EVENTS_PER_STREAM = 12
 STREAM_EVENT_INTERVAL_S = 0.02
@@ -51,6 +58,10 @@
     # The duration of a run, and the number of responses followed by a spurious one.
     run_s: float = 0.0
     extra_answers: int = 0
+    # Answers that end with their connection, and answers that a reset cuts: streams
+    # after `break_after_events` events, whole ones after some bytes.
+    close_delimited: int = 0
+    reset_answers: int = 0
 
 
 @dataclass(slots=True)
@@ -179,14 +190,32 @@
     if faults.fail > 0:
         faults.fail -= 1
         status = 500
-    await connection.respond(
-        status, make_response_headers(replica, request), compute_response_body(request)
-    )
+    headers = make_response_headers(replica, request)
+    body = compute_response_body(request)
+    if faults.close_delimited > 0:
+        await send_close_delimited(faults, connection, status, headers, body)
+        return
+    await connection.respond(status, headers, body)
     if faults.extra_answers > 0:
         faults.extra_answers -= 1
         await connection.sock.sendall(UNSOLICITED_RESPONSE)
 
 
+async def send_close_delimited(
+    faults: Faults, connection: Connection, status: int, headers: Headers, body: bytes
+) -> None:
+    """Send an answer that ends with its connection; a fault resets it on the way."""
+    faults.close_delimited -= 1
+    end_with_connection(connection)
+    await connection.start_response(status, headers)
+    await connection.send_body(body[: len(body) // 2])
+    if faults.reset_answers > 0:
+        faults.reset_answers -= 1
+        await reset_connection(connection)
+    await connection.send_body(body[len(body) // 2 :])
+    await connection.finish_response()
+
+
 def record_run(replica: Replica, request: Request) -> None:
     """Count a run, its workspace, its cache salt and any leaked headers."""
     headers = request.headers
@@ -249,10 +278,16 @@
     headers: Headers,
     first: int,
 ) -> None:
-    """Send the events from `first` on; a fault may break the stream inside an event."""
+    """Send the events from `first` on; a fault may break the stream off."""
     faults = replica.faults
+    if faults.close_delimited > 0:
+        faults.close_delimited -= 1
+        end_with_connection(connection)
     await connection.start_response(200, headers)
     for number in range(first, EVENTS_PER_STREAM + 1):
+        if faults.reset_answers > 0 and number > faults.break_after_events >= 0:
+            faults.reset_answers -= 1
+            await reset_connection(connection)
         if faults.break_streams > 0 and number > faults.break_after_events >= 0:
             faults.break_streams -= 1
             await connection.send_body(b"id: %d\nda" % number)
--- a/testkit/raw_upstreams.py
+++ b/testkit/raw_upstreams.py
@@ -4,17 +4,14 @@
 
 import contextlib
 import socket
-import struct
 import threading
 import time
 from collections.abc import Callable, Iterator
 
-from catkintrack.http import Address
+from catkintrack.http import RESET_ON_CLOSE, Address
 
 HOST = "127.0.0.1"
 HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
-# Makes a close discard unsent data and reset the connection.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 Send = Callable[[bytes], None]
 Script = Callable[[Send], None]
