Split test_instances by concern, so that each part ends in its time

test_instance_calls (17 tests), test_instance_changes (10) and test_instance_ fleets (6) hold the same 14 classes under their names; their syntax trees are equal to those before, so no test is changed. Only the base class moved, to testkit/site_cases.py, with types; test_close_delimited_answers uses it too.

33 tests before and after.

--- a/catkintrack/tests/test_close_delimited_answers.py
+++ b/catkintrack/tests/test_close_delimited_answers.py
@@ -7,7 +7,8 @@
 from catkintrack.http import Request
 from standins.replica import EVENTS_PER_STREAM, compute_response_body, make_event
 from testkit.fleet import HOST
-from testkit.site import KEY, PROMPT_HEADERS, open_site
+from testkit.site import KEY, PROMPT_HEADERS
+from testkit.site_cases import SiteTest
 
 ALWAYS = 10**6
 BODY = b"{}"
@@ -23,18 +24,14 @@
     return b"".join(make_event(make_request(id), number) for number in numbers)
 
 
-class CloseDelimitedAnswerTest(unittest.TestCase):
+class CloseDelimitedAnswerTest(SiteTest):
+    nodes = 1
+
     def setUp(self):
-        context = open_site(nodes=1)
-        self.site = context.__enter__()
-        self.addCleanup(context.__exit__, None, None, None)
+        super().setUp()
         for name in self.site.replica_port_by_id:
             self.site.set_replica_faults(name, close_delimited=ALWAYS)
 
-    def count_runs(self, id):
-        counts = map(self.site.read_counts, self.site.replica_port_by_id)
-        return sum(row["runs_by_request"].get(id, 0) for row in counts)
-
     def test_answers_are_whole_on_one_kept_connection(self):
         port = self.site.node_by_name["n0"].callers_port
         connection = http.client.HTTPConnection(HOST, port, timeout=15)
