Let the site's soak end answers with their connection and reset some

A new kind of fault in testkit/site_soak.py: a replica of any service answers without length or chunks for some requests, and resets up to two on the way.

--- a/testkit/site_soak.py
+++ b/testkit/site_soak.py
@@ -186,6 +186,17 @@
     soak.site.set_replica_faults(id, **soak.rng.choice(faults))
 
 
+def _end_with_connections(soak: SoakRun) -> None:
+    """Let a replica send answers without length or chunks, and reset some of them."""
+    id = soak.rng.choice(sorted(soak.site.replica_port_by_id))
+    soak.site.set_replica_faults(
+        id,
+        close_delimited=soak.rng.randrange(1, 20),
+        reset_answers=soak.rng.randrange(3),
+        break_after_events=soak.rng.randrange(EVENTS_PER_STREAM),
+    )
+
+
 def _silence_model(soak: SoakRun) -> None:
     id = f"m{soak.rng.randrange(MODELS)}"
     soak.site.set_replica_faults(id, is_silent=True)
@@ -216,6 +227,7 @@
     _forget_history,
     _hurt_model,
     _hurt_app,
+    _end_with_connections,
     _silence_model,
     _name_weights,
     _name_weights,
@@ -236,6 +248,8 @@
             break_streams=0,
             lose_answers=0,
             unsigned=0,
+            close_delimited=0,
+            reset_answers=0,
         )
     _name_weights(soak)
     _change_config(soak)
