--- a/catkintrack/http/server.py
+++ b/catkintrack/http/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket as std_socket
+import struct
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -23,6 +24,12 @@
 # request may be on its way when the drain begins.
 DRAIN_READ_S = 0.5
 DRAIN_POLL_INTERVAL_S = 0.02
+# Value of SO_LINGER that makes a close reset the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+STATUSES_WITHOUT_BODY = (204, 304)
+# States of a connection whose last response has started and not ended.
+CUT_STATES = (h11.SEND_BODY, h11.ERROR)
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +72,7 @@
         self.is_busy = False
         self.is_receiving = False
         self.has_response_started = False
+        self.is_head_request = False
         self.request_id: bytes | None = None
         self.task: curio.Task | None = None
 
@@ -90,13 +98,28 @@
         await self._send(h11.EndOfMessage())
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete response with its content length."""
-        length = (b"content-length", str(len(body)).encode())
-        await self.start_response(status, (*headers, length))
-        if body:
+        """Send a complete response with its content length.
+
+        To HEAD, and with a status that allows no body, `body` gives only the length.
+        """
+        has_no_body = self.is_head_request or status in STATUSES_WITHOUT_BODY
+        if body or not has_no_body:
+            headers = (*headers, (b"content-length", str(len(body)).encode()))
+        await self.start_response(status, headers)
+        if body and not has_no_body:
             await self.send_body(body)
         await self.finish_response()
 
+    async def close(self) -> None:
+        """Close the connection; reset it if a plain close would complete a response."""
+        if self.sock._socket is None:
+            return
+        is_cut = self.has_response_started and self.h11.our_state in CUT_STATES
+        # HTTP/1.0 callers know no chunks: without a length, the close is the end.
+        if is_cut and self.h11.their_http_version == b"1.0":
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        await self.sock.close()
+
     @property
     def is_idle(self) -> bool:
         """Report whether no byte of a request has been read since the last response."""
@@ -285,12 +308,13 @@
                 return
             connection.is_busy = False
             connection.has_response_started = False
+            connection.is_head_request = False
             connection.h11.start_next_cycle()
     except (CallerDisconnected, OSError, curio.TaskTimeout, h11.ProtocolError):
         pass
     finally:
         server.connections.discard(connection)
-        await connection.sock.close()
+        await connection.close()
 
 
 async def _handle_until_disconnect(
@@ -318,6 +342,7 @@
     head = await _read_head(connection)
     if head is None:
         return None
+    connection.is_head_request = head.method == b"HEAD"
     headers = tuple((key.lower(), value) for key, value in head.headers)
     _check_head_size(head, limits)
     _check_framing(headers, limits)
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -156,10 +157,13 @@
         await callbacks.on_response_head(fields)
         if fields.is_not_run:
             progress.may_have_run = might_have_run
-            await exchange.read_body(REJECTION_BODY_TIMEOUT_S)
+            # The head decides; a whole body lets the connection be used again.
+            with contextlib.suppress(UpstreamExchangeError):
+                await exchange.read_body(REJECTION_BODY_TIMEOUT_S)
             raise ReplicaRejected(head.status, fields)
         _check_response(call, fields)
-        if head.status == 200 and call.route.is_stream:
+        has_events = call.route.is_stream and call.method != b"HEAD"
+        if head.status == 200 and has_events:
             await _relay_stream(bounds, progress, exchange, head, connection, callbacks)
             return
         if connection.has_response_started:
@@ -262,6 +266,10 @@
             await connection.send_body(events)
     if splitter.has_partial_event:
         raise UpstreamExchangeError("the stream ended inside an event")
-    if progress.first_byte_at is None:
+    # A resumed stream may have nothing left, but a close alone does not say so.
+    is_end_certain = has_event or not head.is_close_delimited
+    if progress.first_byte_at is None or not is_end_certain:
         raise UpstreamExchangeError("the stream held no event")
+    if splitter.line_ends:
+        await connection.send_body(splitter.line_ends)
     await connection.finish_response()
