Find the part that crashes replicas among sound ones, and know it everywhere

- a break of an answer without length or chunks raised no disconnection, so a replica lost there was held against nobody; it does now;
- any whole response cleared the parts, a replica's own 504 too; now an event does, or a whole 200 that more than a close ends;
- the culprit was the part served least recently at one instance, which a new instance got wrong, and its verdict spread.
Instances now tell each other at a loss which of its parts were answered; such parts are no suspects (but after eight losses), are not adopted, and the part that explains the most losses is the culprit;
- gossip prolonged a quarantine by its transit at each hop; now only ten seconds or more count as a longer one, and each message carries the parts, not only full ones;
- the part was stored only if the reporting instance found it; now the first live one stores it, with retries, and replaces what is there;
- every instance could send a trial at the end; now the first live one;
- parts are known by their id alone, at most 64 of a prompt;
- a stream that has got events is resumed whatever its parts.

--- a/catkintrack/decisions/quarantine.py
+++ b/catkintrack/decisions/quarantine.py
@@ -1,34 +1,45 @@
 """Quarantine the parts of prompts whose requests crash replicas ("queries of death").
 
-A replica that is lost while a request has begun to be answered, but before its first
-event, is held against the parts of that request's prompt.  Sound parts clear themselves:
-any request with the part that gets an event shows that it is not the cause.  A part
-under which several replicas were lost in a row is quarantined: requests with it are
-refused until a trial of a single one shows that it is sound.
+A replica that is lost while a response has begun, but before its first event, is held
+against the parts of that request's prompt.  A part that any instance has seen answered
+is sound and no suspect.  A part under which several replicas were lost without an answer
+in between is quarantined: requests with it are refused until a trial of a single one
+shows that it is sound.
 """
 
 from __future__ import annotations
 
+import hashlib
+import math
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from functools import lru_cache
 
-# Replicas lost in a row, without an event in between, that quarantine a part.  A single
-# failure of hardware can hit two replicas at once.
+# Replicas lost to a part that quarantine it.  A failure of hardware can hit two replicas
+# at once.
 LOST_REPLICAS_TO_QUARANTINE = 3
+# The same for a part that was answered before: losses with another cause must not take
+# it for theirs while no replica is left to answer it.
+LOST_REPLICAS_OF_SERVED_PART = 8
 # Replicas lost longer ago are not held against a part.
 SUSPICION_S = 120.0
 # A trial may cost a replica.
 QUARANTINE_S = 600.0
 QUARANTINE_MAX_S = 3600.0
+# A reported quarantine that ends later than the known one by less is the same one.
+SAME_QUARANTINE_S = 10.0
 # A trial whose request has shown nothing by then is followed by another one.
 TRIAL_S = 15.0
-# Instances begin their trials at this interval, so that the first one's outcome is
-# known to the others.
-TRIAL_STAGGER_S = 5.0
+# Peers remember for this long that a part was answered, and are not told again.
+ANNOUNCEMENT_S = 60.0
 # Parts remembered as served; far more than are in use at a time.
 MAX_SERVED_PARTS = 8192
 MAX_SUSPECT_PARTS = 1024
+MAX_QUARANTINED_PARTS = 256
+# More parts of one prompt are not looked at.
+MAX_PARTS_PER_PROMPT = 64
+PART_CACHE_SIZE = 8192
 
 
 @dataclass(slots=True)
@@ -45,9 +56,10 @@
 
 @dataclass(slots=True)
 class Quarantine:
-    """Hold what is known of the parts of prompts, keyed by block hash; times in seconds.
+    """Hold what is known of the parts of prompts; times in seconds.
 
-    `lost_by_suspect` holds when each replica was lost, by its incarnation.
+    `lost_by_suspect` holds when each replica was lost, keyed by its incarnation,
+    `announced_at_by_part` when an instance last told its peers that a part was answered.
     """
 
     served_at_by_part: OrderedDict[int, float] = field(default_factory=OrderedDict)
@@ -55,11 +67,23 @@
         default_factory=OrderedDict
     )
     row_by_part: dict[int, QuarantinedPart] = field(default_factory=dict)
+    announced_at_by_part: OrderedDict[int, float] = field(default_factory=OrderedDict)
 
 
-def list_suspect_parts(blocks: Sequence[int]) -> tuple[int, ...]:
-    """Return the parts of a prompt that other prompts may share."""
-    return tuple(blocks[:-1] if len(blocks) > 1 else blocks)
+def list_suspect_parts(ids: Sequence[str]) -> tuple[int, ...]:
+    """Return the hashes of a prompt's parts that other prompts may share.
+
+    They do not depend on the model or the workspace: a part crashes replicas whatever
+    else the request holds.
+    """
+    shared = ids[:-1] if len(ids) > 1 else ids
+    return tuple(_hash_part(id) for id in shared[:MAX_PARTS_PER_PROMPT])
+
+
+@lru_cache(PART_CACHE_SIZE)
+def _hash_part(id: str) -> int:
+    digest = hashlib.blake2b(id.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
 
 
 def record_served(
@@ -70,17 +94,34 @@
     for part in parts:
         quarantine.served_at_by_part[part] = now
         quarantine.served_at_by_part.move_to_end(part)
-        if clear_part(quarantine, part):
+        was_suspect = quarantine.lost_by_suspect.pop(part, None) is not None
+        if quarantine.row_by_part.pop(part, None) is not None or was_suspect:
             cleared.append(part)
     while len(quarantine.served_at_by_part) > MAX_SERVED_PARTS:
         quarantine.served_at_by_part.popitem(last=False)
     return tuple(cleared)
 
 
-def clear_part(quarantine: Quarantine, part: int) -> bool:
-    """End the suspicion and quarantine of a part; report whether there was any."""
-    was_suspect = quarantine.lost_by_suspect.pop(part, None) is not None
-    return quarantine.row_by_part.pop(part, None) is not None or was_suspect
+def list_unannounced(
+    quarantine: Quarantine, parts: Iterable[int], now: float
+) -> tuple[int, ...]:
+    """Return the parts that were answered, which the peers may not know."""
+    announced_at = quarantine.announced_at_by_part
+    return tuple(
+        part
+        for part in parts
+        if part in quarantine.served_at_by_part
+        and now - announced_at.get(part, -math.inf) > ANNOUNCEMENT_S
+    )
+
+
+def record_announced(quarantine: Quarantine, parts: Iterable[int], now: float) -> None:
+    """Record that the peers were told that parts were answered."""
+    for part in parts:
+        quarantine.announced_at_by_part[part] = now
+        quarantine.announced_at_by_part.move_to_end(part)
+    while len(quarantine.announced_at_by_part) > MAX_SUSPECT_PARTS:
+        quarantine.announced_at_by_part.popitem(last=False)
 
 
 def record_lost_replica(
@@ -100,27 +141,44 @@
         quarantine.lost_by_suspect.move_to_end(part)
         for old in [r for r, at in lost.items() if now - at > SUSPICION_S]:
             del lost[old]
+    culprit = _find_culprit(quarantine, parts)
     while len(quarantine.lost_by_suspect) > MAX_SUSPECT_PARTS:
         quarantine.lost_by_suspect.popitem(last=False)
-    culprit = _find_culprit(quarantine, parts)
     if culprit is not None:
-        put_in_quarantine(quarantine, culprit, QUARANTINE_S, now)
+        _release_explained(quarantine, culprit)
+        put_in_quarantine(quarantine, culprit, now + QUARANTINE_S, QUARANTINE_S)
     return culprit
 
 
 def _find_culprit(quarantine: Quarantine, parts: Sequence[int]) -> int | None:
-    """Return the part that explains enough losses: the one served least recently.
+    """Return the suspect that explains the most losses, if they are enough.
 
-    Of parts that were never served the last one is taken: parts that many prompts share
-    come first.
+    Of equal ones the last is taken: parts that many prompts share come first.
     """
+    count_by_part = {
+        part: len(quarantine.lost_by_suspect.get(part, ())) for part in parts
+    }
     due = [
         part
-        for part in parts
-        if len(quarantine.lost_by_suspect.get(part, ())) >= LOST_REPLICAS_TO_QUARANTINE
+        for part, count in count_by_part.items()
+        if count >= _count_needed(quarantine, part)
     ]
-    served_at = quarantine.served_at_by_part
-    return min(reversed(due), key=lambda part: served_at.get(part, -1.0), default=None)
+    return max(reversed(due), key=count_by_part.__getitem__, default=None)
+
+
+def _count_needed(quarantine: Quarantine, part: int) -> int:
+    if part in quarantine.served_at_by_part:
+        return LOST_REPLICAS_OF_SERVED_PART
+    return LOST_REPLICAS_TO_QUARANTINE
+
+
+def _release_explained(quarantine: Quarantine, culprit: int) -> None:
+    """End the quarantine of parts whose losses the culprit explains, and more."""
+    explained = quarantine.lost_by_suspect[culprit].keys()
+    for part in list(quarantine.row_by_part):
+        lost = quarantine.lost_by_suspect.get(part, {}).keys()
+        if lost and lost < explained:
+            del quarantine.row_by_part[part]
 
 
 def _extend_after_trial(
@@ -131,22 +189,19 @@
         row = quarantine.row_by_part[part]
         if row.until <= now:
             duration_s = min(QUARANTINE_MAX_S, 2 * row.duration_s)
-            put_in_quarantine(quarantine, part, duration_s, now)
+            put_in_quarantine(quarantine, part, now + duration_s, duration_s)
             return part
     return None
 
 
 def put_in_quarantine(
-    quarantine: Quarantine, part: int, duration_s: float, now: float
+    quarantine: Quarantine, part: int, until: float, duration_s: float
 ) -> None:
-    """Quarantine a part; it explains the losses that are held against other parts."""
-    quarantine.row_by_part[part] = QuarantinedPart(now + duration_s, duration_s)
-    explained = quarantine.lost_by_suspect.pop(part, {})
-    for other, lost in list(quarantine.lost_by_suspect.items()):
-        for replica in explained:
-            lost.pop(replica, None)
-        if not lost:
-            del quarantine.lost_by_suspect[other]
+    """Refuse requests with a part until a time."""
+    quarantine.row_by_part[part] = QuarantinedPart(until, duration_s)
+    if len(quarantine.row_by_part) > MAX_QUARANTINED_PARTS:
+        rows = quarantine.row_by_part
+        del rows[min(rows, key=lambda row: rows[row].until)]
 
 
 def adopt_quarantine(
@@ -154,15 +209,18 @@
 ) -> bool:
     """Adopt a quarantine that a peer or the store reports; report whether it is new.
 
-    The longer one counts.
+    A part that is known to have been answered is not adopted: its answer is newer, or
+    the report takes it for the culprit wrongly.
     """
+    if part in quarantine.served_at_by_part:
+        return False
     row = quarantine.row_by_part.get(part)
     duration_s = min(duration_s, QUARANTINE_MAX_S)
     until = now + min(remaining_s, duration_s)
-    if row is not None and row.until >= until:
+    # Reports are relative to their arrival, so each transit adds a little.
+    if row is not None and until < row.until + SAME_QUARANTINE_S:
         return False
-    put_in_quarantine(quarantine, part, duration_s, now)
-    quarantine.row_by_part[part].until = until
+    put_in_quarantine(quarantine, part, until, duration_s)
     return row is None
 
 
@@ -171,8 +229,8 @@
 ) -> float | None:
     """Return when a request with these parts may be sent, None if now.
 
-    After a part's quarantine an instance sends one request as a trial; `rank` is its
-    position among the live instances.
+    After a part's quarantine only the first live instance, of rank 0, sends a request as
+    a trial, one at a time.
     """
     if not quarantine.row_by_part:
         return None
@@ -181,8 +239,10 @@
         row = quarantine.row_by_part.get(part)
         if row is None:
             continue
-        until = row.until + rank * TRIAL_STAGGER_S
-        if row.trial_at is not None:
+        until = row.until
+        if rank > 0:
+            until = max(until, now + TRIAL_S)
+        elif row.trial_at is not None:
             until = max(until, row.trial_at + TRIAL_S)
         if until > now:
             ends.append(until)
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -14,6 +14,7 @@
     Exchange,
     ResponseHead,
     StreamBounds,
+    UpstreamDisconnected,
     UpstreamExchangeError,
     UpstreamTimeout,
     find_remaining_s,
@@ -110,22 +111,22 @@
 ResponseHeadCallback = Callable[[ResponseFields], Awaitable[None]]
 
 
-async def ignore_first_event() -> None:
-    """Do nothing at the first event of an attempt."""
+async def ignore_answer() -> None:
+    """Do nothing when a replica has answered."""
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptCallbacks:
     """Hold the callbacks of an attempt.
 
-    `on_data` is called after each response head and complete event, `on_first_event`
-    before the first event is forwarded; `should_abandon` is polled while no data
-    arrives.
+    `on_data` is called after each response head and complete event, `on_answered` when
+    the first event or a whole response has shown that the replica can answer;
+    `should_abandon` is polled while no data arrives.
     """
 
     on_response_head: ResponseHeadCallback
     on_data: Callable[[], None] = lambda: None
-    on_first_event: Callable[[], Awaitable[None]] = ignore_first_event
+    on_answered: Callable[[], Awaitable[None]] = ignore_answer
     should_abandon: Callable[[], bool] = lambda: False
 
 
@@ -171,6 +172,9 @@
                 f"status {head.status} instead of the stream's rest"
             )
         body = await exchange.read_body(_remaining_s(call))
+        # A close alone does not say that the response is whole.
+        if head.status == 200 and not head.is_close_delimited:
+            await callbacks.on_answered()
     if head.status >= 500 and raises_server_errors:
         raise ReplicaErrorResponse(head, body)
     await forward_response(progress, head, body, connection)
@@ -258,18 +262,18 @@
             callbacks.on_data()
             if not has_event:
                 has_event = True
-                await callbacks.on_first_event()
+                await callbacks.on_answered()
             if progress.first_byte_at is None:
                 progress.first_byte_at = time.monotonic()
                 await connection.start_response(200, make_response_headers(head))
             progress.last_event_id = splitter.last_event_id
             await connection.send_body(events)
     if splitter.has_partial_event:
-        raise UpstreamExchangeError("the stream ended inside an event")
+        raise UpstreamDisconnected("the stream ended inside an event")
     # A resumed stream may have nothing left, but a close alone does not say so.
     is_end_certain = has_event or not head.is_close_delimited
     if progress.first_byte_at is None or not is_end_certain:
-        raise UpstreamExchangeError("the stream held no event")
+        raise UpstreamDisconnected("the stream held no event")
     if splitter.line_ends:
         await connection.send_body(splitter.line_ends)
     await connection.finish_response()
--- a/catkintrack/instance/gossip.py
+++ b/catkintrack/instance/gossip.py
@@ -83,7 +83,7 @@
         level_by_workspace={name: round(row.level) for name, row in levels.items()},
         in_flight_by_upstream=changed["in_flight"],
         lease=_make_lease_row(instance, is_full),
-        quarantined=make_gossiped_quarantine(instance, now) if is_full else {},
+        quarantined=make_gossiped_quarantine(instance, now),
     )
 
 
--- a/catkintrack/instance/quarantining.py
+++ b/catkintrack/instance/quarantining.py
@@ -13,24 +13,30 @@
 import msgspec
 from returns.result import Failure, Success
 
-from catkintrack.decisions import ModelRequest
 from catkintrack.decisions.quarantine import (
+    MAX_PARTS_PER_PROMPT,
     QUARANTINE_S,
     adopt_quarantine,
     begin_trial,
     find_quarantine_end,
     list_suspect_parts,
+    list_unannounced,
+    record_announced,
     record_lost_replica,
     record_served,
 )
-from catkintrack.fleet import Upstream
+from catkintrack.fleet import Prompt, Upstream
 from catkintrack.platform import (
+    StoreConflict,
     StoredObject,
     create_object,
     delete_object,
+    get_object,
     list_objects,
+    replace_object,
 )
 
+from .attempts import CallProgress
 from .broadcasting import broadcast
 from .messages import GossipMessage, PartsServed, ReplicaLost
 from .peers import find_rank
@@ -41,6 +47,14 @@
 
 QUARANTINE_KIND = "catkintrack-quarantine"
 LOAD_RETRY_S = 1.0
+STORE_RETRY_S = 0.5
+STORE_TRIES = 6
+# Stored parts are deleted this long after their quarantine, since times of day jump.
+STORED_EXPIRY_S = 86_400.0
+STORE_SOURCE = "store"
+LARGE_FLEET_PEERS = 16
+# Instances that know a part's answers spread their announcements over this time.
+ANNOUNCEMENT_SPREAD_S = 0.2
 
 
 class QuarantineSpec(msgspec.Struct):
@@ -51,36 +65,44 @@
     duration_s: float = QUARANTINE_S
 
 
+def find_parts(prompt: Prompt) -> tuple[int, ...]:
+    """Return the hashes of the parts that may be held responsible for a lost replica."""
+    return list_suspect_parts([part.id for part in prompt.parts])
+
+
 def check_quarantine(
-    instance: Instance, request: ModelRequest, may_have_run: bool
+    instance: Instance, prompt: Prompt, progress: CallProgress
 ) -> None:
-    """Raise CallError if a part of the request's prompt is quarantined."""
+    """Raise CallError if a part of the prompt is quarantined.
+
+    A call that has got events is not the cause and goes on.
+    """
     quarantine = instance.quarantine
-    if not quarantine.row_by_part:
+    if not quarantine.row_by_part or progress.last_event_id is not None:
         return
     now = time.monotonic()
-    parts = list_suspect_parts(request.blocks)
-    end = find_quarantine_end(quarantine, parts, find_rank(instance, now), now)
+    rank = find_rank(instance, now)
+    end = find_quarantine_end(quarantine, find_parts(prompt), rank, now)
     if end is None:
         return
     reason = "a part of the prompt crashes replicas"
-    if may_have_run:
+    if progress.may_have_run:
         raise OutcomeUnknown(reason)
     jitter = 1.0 + RETRY_AFTER_JITTER * instance.rng.random()
     raise CrashingPrompt(reason, (end - now) * jitter)
 
 
-def start_trial(instance: Instance, request: ModelRequest) -> None:
+def start_trial(instance: Instance, prompt: Prompt) -> None:
     """Make a request the trial of its parts whose quarantine is over, if any."""
-    parts = list_suspect_parts(request.blocks)
-    begin_trial(instance.quarantine, parts, time.monotonic())
+    if instance.quarantine.row_by_part:
+        begin_trial(instance.quarantine, find_parts(prompt), time.monotonic())
 
 
 async def report_lost_replica(
-    instance: Instance, upstream: Upstream, request: ModelRequest
+    instance: Instance, upstream: Upstream, request_id: str, prompt: Prompt
 ) -> None:
-    """Hold a lost replica against the parts of a request, here and at all peers."""
-    parts = list_suspect_parts(request.blocks)
+    """Hold a lost replica against the parts of a prompt, here and at all peers."""
+    parts = find_parts(prompt)
     if not parts:
         return
     replica = f"{upstream.id}/{upstream.incarnation}"
@@ -89,48 +111,64 @@
         extra={
             "upstream": upstream.id,
             "incarnation": upstream.incarnation,
-            "request_id": request.id,
+            "request_id": request_id,
             "parts": [f"{part:016x}" for part in parts],
         },
     )
-    culprit = _record_lost_replica(instance, replica, parts)
     await broadcast(instance, ReplicaLost(replica, parts))
-    if culprit is not None:
-        await curio.spawn(_store_part, instance, culprit, daemon=True)
+    await _record_lost_replica(instance, replica, parts)
 
 
 async def handle_replica_lost(instance: Instance, message: ReplicaLost) -> None:
     """Hold a replica that a peer saw lost against the parts that the peer names."""
-    _record_lost_replica(instance, message.replica, message.parts)
+    await _record_lost_replica(
+        instance, message.replica, message.parts[:MAX_PARTS_PER_PROMPT]
+    )
 
 
-def _record_lost_replica(
+async def _record_lost_replica(
     instance: Instance, replica: str, parts: tuple[int, ...]
-) -> int | None:
+) -> None:
     now = time.monotonic()
     culprit = record_lost_replica(instance.quarantine, replica, parts, now)
     if culprit is not None:
-        duration_s = instance.quarantine.row_by_part[culprit].duration_s
+        row = instance.quarantine.row_by_part[culprit]
         logger.error(
             "part of prompts quarantined",
             extra={
                 "part": f"{culprit:016x}",
-                "duration_s": duration_s,
+                "duration_s": row.duration_s,
                 "last_replica": replica,
             },
         )
-        _update_metric(instance)
-    return culprit
+        await _record_quarantined(instance, culprit)
+    if list_unannounced(instance.quarantine, parts, now):
+        await curio.spawn(_announce_served, instance, parts, daemon=True)
+
 
+async def _announce_served(instance: Instance, parts: tuple[int, ...]) -> None:
+    """Tell the peers which parts of a lost request were answered, if none has done so.
 
-async def report_served(instance: Instance, request: ModelRequest) -> None:
-    """Clear the parts of a request that got an event, at all peers if under suspicion."""
+    In a large fleet many instances know a shared part, so each waits a random time.
+    """
+    if len(instance.peer_by_address) > LARGE_FLEET_PEERS:
+        await curio.sleep(ANNOUNCEMENT_SPREAD_S * instance.rng.random())
     now = time.monotonic()
-    parts = list_suspect_parts(request.blocks)
+    served = list_unannounced(instance.quarantine, parts, now)
+    if served:
+        record_announced(instance.quarantine, served, now)
+        await broadcast(instance, PartsServed(served))
+
+
+async def report_served(instance: Instance, prompt: Prompt) -> None:
+    """Clear the parts of a prompt that was answered, at all peers if under suspicion."""
+    now = time.monotonic()
+    parts = find_parts(prompt)
     was_quarantined = [p for p in parts if p in instance.quarantine.row_by_part]
     cleared = record_served(instance.quarantine, parts, now)
     if not cleared:
         return
+    record_announced(instance.quarantine, cleared, now)
     await broadcast(instance, PartsServed(cleared))
     for part in was_quarantined:
         _log_cleared(instance, part, "served")
@@ -139,24 +177,20 @@
 
 async def handle_parts_served(instance: Instance, message: PartsServed) -> None:
     """Clear the parts that a peer's replica has answered."""
+    now = time.monotonic()
     was_quarantined = [p for p in message.parts if p in instance.quarantine.row_by_part]
-    record_served(instance.quarantine, message.parts, time.monotonic())
+    record_served(instance.quarantine, message.parts, now)
+    record_announced(instance.quarantine, message.parts, now)
     for part in was_quarantined:
         _log_cleared(instance, part, "peer")
 
 
 async def adopt_gossiped_quarantine(instance: Instance, gossip: GossipMessage) -> None:
-    """Adopt a peer's quarantined parts, unless they were served since."""
-    now = time.monotonic()
-    served = []
+    """Adopt a peer's quarantined parts; tell it of those that were answered."""
     for part, (remaining_s, duration_s) in gossip.quarantined.items():
-        began_at = now - max(0.0, duration_s - remaining_s)
-        if instance.quarantine.served_at_by_part.get(part, -1e9) > began_at:
-            served.append(part)
-            continue
-        _adopt(instance, part, remaining_s, duration_s, now, gossip.instance)
-    if served:
-        await broadcast(instance, PartsServed(tuple(served)))
+        await _adopt(instance, part, remaining_s, duration_s, gossip.instance)
+    if gossip.quarantined:
+        await _announce_served(instance, tuple(gossip.quarantined))
 
 
 def make_gossiped_quarantine(
@@ -170,20 +204,27 @@
     }
 
 
-def _adopt(
-    instance: Instance,
-    part: int,
-    remaining_s: float,
-    duration_s: float,
-    now: float,
-    source: str,
+async def _adopt(
+    instance: Instance, part: int, remaining_s: float, duration_s: float, source: str
 ) -> None:
-    if adopt_quarantine(instance.quarantine, part, remaining_s, duration_s, now):
-        logger.warning(
-            "quarantined part adopted",
-            extra={"part": f"{part:016x}", "for_s": remaining_s, "source": source},
-        )
+    now = time.monotonic()
+    if not adopt_quarantine(instance.quarantine, part, remaining_s, duration_s, now):
+        return
+    logger.warning(
+        "quarantined part adopted",
+        extra={"part": f"{part:016x}", "for_s": remaining_s, "source": source},
+    )
+    if source == STORE_SOURCE:
         _update_metric(instance)
+    else:
+        await _record_quarantined(instance, part)
+
+
+async def _record_quarantined(instance: Instance, part: int) -> None:
+    """Update the metric; the first live instance also writes the part to the store."""
+    _update_metric(instance)
+    if find_rank(instance, time.monotonic()) == 0:
+        await curio.spawn(_store_part, instance, part, daemon=True)
 
 
 def _log_cleared(instance: Instance, part: int, source: str) -> None:
@@ -221,35 +262,38 @@
         return
     # Times of day of two machines differ by seconds, which a quarantine outlasts.
     remaining_s = spec.at + spec.duration_s - time.time()
-    if remaining_s <= 0:
+    if remaining_s < -STORED_EXPIRY_S:
         await delete_object(instance.store, QUARANTINE_KIND, row.name, row.revision)
-        return
-    now = time.monotonic()
-    _adopt(instance, spec.part, remaining_s, spec.duration_s, now, "store")
+    elif remaining_s > 0:
+        await _adopt(instance, spec.part, remaining_s, spec.duration_s, STORE_SOURCE)
 
 
 async def _store_part(instance: Instance, part: int) -> None:
-    """Write a quarantined part to the store; an existing object is left as it is."""
-    row = instance.quarantine.row_by_part.get(part)
-    if row is None:
-        return
-    spec = QuarantineSpec(part, time.time(), row.duration_s)
-    outcome = await create_object(
-        instance.store, QUARANTINE_KIND, f"{part:016x}", msgspec.to_builtins(spec)
-    )
-    if isinstance(outcome, Failure):
-        logger.warning(
-            "quarantined part not stored",
-            extra={"part": f"{part:016x}", "reason": repr(outcome.failure())},
-        )
+    """Write a quarantined part to the store, retrying while the store is away."""
+    name = f"{part:016x}"
+    for number in range(STORE_TRIES):
+        row = instance.quarantine.row_by_part.get(part)
+        if row is None:
+            return
+        spec = msgspec.to_builtins(QuarantineSpec(part, time.time(), row.duration_s))
+        outcome = await create_object(instance.store, QUARANTINE_KIND, name, spec)
+        match outcome:
+            case Failure(StoreConflict(revision=revision)):
+                outcome = await replace_object(
+                    instance.store, QUARANTINE_KIND, name, spec, revision
+                )
+        match outcome:
+            case Success(_):
+                return
+            case Failure(error):
+                extra = {"part": name, "reason": repr(error)}
+                logger.warning("quarantined part not stored", extra=extra)
+        await curio.sleep(STORE_RETRY_S * 2**number)
 
 
 async def _delete_stored_part(instance: Instance, part: int) -> None:
-    match await list_objects(instance.store, QUARANTINE_KIND):
-        case Success(listing):
-            pass
-        case Failure(_):
-            return
-    for row in listing.objects:
-        if row.name == f"{part:016x}":
-            await delete_object(instance.store, QUARANTINE_KIND, row.name, row.revision)
+    match await get_object(instance.store, QUARANTINE_KIND, f"{part:016x}"):
+        case Success(found):
+            await delete_object(
+                instance.store, QUARANTINE_KIND, found.name, found.revision
+            )
