Send nothing new to a replica that says in an answer that it leaves

Callers would see requests cut: a replica that leaves says so in all its answers before its entry in the store changes, or while the store is away, and the instance went on sending to it until the entry said `draining`.

The adapter decodes the header into `is_leaving`, and the answering replica's ID. `instance/signals.py` applies it from the answers to calls (streams, errors, rejections), reports and orders. `decisions/leaving.py` keeps it by replica and incarnation, apart from what discovery says: an entry of the same or an earlier life doesn't undo it, a removed and restored one neither; a later life does. The scheduler and the choice of plain replicas ask for it, and an attempt asks again before connecting and before sending; one that is not sent is no attempt for the budget and no failure of the replica. Reports and orders are not sent there either. An answer to another request, of another replica's ID, or a 421 that names no replica does not count. A cache store that leaves is not used until its next life. Peers are not told, so that a wrong one can't empty a service.

Without the second question, before sending, test_nothing_is_sent_after_an_answer_that_came_while_connecting fails.

--- a/catkintrack/decisions/cache_store.py
+++ b/catkintrack/decisions/cache_store.py
@@ -24,7 +24,7 @@
     """Hold the blocks that the store is believed to hold, the last recorded at the end.
 
     `version_blocks` has keys (weights version, block); `token_s` is the fetch time per
-    token.
+    token.  While `is_leaving`, as the store says itself, nothing is fetched or saved.
     """
 
     name: str
@@ -33,6 +33,7 @@
     version_blocks: OrderedDict[tuple[int, int], None] = field(
         default_factory=OrderedDict
     )
+    is_leaving: bool = False
 
 
 def add_stored_blocks(
@@ -57,12 +58,15 @@
 def clear_stored_blocks(store: CacheStoreIndex) -> None:
     """Remove all blocks, as after a restart of the store."""
     store.version_blocks.clear()
+    store.is_leaving = False
 
 
 def count_stored_prefix(
     store: CacheStoreIndex, version: int, blocks: Sequence[int]
 ) -> int:
-    """Return the number of leading blocks that the store holds."""
+    """Return the number of leading blocks that can be fetched from the store."""
+    if store.is_leaving:
+        return 0
     depth = 0
     for block in blocks:
         if (version, block) not in store.version_blocks:
@@ -76,7 +80,7 @@
 ) -> bool:
     """Report whether enough of the request's shared prefix is missing in the store."""
     shared = len(request.blocks) - 1
-    if shared <= 0:
+    if shared <= 0 or store.is_leaving:
         return False
     depth = count_stored_prefix(store, version, request.blocks[:shared])
     missing = request.count_tokens(shared) - request.count_tokens(depth)
--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -67,7 +67,9 @@
     tables: Tables, row: UpstreamRow, request: ModelRequest, now: float
 ) -> bool:
     """Report whether the request may be sent to the upstream, whatever its load."""
-    if row.is_leaving or row.is_loading or row.name in request.excluded:
+    if row.is_leaving or row.has_announced_leaving:
+        return False
+    if row.is_loading or row.name in request.excluded:
         return False
     if request.model not in row.models or now < row.loading_until:
         return False
--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -359,7 +359,8 @@
 def _is_served_anywhere(tables: Tables, request: ModelRequest) -> bool:
     """Report whether an upstream serves the model, even if it is not eligible now."""
     return any(
-        request.model in row.models and not row.is_leaving
+        request.model in row.models
+        and not (row.is_leaving or row.has_announced_leaving)
         for row in tables.upstream_by_name.values()
     )
 
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -9,6 +9,7 @@
 
 from catkintrack.weights import TargetWeights
 
+from .leaving import LeavingTable
 from .prefills import Prefills
 from .prefix import BLOCK_TOKENS
 from .residency import Residency
@@ -31,7 +32,8 @@
 
     `bit_index` is its bit in the masks of `Residency`.  `queued_count` is the number
     of requests queued in this process for the replica.  `service_s` is the moving
-    average of a request's duration there.  `small_prefill_tokens` sums the prefills
+    average of a request's duration there.  `is_leaving` is what discovery says,
+    `has_announced_leaving` what the replica's answers say.  `small_prefill_tokens` sums the prefills
     in progress that are too short to be announced to peers.
     """
 
@@ -43,6 +45,7 @@
     prefill_tokens_per_s: float = 10_000.0
     configured_prefill_tokens_per_s: float = 0.0
     is_leaving: bool = False
+    has_announced_leaving: bool = False
     is_loading: bool = False
     loading_until: float = -1e9
     weights_version: int = 0
@@ -153,6 +156,7 @@
     zone: str = ""
     transfer_rates: TransferRates | None = None
     cache_store: CacheStoreIndex | None = None
+    leaving: LeavingTable = field(default_factory=LeavingTable)
 
     @property
     def waiting_count(self) -> int:
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -28,6 +28,7 @@
     parse_response_headers,
 )
 
+from .signals import apply_signals, may_send
 from .state import Instance
 from .stream_events import EventSplitter
 
@@ -60,6 +61,10 @@
         self.fields = fields
 
 
+class ReplicaUnavailable(Exception):
+    """Report that nothing was sent to a replica, since it accepts nothing new."""
+
+
 class ReplicaErrorResponse(Exception):
     """Hold a replica's 5xx response, to be forwarded if no other attempt succeeds."""
 
@@ -128,11 +133,14 @@
 ) -> None:
     """Run a call on one replica and forward the response.
 
-    Raise ReplicaRejected, UpstreamUnreachable, UpstreamExchangeError or, if
-    `raises_server_errors`, ReplicaErrorResponse.
+    Raise ReplicaUnavailable, ReplicaRejected, UpstreamUnreachable,
+    UpstreamExchangeError or, if `raises_server_errors`, ReplicaErrorResponse.
     """
+    _check_may_send(instance, upstream)
     force_new = not call.route.is_retryable
     async with open_exchange(instance.pool, upstream.address, force_new) as exchange:
+        # Another answer may have arrived while the connection was opened.
+        _check_may_send(instance, upstream)
         might_have_run = progress.may_have_run
         progress.may_have_run = True
         progress.connected_attempts += 1
@@ -141,6 +149,7 @@
         head = await _read_unless_abandoned(bounds, callbacks, exchange.read_head)
         callbacks.on_data()
         fields = parse_response_headers(head)
+        apply_signals(instance, upstream, call.id, fields)
         await callbacks.on_response_head(fields)
         if fields.is_not_run:
             progress.may_have_run = might_have_run
@@ -160,6 +169,11 @@
     await forward_response(progress, head, body, connection)
 
 
+def _check_may_send(instance: Instance, upstream: Upstream) -> None:
+    if not may_send(instance, upstream):
+        raise ReplicaUnavailable("the replica accepts nothing new")
+
+
 def _remaining_s(call: Call) -> float:
     return max(0.0, call.deadline_at - time.monotonic()) + DEADLINE_GRACE_S
 
--- a/catkintrack/instance/cache_store_feed.py
+++ b/catkintrack/instance/cache_store_feed.py
@@ -22,7 +22,11 @@
     UpstreamUnreachable,
     fetch,
 )
-from catkintrack.platform import decode_cache_events, make_cache_events_request
+from catkintrack.platform import (
+    decode_cache_events,
+    make_cache_events_request,
+    parse_response_headers,
+)
 
 from .broadcasting import broadcast
 from .messages import CacheStoreChanged, CacheStoreCleared
@@ -59,6 +63,7 @@
         )
         if address is None or not is_reader:
             cursor = Cursor()
+            _set_leaving(instance, False)
             await curio.sleep(RETRY_S)
             continue
         if address != cursor.address:
@@ -83,7 +88,10 @@
     except (UpstreamUnreachable, UpstreamExchangeError) as error:
         logger.warning("cache store events not fetched", extra={"reason": str(error)})
         return None
-    if head.status != 200:
+    fields = parse_response_headers(head)
+    if fields.is_leaving:
+        _set_leaving(instance, True)
+    if fields.status != 200:
         return None
     match decode_cache_events(body):
         case Success(changes):
@@ -93,6 +101,19 @@
             return None
 
 
+def _set_leaving(instance: Instance, is_leaving: bool) -> None:
+    """Mark the cache store as leaving by its answer, until its next life.
+
+    Events are still read, which is how a new life shows.
+    """
+    store = instance.decisions.cache_store
+    if store is None or store.is_leaving == is_leaving:
+        return
+    store.is_leaving = is_leaving
+    if is_leaving:
+        logger.info("cache store leaves by its answer", extra={"store": store.name})
+
+
 async def _apply_changes(
     instance: Instance, cursor: Cursor, changes: CacheChangeBatch
 ) -> None:
--- a/catkintrack/instance/dump.py
+++ b/catkintrack/instance/dump.py
@@ -5,6 +5,8 @@
 import time
 from typing import Any
 
+from catkintrack.decisions.leaving import has_announced_leaving
+
 from .peers import list_live_peers
 from .state import Instance
 
@@ -37,6 +39,9 @@
                 "service": upstream.service,
                 "address": str(upstream.address),
                 "is_draining": upstream.is_draining,
+                "has_announced_leaving": has_announced_leaving(
+                    instance.decisions.leaving, upstream
+                ),
                 "weights": [w.version for w in upstream.weights],
                 "in_flight": rows[id].in_flight if id in rows else None,
             }
--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -12,6 +12,7 @@
 
 from catkintrack.decisions import load
 from catkintrack.decisions.cache_store import CacheStoreIndex
+from catkintrack.decisions.leaving import forget_unknown_life
 from catkintrack.decisions.retries import RetryBudget, make_retry_budget
 from catkintrack.decisions.scheduler import (
     drop_upstream,
@@ -30,6 +31,7 @@
     record_target_weights,
 )
 
+from .signals import update_leaving
 from .state import Instance, PendingRemoval
 
 logger = logging.getLogger(__name__)
@@ -167,6 +169,7 @@
             upstream.is_draining,
             INITIAL_PREFILL_TOKENS_PER_S,
         )
+        update_leaving(instance, upstream.id)
         _update_incarnation(instance, row, upstream, now)
         for weights in upstream.weights:
             apply_replica_weights(instance, upstream.id, weights, now)
@@ -281,6 +284,7 @@
     if instance.upstream_by_id.pop(id, None) is None:
         return
     drop_upstream(instance.decisions, id)
+    forget_unknown_life(instance.decisions.leaving, id)
     forget_replica(instance.weights, id)
     instance.services.row_by_name.pop(id, None)
     instance.report_requested_at_by_upstream.pop(id, None)
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -23,6 +23,7 @@
     prompt_tokens: Counter
     hit_tokens: Counter
     orders: Counter
+    leaving_replicas: Counter
     store_errors: Counter
     waiting_calls: Gauge
     config_revision: Gauge
@@ -47,6 +48,9 @@
         prompt_tokens=counter("prompt_tokens_total", "Prompt tokens placed."),
         hit_tokens=counter("hit_tokens_total", "Prompt tokens believed cached."),
         orders=counter("orders_total", "Orders to replicas, by outcome."),
+        leaving_replicas=counter(
+            "leaving_replicas_total", "Replicas that said they leave, by service."
+        ),
         store_errors=counter("store_errors_total", "Failed calls, by kind."),
         waiting_calls=gauge("waiting_calls", "Model calls that wait."),
         config_revision=gauge("config_revision", "Configuration in force."),
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -38,6 +38,7 @@
     AttemptCallbacks,
     CallProgress,
     ReplicaRejected,
+    ReplicaUnavailable,
     run_attempt,
 )
 from .broadcasting import broadcast
@@ -51,8 +52,6 @@
 logger = logging.getLogger(__name__)
 
 MAX_TRIES = 5
-# Status of a replica whose ID or weights version differs from the expected one.
-MISDIRECTED_REQUEST_STATUS = 421
 # Lower bound of the time from sending a request to its first token, for its priority in
 # the engine.  The scheduler has a longer one from its decision to the first token.
 MIN_FIRST_TOKEN_S = 0.02
@@ -88,8 +87,10 @@
             return
         except ReplicaRejected as error:
             progress.record_outcome(f"not run: {error}")
-            if error.status == MISDIRECTED_REQUEST_STATUS:
+            if error.fields.is_misdirected:
                 await _query_weights(instance, decision.upstream)
+        except ReplicaUnavailable as error:
+            progress.record_outcome(f"not sent: {error}")
         except UpstreamUnreachable as error:
             progress.record_outcome(f"unreachable: {error}")
         except UpstreamExchangeError as error:
--- a/catkintrack/instance/reports.py
+++ b/catkintrack/instance/reports.py
@@ -16,9 +16,15 @@
     UpstreamUnreachable,
     fetch,
 )
-from catkintrack.platform import decode_report, make_report_request
+from catkintrack.platform import (
+    decode_report,
+    make_report_request,
+    parse_response_headers,
+)
 
 from .fleet_state import apply_replica_weights, apply_target_weights
+from .signals import apply_signals
+from .signals import may_send as accepts_requests
 from .state import Instance
 
 logger = logging.getLogger(__name__)
@@ -93,16 +99,19 @@
 ) -> tuple[ResponseHead, bytes] | None:
     """Return a replica's response, or None if it sends none in time.
 
-    Nothing is sent if `may_send` is false once the connection is open.
+    Nothing is sent to a replica that accepts nothing new, or if `may_send` is false
+    once the connection is open.
     """
+    if not accepts_requests(instance, upstream):
+        return None
     try:
-        return await fetch(
+        head, body = await fetch(
             instance.pool,
             upstream.address,
             request,
             ANSWER_TIMEOUT_S,
             force_new=True,
-            may_send=may_send,
+            may_send=lambda: may_send() and accepts_requests(instance, upstream),
         )
     except (UpstreamUnreachable, UpstreamExchangeError) as error:
         logger.warning(
@@ -110,6 +119,9 @@
             extra={"upstream": upstream.id, "reason": str(error)},
         )
         return None
+    # A new connection carries no answer to another request.
+    apply_signals(instance, upstream, None, parse_response_headers(head))
+    return head, body
 
 
 def make_request_id(instance: Instance) -> bytes:
--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -25,11 +25,13 @@
     CallProgress,
     ReplicaErrorResponse,
     ReplicaRejected,
+    ReplicaUnavailable,
     forward_response,
     run_attempt,
 )
 from .fleet_state import find_retry_budget
 from .refusals import NotServed, OutcomeUnknown
+from .signals import may_send
 from .state import Instance
 
 logger = logging.getLogger(__name__)
@@ -67,6 +69,9 @@
         except ReplicaRejected as error:
             progress.record_outcome(f"not run: {error}")
             continue
+        except ReplicaUnavailable as error:
+            progress.record_outcome(f"not sent: {error}")
+            continue
         except UpstreamUnreachable as error:
             progress.record_outcome(f"unreachable: {error}")
             continue
@@ -98,6 +103,7 @@
         if upstream.service == call.service
         and not upstream.is_draining
         and upstream.id not in excluded
+        and may_send(instance, upstream)
     ]
     name = choose_replica(
         instance.services, names, time.monotonic(), instance.rng, instance.site.zone
--- /dev/null
+++ b/catkintrack/instance/tests/test_signals.py
@@ -0,0 +1,239 @@
+"""Apply what replicas say of themselves in answers of every kind."""
+
+import time
+import unittest
+from typing import Any
+
+import curio
+
+from catkintrack.calls import wait_for_decision
+from catkintrack.decisions import Dispatch as DispatchDecision
+from catkintrack.decisions import Refusal
+from catkintrack.fleet import Upstream
+from catkintrack.http import Address
+from catkintrack.instance.attempts import (
+    AttemptCallbacks,
+    CallProgress,
+    ReplicaRejected,
+    ReplicaUnavailable,
+    run_attempt,
+)
+from catkintrack.instance.cache_store_feed import Cursor, _fetch
+from catkintrack.instance.fleet_state import (
+    apply_configuration,
+    apply_upstream,
+    remove_upstreams,
+)
+from catkintrack.instance.reports import fetch_report
+from catkintrack.instance.service_calls import _choose_upstream
+from catkintrack.instance.signals import apply_signals, may_send
+from catkintrack.instance.weights_rollout import _count_in_flight
+from catkintrack.platform import Dispatch
+from testkit.decision_tables import make_request
+from testkit.instances import make_call, make_config_spec, make_entry_spec, make_route
+from testkit.raw_upstreams import open_raw_upstream
+from testkit.recording import RecordingConnection
+from testkit.states import make_instance
+from testkit.upstreams import make_response_fields
+
+LOOKUP = make_route(is_stream=False, is_idempotent=True, has_prompt=False)
+LEAVING = b"server-leaving: 1\r\n"
+
+
+def make_answer(status: bytes, headers: bytes = b"", body: bytes = b"{}") -> bytes:
+    return (
+        b"HTTP/1.1 %s\r\nx-request-id: r1\r\nx-response-signature: s\r\n"
+        b"content-length: %d\r\n%s\r\n%s" % (status, len(body), headers, body)
+    )
+
+
+class InstanceTest(unittest.TestCase):
+    """Give each test an instance that knows the model replicas i1 and i2."""
+
+    def setUp(self):
+        self.instance = make_instance()
+        self.instance.decisions.retry_budget = None
+        apply_configuration(self.instance, 5, make_config_spec(7), "store")
+        self.put("i1")
+        self.put("i2")
+
+    def put(self, id: str, **changes: Any) -> None:
+        apply_upstream(self.instance, id, make_entry_spec(**changes), time.monotonic())
+
+    def answer(self, id: str = "i1", status: int = 200, **fields: Any) -> None:
+        fields_read = make_response_fields(status, **fields)
+        apply_signals(self.instance, self.find(id), b"r1", fields_read)
+
+    def find(self, id: str) -> Upstream:
+        return self.instance.upstream_by_id[id]
+
+    def may_send(self, id: str = "i1") -> bool:
+        return may_send(self.instance, self.find(id))
+
+    def place(self, id: str = "q1") -> str | None:
+        """Return where the scheduler sends a request now, None if it refuses it."""
+        request = make_request(id, arrived_at=time.monotonic())
+
+        async def run():
+            return await curio.timeout_after(
+                1.0, wait_for_decision, self.instance.call_queue, request
+            )
+
+        decision = curio.run(run)
+        if isinstance(decision, Refusal):
+            return None
+        assert isinstance(decision, DispatchDecision)
+        return decision.upstream
+
+    def attempt(self, data: bytes) -> None:
+        """Run one attempt at i1, which answers with these bytes."""
+        with open_raw_upstream(lambda send: send(data)) as address:
+            self.put("i1", address=str(address))
+            curio.run(self.run_attempt_at, self.find("i1"))
+
+    async def run_attempt_at(self, upstream: Upstream) -> None:
+        now = time.monotonic()
+        call = make_call(LOOKUP, arrived_at=now, deadline_at=now + 2.0)
+
+        async def on_response_head(fields):
+            pass
+
+        await run_attempt(
+            self.instance,
+            call,
+            CallProgress(now),
+            upstream,
+            Dispatch(upstream.id, 2.0),
+            RecordingConnection(),
+            AttemptCallbacks(on_response_head),
+            False,
+        )
+
+
+class LeavingTest(InstanceTest):
+    def test_any_answer_to_a_call_counts(self):
+        rejection = b"503 Busy", b"x-not-executed: 1\r\n" + LEAVING
+        answers = [(b"200 OK", LEAVING), (b"500 Error", LEAVING), rejection]
+        for status, headers in answers:
+            with self.subTest(status=status):
+                self.setUp()
+                self.assertTrue(self.may_send())
+                try:
+                    self.attempt(make_answer(status, headers))
+                except ReplicaRejected:
+                    self.assertEqual(status, b"503 Busy")
+                self.assertFalse(self.may_send())
+                self.assertTrue(self.may_send("i2"))
+
+    def test_answer_without_the_header_or_with_another_value_does_not_count(self):
+        for headers in (b"", b"server-leaving: 0\r\n"):
+            self.attempt(make_answer(b"200 OK", headers))
+            self.assertTrue(self.may_send())
+
+    def test_report_counts_and_no_further_one_is_sent(self):
+        with open_raw_upstream(
+            lambda send: send(make_answer(b"200 OK", LEAVING))
+        ) as address:
+            self.put("i1", address=str(address))
+            self.assertIsNotNone(
+                curio.run(fetch_report, self.instance, self.find("i1"))
+            )
+            self.assertFalse(self.may_send())
+            self.assertIsNone(curio.run(fetch_report, self.instance, self.find("i1")))
+
+    def test_nothing_is_sent_after_an_answer_that_came_while_connecting(self):
+        sent = []
+
+        def script(send):
+            sent.append(1)
+
+        async def run(address: Address) -> None:
+            self.put("i1", address=str(address))
+            task = await curio.spawn(self.run_attempt_at, self.find("i1"))
+            # The attempt is connecting; the answer of another call arrives.
+            await curio.sleep(0)
+            self.answer(is_leaving=True)
+            with self.assertRaises(curio.TaskError) as caught:
+                await task.join()
+            self.assertIsInstance(caught.exception.__cause__, ReplicaUnavailable)
+
+        with open_raw_upstream(script) as address:
+            curio.run(run, address)
+        self.assertEqual(sent, [])
+
+    def test_scheduler_and_services_choose_others(self):
+        self.answer("i1", is_leaving=True)
+        for number in range(10):
+            self.assertEqual(self.place(f"q{number}"), "i2")
+        call = make_call(LOOKUP)
+        chosen = {
+            _choose_upstream(self.instance, call, frozenset()).id for _ in range(10)
+        }
+        self.assertEqual(chosen, {"i2"})
+        self.answer("i2", is_leaving=True)
+        self.assertIsNone(self.place("last"))
+        self.assertIsNone(_choose_upstream(self.instance, call, frozenset()))
+
+    def test_entry_of_the_same_or_an_earlier_life_does_not_undo_it(self):
+        self.answer(is_leaving=True)
+        self.put("i1", sequence=99)
+        self.put("i1", born=900)
+        self.assertFalse(self.may_send())
+        self.put("i1", slots=16)
+        self.assertTrue(
+            self.instance.decisions.upstream_by_name["i1"].has_announced_leaving
+        )
+
+    def test_removed_and_restored_entry_does_not_undo_it(self):
+        self.answer(is_leaving=True)
+        remove_upstreams(self.instance, ["i1"], time.monotonic(), False)
+        self.put("i1")
+        self.assertFalse(self.may_send())
+        self.assertEqual(self.place(), "i2")
+
+    def test_new_life_is_used(self):
+        self.answer("i1", is_leaving=True)
+        self.answer("i2", is_leaving=True)
+        self.put("i1", born=2000)
+        self.assertTrue(self.may_send())
+        self.assertEqual(self.place(), "i1")
+
+    def test_late_answer_of_the_earlier_life_does_not_stop_the_new_one(self):
+        earlier = self.find("i1")
+        self.put("i1", born=2000)
+        fields = make_response_fields(is_leaving=True)
+        apply_signals(self.instance, earlier, b"r1", fields)
+        self.assertTrue(self.may_send())
+
+    def test_word_of_another_replica_or_to_another_request_does_not_count(self):
+        self.answer(status=421, is_leaving=True, is_misdirected=True)
+        self.answer(is_leaving=True, upstream_id="i9")
+        self.answer(is_leaving=True, request_id=b"r9")
+        self.assertTrue(self.may_send())
+        self.answer(status=421, is_leaving=True, is_misdirected=True, upstream_id="i1")
+        self.assertFalse(self.may_send())
+
+    def test_no_weights_are_ordered(self):
+        self.answer(is_leaving=True)
+        counts = _count_in_flight(self.instance, "m1", time.monotonic())
+        self.assertEqual(set(counts), {"i2"})
+
+    def test_one_line_and_one_count_a_replica(self):
+        with self.assertLogs("catkintrack.instance.signals", "INFO") as logs:
+            for _ in range(3):
+                self.answer(is_leaving=True)
+        self.assertEqual(len(logs.records), 1)
+        counter = self.instance.metrics.leaving_replicas
+        self.assertEqual(counter.get({"service": "models"}), 1)
+
+    def test_cache_store_that_leaves_is_not_used_until_its_next_life(self):
+        store = self.instance.decisions.cache_store
+        body = b'{"boot_epoch": 1, "next": 0, "lost": false, "events": []}'
+        answer = make_answer(b"200 OK", LEAVING, body).replace(b"r1", b"n1-1")
+        with open_raw_upstream(lambda send: send(answer)) as address:
+            curio.run(_fetch, self.instance, address, Cursor(address))
+        self.assertTrue(store.is_leaving)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/catkintrack/instance/weights_rollout.py
+++ b/catkintrack/instance/weights_rollout.py
@@ -23,6 +23,7 @@
 from .messages import LoadBegun
 from .peers import list_live_peers
 from .reports import exchange_with, make_request_id, refresh_report
+from .signals import may_send
 from .state import Instance
 
 logger = logging.getLogger(__name__)
@@ -64,6 +65,8 @@
         row = instance.decisions.upstream_by_name.get(id)
         if row is None or model not in row.models or upstream.is_draining:
             continue
+        if not may_send(instance, upstream):
+            continue
         peer_counts = [peer.in_flight_by_upstream.get(id, 0) for peer in peers]
         in_flight_by_upstream[id] = row.in_flight + sum(peer_counts)
     return in_flight_by_upstream
--- a/catkintrack/platform/names.py
+++ b/catkintrack/platform/names.py
@@ -13,6 +13,9 @@
 EXPECTED_UPSTREAM = b"x-expect-instance"
 SERVER_LOAD = b"x-server-load"
 NOT_RUN = b"x-not-executed"
+# The ID of the replica that answers.
+ANSWERING_UPSTREAM = b"x-instance-id"
+SERVER_LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
 MODEL = b"x-model"
 # Prompt tokens and maximum output tokens of a request, separated by a comma.
--- a/catkintrack/platform/requests.py
+++ b/catkintrack/platform/requests.py
@@ -19,6 +19,7 @@
 
 from .errors import DecodingError
 from .names import (
+    ANSWERING_UPSTREAM,
     API_KEY,
     CACHE_SALT,
     DEADLINE_MS,
@@ -35,12 +36,15 @@
     RETRY_AFTER,
     ROUTER_HEADERS,
     SAVE_TO,
+    SERVER_LEAVING,
     SERVER_LOAD,
     TOKEN_USAGE,
     WEIGHTS_VERSION,
     WORKSPACE,
 )
 
+# Status of a replica whose ID or weights version differs from the expected one.
+MISDIRECTED_REQUEST_STATUS = 421
 JSON_CONTENT_TYPE = (b"content-type", b"application/json")
 
 
@@ -81,7 +85,8 @@
 class ResponseFields:
     """Hold the parsed status and headers of a replica's response.
 
-    `load` is the numbers of running and waiting requests at the replica.
+    `load` is the numbers of running and waiting requests at the replica.  `upstream_id`
+    names the replica that answered.  `is_leaving` is set if it accepts no new work.
     """
 
     status: int
@@ -91,6 +96,9 @@
     is_encoded: bool
     load: tuple[int, int] | None
     weights_version: int | None
+    upstream_id: str | None = None
+    is_misdirected: bool = False
+    is_leaving: bool = False
 
 
 def parse_request_headers(request: Request) -> Result[RequestFields, DecodingError]:
@@ -171,14 +179,19 @@
     """Return the parsed status and headers of a replica's response."""
     headers = head.headers
     encoding = find_header(headers, b"content-encoding")
+    upstream_id = find_header(headers, ANSWERING_UPSTREAM)
+    is_misdirected = head.status == MISDIRECTED_REQUEST_STATUS
     return ResponseFields(
         status=head.status,
         request_id=find_header(headers, REQUEST_ID),
         is_signed=find_header(headers, RESPONSE_SIGNATURE) is not None,
-        is_not_run=find_header(headers, NOT_RUN) is not None or head.status == 421,
+        is_not_run=find_header(headers, NOT_RUN) is not None or is_misdirected,
         is_encoded=encoding not in (None, b"identity"),
         load=_parse_load(find_header(headers, SERVER_LOAD)),
         weights_version=_parse_version(find_header(headers, WEIGHTS_VERSION)),
+        upstream_id=None if upstream_id is None else upstream_id.decode("latin-1"),
+        is_misdirected=is_misdirected,
+        is_leaving=find_header(headers, SERVER_LEAVING) == b"1",
     )
 
 
--- a/catkintrack/platform/tests/test_formats.py
+++ b/catkintrack/platform/tests/test_formats.py
@@ -229,6 +229,14 @@
                 fields = parse_response_headers(ResponseHead(status, headers))
                 self.assertEqual(fields.is_not_run, is_not_run)
 
+    def test_leaving_replica_and_its_id_are_parsed(self):
+        for value, is_leaving in ((b"1", True), (b"0", False), (b"", False)):
+            headers = ((b"server-leaving", value), (b"x-instance-id", b"i1"))
+            fields = parse_response_headers(ResponseHead(503, headers))
+            self.assertEqual(fields.is_leaving, is_leaving)
+            self.assertEqual(fields.upstream_id, "i1")
+        self.assertFalse(parse_response_headers(ResponseHead(200, ())).is_leaving)
+
     def test_load_header_is_parsed(self):
         for value, load in ((b"3,1,8", (3, 1)), (b"x", None), (b"", None)):
             head = ResponseHead(200, ((b"x-server-load", value),))
--- /dev/null
+++ b/catkintrack/tests/test_replica_signals.py
@@ -0,0 +1,97 @@
+"""Run instances beside replicas that say in their answers that they leave."""
+
+import unittest
+
+from standins.replica import EVENTS_PER_STREAM
+from testkit.fleet import wait_until
+from testkit.instances import make_entry_spec
+from testkit.site import Site, count_events, open_site
+
+# More requests than it takes until each replica has had one.
+MAX_CALLS = 24
+
+
+class SignalTest(unittest.TestCase):
+    """Run each test on a site of its own."""
+
+    def setUp(self):
+        context = open_site(nodes=2)
+        self.site: Site = context.__enter__()
+        self.addCleanup(context.__exit__, None, None, None)
+
+    def count_requests(self, id: str) -> int:
+        return sum(self.site.read_counts(id)["requests_by_path"].values())
+
+    def stream_well(self, node: str = "n0") -> None:
+        status, _, body = self.site.stream(node)
+        self.assertEqual((status, count_events(body)), (200, EVENTS_PER_STREAM))
+
+    def look_up_well(self, node: str = "n0") -> None:
+        self.assertEqual(self.site.call(node, "/lookup/1", method="GET")[0], 200)
+
+    def call_until_met(self, id: str, call, *args) -> None:
+        """Repeat a call until it has reached the replica `id`."""
+        before = self.count_requests(id)
+        for _ in range(MAX_CALLS):
+            call(*args)
+            if self.count_requests(id) > before:
+                return
+        self.fail(f"{id} got no request")
+
+    def rewrite_entry(self, id: str, service: str, **changes) -> None:
+        address = f"127.0.0.1:{self.site.replica_port_by_id[id]}"
+        models = [{"name": "m1", "version": 1}] if service == "models" else []
+        fields = {"service": service, "address": address, "models": models}
+        self.site.write_object("servers", id, make_entry_spec(**fields | changes))
+
+    def write_marker(self, node: str) -> None:
+        """Wait until the instance knows an entry that is written now."""
+        spec = make_entry_spec(service="app", models=[], address="127.0.0.1:9")
+        self.site.write_object("servers", "marker", spec | {"state": "draining"})
+        dump = self.site.node_by_name[node].dump
+        wait_until(lambda: "marker" in dump()["upstreams"])
+        self.site.delete_object("servers", "marker")
+
+
+class LeavingTest(SignalTest):
+    def test_leaving_model_replica_gets_nothing_new(self):
+        self.site.set_replica_faults("m0", is_leaving=True)
+        self.call_until_met("m0", self.stream_well)
+        met = self.count_requests("m0")
+        for _ in range(8):
+            self.stream_well()
+        self.assertEqual(self.count_requests("m0"), met)
+
+    def test_older_entry_keeps_it_out_and_a_new_life_brings_it_back(self):
+        self.site.set_replica_faults("a0", is_leaving=True)
+        self.call_until_met("a0", self.look_up_well)
+        met = self.count_requests("a0")
+        self.rewrite_entry("a0", "app", sequence=9)
+        self.write_marker("n0")
+        self.site.set_store_faults("n0", is_down=True)
+        for _ in range(8):
+            self.look_up_well()
+        self.assertEqual(self.count_requests("a0"), met)
+        self.site.set_store_faults("n0", is_down=False)
+        self.site.set_replica_faults("a0", is_leaving=False)
+        self.rewrite_entry("a0", "app", born=2000)
+        wait_until(lambda: self.try_again("a0", met), description="a0 is used again")
+
+    def try_again(self, id: str, met: int) -> bool:
+        self.look_up_well()
+        return self.count_requests(id) > met
+
+    def test_running_stream_ends_in_peace_and_peers_are_not_told(self):
+        self.site.set_replica_faults("m0", is_leaving=True)
+        self.call_until_met("m0", self.stream_well)
+        self.assertEqual(self.site.read_counts("m0")["left_streams"], 0)
+        entry_by_node = {
+            name: node.dump()["upstreams"]["m0"]
+            for name, node in self.site.node_by_name.items()
+        }
+        self.assertTrue(entry_by_node["n0"]["has_announced_leaving"])
+        self.assertFalse(entry_by_node["n1"]["has_announced_leaving"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -24,6 +24,7 @@
 )
 
 from .answers import drop_connection, read_json, respond_json, serve_until_stopped
+from .replica_signals import LeavingConnection
 
 EVENTS_PER_STREAM = 12
 STREAM_EVENT_INTERVAL_S = 0.02
@@ -51,6 +52,7 @@
     # The duration of a run, and the number of responses followed by a spurious one.
     run_s: float = 0.0
     extra_answers: int = 0
+    is_leaving: bool = False
 
 
 @dataclass(slots=True)
@@ -71,6 +73,7 @@
     leaked_headers: int = 0
     whole_streams: int = 0
     left_streams: int = 0
+    requests_by_path: Counter = field(default_factory=Counter)
 
 
 async def handle(replica: Replica, request: Request, connection: Connection) -> None:
@@ -84,8 +87,11 @@
     if path == "/counts":
         await respond_json(connection, 200, msgspec.to_builtins(replica))
         return
+    replica.requests_by_path[path] += 1
     if replica.faults.is_silent:
         await curio.sleep(SILENT_DELAY_S)
+    if replica.faults.is_leaving:
+        connection = LeavingConnection(connection)
     if path == "/-/report":
         await respond_json(connection, 200, make_report(replica))
     elif path == "/-/order":
--- a/testkit/recording.py
+++ b/testkit/recording.py
@@ -24,3 +24,9 @@
     async def finish_response(self) -> None:
         """Record that the response is complete."""
         self.is_finished = True
+
+    async def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Record a complete response."""
+        await self.start_response(status, headers)
+        await self.send_body(body)
+        await self.finish_response()
