Let replicas rest that ask for it, and return to them one request first

Callers would see refusals while other replicas were free: a replica that answers 503 with `Retry-After` wants nothing from that instance for so long, and the instance chose it again at once, so that calls used up their tries and the retry budget on it.

The adapter decodes the time. `decisions/rest.py` decides: from the answer on until a random time (25% of the rest, 0.1 to 1 s) after the stated end nothing is placed or sent; then one request goes first, and its answer, or 1 s, opens the replica to all. Negative or unreadable times give no rest, longer ones than 60 s are taken as 60 s. A rest belongs to the incarnation and touches neither ejection nor slow start. Calls, reports and orders ask before they connect and before they send; a replica that rests is left out of the plan of loads, and the cache store's events are not polled in its time. Only the probe of a silent replica still connects, without a request. If all replicas of a model or service rest, requests are refused at once with the earliest return, spread within the deadline; a started stream waits if a replica returns before its deadline.

--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -16,6 +16,7 @@
 from .prefills import find_pending
 from .prefix import find_affinity_depth
 from .residency import find_cached_depths
+from .rest import is_held
 from .tables import ModelRequest, Tables, UpstreamRow
 from .transfers import FETCH_EVICTION_WEIGHT, FetchSource, find_fetch_source
 
@@ -67,7 +68,7 @@
     tables: Tables, row: UpstreamRow, request: ModelRequest, now: float
 ) -> bool:
     """Report whether the request may be sent to the upstream, whatever its load."""
-    if row.is_leaving or row.has_announced_leaving:
+    if row.is_leaving or row.has_announced_leaving or is_held(row.rest, now):
         return False
     if row.is_loading or row.name in request.excluded:
         return False
--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -26,6 +26,7 @@
     expire_prefills,
 )
 from .residency import add_cached_blocks, clear_cached_blocks, remove_cached_blocks
+from .rest import choose_return_s, find_earliest_return, record_placed
 from .retries import add_retry_credit, take_retry
 from .shedding import (
     choose_retry_after_s,
@@ -62,6 +63,7 @@
     QUEUE_FULL = "queue_full"
     DEADLINE = "deadline"
     RETRY_BUDGET = "retry_budget"
+    RESTING = "resting"
 
 
 @dataclass(frozen=True, slots=True)
@@ -210,6 +212,7 @@
     expire_prefills(tables.prefills, now)
     decisions: list[Decision] = []
     decisions += refuse_expired(tables, now)
+    decisions += refuse_while_resting(tables, now, rng)
     decisions += shed_late_requests(tables, now)
     decisions += dispatch_retries(tables, now, rng, policy)
     decisions += dispatch_waiting(tables, now, rng, policy)
@@ -228,6 +231,39 @@
     return refusals
 
 
+def refuse_while_resting(tables: Tables, now: float, rng: Random) -> list[Refusal]:
+    """Refuse the queued requests whose model is served by resting replicas only.
+
+    A started response waits for one that returns before its deadline.
+    """
+    if not tables.rests.rest_by_upstream:
+        return []
+    queues = [row.waiting for row in tables.workspace_by_name.values()]
+    refusals = []
+    for queue in (*queues, tables.retries):
+        for request in list(queue):
+            returns_at = _find_earliest_return(tables, request.model, now)
+            if returns_at is None:
+                continue
+            if request.has_started and returns_at < request.deadline:
+                continue
+            queue.remove(request)
+            wait_s = choose_return_s(returns_at, request.deadline, now, rng)
+            refusals.append(Refusal(request, RefusalReason.RESTING, wait_s))
+    return refusals
+
+
+def _find_earliest_return(tables: Tables, model: str, now: float) -> float | None:
+    rows = tables.upstream_by_name.values()
+    return find_earliest_return(
+        (row.rest for row in rows if model in row.models and not _is_leaving(row)), now
+    )
+
+
+def _is_leaving(row: UpstreamRow) -> bool:
+    return row.is_leaving or row.has_announced_leaving
+
+
 def shed_late_requests(tables: Tables, now: float) -> list[Refusal]:
     """Refuse the late requests that would be dispatched after their deadline."""
     queue = tables.late_queue
@@ -359,8 +395,7 @@
 def _is_served_anywhere(tables: Tables, request: ModelRequest) -> bool:
     """Report whether an upstream serves the model, even if it is not eligible now."""
     return any(
-        request.model in row.models
-        and not (row.is_leaving or row.has_announced_leaving)
+        request.model in row.models and not _is_leaving(row)
         for row in tables.upstream_by_name.values()
     )
 
@@ -383,6 +418,7 @@
     row = placement.upstream
     is_alone = load.is_prefill_idle(tables, row)
     load.record_dispatch(tables, row, request, placement.uncached_tokens, now)
+    record_placed(row.rest, now)
     tables.running_by_id[request.id] = RunningRow(
         request,
         row.name,
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -13,6 +13,7 @@
 from .prefills import Prefills
 from .prefix import BLOCK_TOKENS
 from .residency import Residency
+from .rest import Rest, RestTable
 from .retries import RetryBudget, make_router_budget
 
 if TYPE_CHECKING:
@@ -33,7 +34,7 @@
     `bit_index` is its bit in the masks of `Residency`.  `queued_count` is the number
     of requests queued in this process for the replica.  `service_s` is the moving
     average of a request's duration there.  `is_leaving` is what discovery says,
-    `has_announced_leaving` what the replica's answers say.  `small_prefill_tokens` sums the prefills
+    `has_announced_leaving` and `rest` what the replica's answers say.  `small_prefill_tokens` sums the prefills
     in progress that are too short to be announced to peers.
     """
 
@@ -46,6 +47,7 @@
     configured_prefill_tokens_per_s: float = 0.0
     is_leaving: bool = False
     has_announced_leaving: bool = False
+    rest: Rest | None = None
     is_loading: bool = False
     loading_until: float = -1e9
     weights_version: int = 0
@@ -76,6 +78,7 @@
 
     `block_ends` is the number of tokens up to the end of each block; if it is empty,
     each block has BLOCK_TOKENS.  `target_at` is when the first token is due.
+    `has_started` is set if a replica may have run part of it.
     """
 
     id: str
@@ -91,6 +94,7 @@
     is_retry: bool = False
     block_ends: tuple[int, ...] = ()
     target_at: float = math.inf
+    has_started: bool = False
 
     def count_tokens(self, depth: int) -> int:
         """Return the prompt tokens in the first `depth` blocks."""
@@ -157,6 +161,7 @@
     transfer_rates: TransferRates | None = None
     cache_store: CacheStoreIndex | None = None
     leaving: LeavingTable = field(default_factory=LeavingTable)
+    rests: RestTable = field(default_factory=RestTable)
 
     @property
     def waiting_count(self) -> int:
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -144,12 +144,14 @@
         might_have_run = progress.may_have_run
         progress.may_have_run = True
         progress.connected_attempts += 1
+        sent_at = time.monotonic()
         await exchange.send(make_upstream_request(call, dispatch))
         bounds = make_stream_bounds(call, exchange.max_body_bytes)
         head = await _read_unless_abandoned(bounds, callbacks, exchange.read_head)
         callbacks.on_data()
         fields = parse_response_headers(head)
-        apply_signals(instance, upstream, call.id, fields)
+        now = time.monotonic()
+        apply_signals(instance, upstream, call.id, fields, sent_at, now)
         await callbacks.on_response_head(fields)
         if fields.is_not_run:
             progress.may_have_run = might_have_run
@@ -170,7 +172,7 @@
 
 
 def _check_may_send(instance: Instance, upstream: Upstream) -> None:
-    if not may_send(instance, upstream):
+    if not may_send(instance, upstream, time.monotonic()):
         raise ReplicaUnavailable("the replica accepts nothing new")
 
 
--- a/catkintrack/instance/cache_store_feed.py
+++ b/catkintrack/instance/cache_store_feed.py
@@ -15,6 +15,7 @@
     clear_stored_blocks,
     remove_stored_blocks,
 )
+from catkintrack.decisions.rest import bound_rest_s
 from catkintrack.fleet import CacheChangeBatch
 from catkintrack.http import (
     Address,
@@ -33,6 +34,7 @@
 from .peers import find_rank
 from .prompts import hash_cached_block
 from .reports import make_request_id
+from .signals import REST_STATUS
 from .state import Instance
 
 logger = logging.getLogger(__name__)
@@ -46,11 +48,15 @@
 
 @dataclass(slots=True)
 class Cursor:
-    """Hold the position up to which the cache store's events have been read."""
+    """Hold the position up to which the cache store's events have been read.
+
+    `rest_s` is the time that its last answer asked for, in seconds.
+    """
 
     address: Address | None = None
     incarnation: int | None = None
     next_number: int = 0
+    rest_s: float = 0.0
 
 
 async def run_cache_store_feed(instance: Instance) -> None:
@@ -70,7 +76,7 @@
             cursor = Cursor(address)
         changes = await _fetch(instance, address, cursor)
         if changes is None:
-            await curio.sleep(RETRY_S)
+            await curio.sleep(max(RETRY_S, cursor.rest_s))
             continue
         await _apply_changes(instance, cursor, changes)
         await curio.sleep(POLL_PAUSE_S)
@@ -82,6 +88,7 @@
     request = make_cache_events_request(
         address, cursor.next_number, POLL_WAIT_S, make_request_id(instance)
     )
+    cursor.rest_s = 0.0
     timeout_s = POLL_WAIT_S + ANSWER_MARGIN_S
     try:
         head, body = await fetch(instance.pool, address, request, timeout_s)
@@ -91,6 +98,8 @@
     fields = parse_response_headers(head)
     if fields.is_leaving:
         _set_leaving(instance, True)
+    if fields.status == REST_STATUS:
+        cursor.rest_s = bound_rest_s(fields.retry_after_s)
     if fields.status != 200:
         return None
     match decode_cache_events(body):
--- a/catkintrack/instance/dump.py
+++ b/catkintrack/instance/dump.py
@@ -8,6 +8,7 @@
 from catkintrack.decisions.leaving import has_announced_leaving
 
 from .peers import list_live_peers
+from .signals import may_send
 from .state import Instance
 
 
@@ -42,6 +43,7 @@
                 "has_announced_leaving": has_announced_leaving(
                     instance.decisions.leaving, upstream
                 ),
+                "accepts_requests": may_send(instance, upstream, now),
                 "weights": [w.version for w in upstream.weights],
                 "in_flight": rows[id].in_flight if id in rows else None,
             }
--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -31,7 +31,7 @@
     record_target_weights,
 )
 
-from .signals import update_leaving
+from .signals import update_signals
 from .state import Instance, PendingRemoval
 
 logger = logging.getLogger(__name__)
@@ -169,7 +169,6 @@
             upstream.is_draining,
             INITIAL_PREFILL_TOKENS_PER_S,
         )
-        update_leaving(instance, upstream.id)
         _update_incarnation(instance, row, upstream, now)
         for weights in upstream.weights:
             apply_replica_weights(instance, upstream.id, weights, now)
@@ -178,6 +177,7 @@
         row.zone = upstream.zone
         row.max_running = upstream.slots
         row.is_leaving = upstream.is_draining
+    update_signals(instance, upstream.id)
 
 
 def _update_incarnation(
--- a/catkintrack/instance/main.py
+++ b/catkintrack/instance/main.py
@@ -61,6 +61,7 @@
 from .readiness import is_ready, open_readiness_server
 from .refusals import respond_to_bad_request
 from .reload import make_site_reload
+from .signals import end_returned_rests
 from .state import Instance
 from .weights_rollout import run_weights_rollout
 
@@ -215,6 +216,7 @@
         now = time.monotonic()
         limit_after_own_pause(instance, read_boot_clock(), now)
         remove_lapsed_upstreams(instance, now)
+        end_returned_rests(instance, now)
         await probe_suspects(instance)
         live_peers = [p for p in list_live_peers(instance, now) if not p.is_leaving]
         known_count = max(1, len(instance.peer_by_address) + 1)
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -24,6 +24,7 @@
     hit_tokens: Counter
     orders: Counter
     leaving_replicas: Counter
+    rests: Counter
     store_errors: Counter
     waiting_calls: Gauge
     config_revision: Gauge
@@ -51,6 +52,7 @@
         leaving_replicas=counter(
             "leaving_replicas_total", "Replicas that said they leave, by service."
         ),
+        rests=counter("rests_total", "Rests of replicas, by event: begun, over."),
         store_errors=counter("store_errors_total", "Failed calls, by kind."),
         waiting_calls=gauge("waiting_calls", "Model calls that wait."),
         config_revision=gauge("config_revision", "Configuration in force."),
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -47,6 +47,7 @@
 from .prompts import hash_prompt_blocks, make_cache_salt
 from .refusals import NotServed, OutcomeUnknown
 from .reports import learn_weights
+from .signals import find_return_s
 from .state import Instance
 
 logger = logging.getLogger(__name__)
@@ -99,10 +100,16 @@
             if not call.route.is_retryable or is_exhausted:
                 break
         request = replace(
-            request, excluded=request.excluded | {decision.upstream}, is_retry=True
+            request,
+            excluded=request.excluded | {decision.upstream},
+            is_retry=True,
+            has_started=progress.may_have_run,
         )
     if progress.may_have_run:
         raise OutcomeUnknown(progress.reason or "every replica failed")
+    wait_s = find_return_s(instance, call.service, call.deadline_at, time.monotonic())
+    if wait_s is not None:
+        raise NotServed("all replicas rest", wait_s)
     raise NotServed(progress.reason or "no replica can take the call", RETRY_AFTER_S)
 
 
--- a/catkintrack/instance/reports.py
+++ b/catkintrack/instance/reports.py
@@ -102,7 +102,8 @@
     Nothing is sent to a replica that accepts nothing new, or if `may_send` is false
     once the connection is open.
     """
-    if not accepts_requests(instance, upstream):
+    sent_at = time.monotonic()
+    if not accepts_requests(instance, upstream, sent_at):
         return None
     try:
         head, body = await fetch(
@@ -111,7 +112,9 @@
             request,
             ANSWER_TIMEOUT_S,
             force_new=True,
-            may_send=lambda: may_send() and accepts_requests(instance, upstream),
+            may_send=lambda: (
+                may_send() and accepts_requests(instance, upstream, time.monotonic())
+            ),
         )
     except (UpstreamUnreachable, UpstreamExchangeError) as error:
         logger.warning(
@@ -120,7 +123,8 @@
         )
         return None
     # A new connection carries no answer to another request.
-    apply_signals(instance, upstream, None, parse_response_headers(head))
+    fields = parse_response_headers(head)
+    apply_signals(instance, upstream, None, fields, sent_at, time.monotonic())
     return head, body
 
 
--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -31,7 +31,7 @@
 )
 from .fleet_state import find_retry_budget
 from .refusals import NotServed, OutcomeUnknown
-from .signals import may_send
+from .signals import find_return_s, may_choose, record_chosen
 from .state import Instance
 
 logger = logging.getLogger(__name__)
@@ -91,24 +91,32 @@
         return
     if progress.may_have_run:
         raise OutcomeUnknown(progress.reason or "every replica failed")
+    wait_s = find_return_s(instance, call.service, call.deadline_at, time.monotonic())
+    if wait_s is not None:
+        raise NotServed("all replicas rest", wait_s)
     raise NotServed(progress.reason or "no replica can take the call", RETRY_AFTER_S)
 
 
 def _choose_upstream(
     instance: Instance, call: Call, excluded: frozenset[str]
 ) -> Upstream | None:
+    now = time.monotonic()
     names = [
         upstream.id
         for upstream in instance.upstream_by_id.values()
         if upstream.service == call.service
         and not upstream.is_draining
         and upstream.id not in excluded
-        and may_send(instance, upstream)
+        and may_choose(instance, upstream, now)
     ]
     name = choose_replica(
-        instance.services, names, time.monotonic(), instance.rng, instance.site.zone
+        instance.services, names, now, instance.rng, instance.site.zone
     )
-    return None if name is None else instance.upstream_by_id[name]
+    if name is None:
+        return None
+    upstream = instance.upstream_by_id[name]
+    record_chosen(instance, upstream, now)
+    return upstream
 
 
 async def _run(
--- a/catkintrack/instance/signals.py
+++ b/catkintrack/instance/signals.py
@@ -1,4 +1,4 @@
-"""Apply what replicas say of themselves in their answers: that they leave.
+"""Apply what replicas say of themselves in their answers: that they leave or rest.
 
 What an instance learns here it does not tell its peers: each of them meets the replica
 itself, and a peer that is wrong can't take replicas out of use elsewhere.
@@ -9,6 +9,19 @@
 import logging
 
 from catkintrack.decisions.leaving import has_announced_leaving, record_leaving
+from catkintrack.decisions.rest import (
+    begin_rest,
+    choose_return_s,
+    end_answered_rest,
+    end_rest_of_earlier_life,
+    find_earliest_return,
+    find_rest,
+    has_returned,
+    is_held,
+    is_resting,
+    is_usable_time,
+    record_placed,
+)
 from catkintrack.fleet import Upstream
 from catkintrack.platform import ResponseFields
 
@@ -16,14 +29,18 @@
 
 logger = logging.getLogger(__name__)
 
+REST_STATUS = 503
+
 
 def apply_signals(
     instance: Instance,
     upstream: Upstream,
     request_id: bytes | None,
     fields: ResponseFields,
+    sent_at: float,
+    now: float,
 ) -> None:
-    """Apply what a replica says of itself in its answer to a request.
+    """Apply what a replica says of itself in its answer to a request sent at `sent_at`.
 
     `request_id` is None if the connection can carry no answer to another request.
     """
@@ -31,11 +48,60 @@
         return
     if fields.is_leaving:
         _apply_leaving(instance, upstream)
+    if end_answered_rest(instance.decisions.rests, upstream, sent_at):
+        update_signals(instance, upstream.id)
+        _record_rest_over(instance, upstream.id, "answer")
+    if fields.status == REST_STATUS and fields.retry_after_s is not None:
+        _apply_rest(instance, upstream, fields, now)
+
 
+def may_send(instance: Instance, upstream: Upstream, now: float) -> bool:
+    """Report whether a replica accepts anything, as far as its answers tell."""
+    if has_announced_leaving(instance.decisions.leaving, upstream):
+        return False
+    return not is_resting(find_rest(instance.decisions.rests, upstream), now)
 
-def may_send(instance: Instance, upstream: Upstream) -> bool:
-    """Report whether a replica accepts anything new, as far as its answers tell."""
-    return not has_announced_leaving(instance.decisions.leaving, upstream)
+
+def may_choose(instance: Instance, upstream: Upstream, now: float) -> bool:
+    """Report whether a replica may be chosen for a call.
+
+    After its rest it gets one first.
+    """
+    rest = find_rest(instance.decisions.rests, upstream)
+    return may_send(instance, upstream, now) and not is_held(rest, now)
+
+
+def record_chosen(instance: Instance, upstream: Upstream, now: float) -> None:
+    """Record that a replica was chosen for a call."""
+    record_placed(find_rest(instance.decisions.rests, upstream), now)
+
+
+def find_return_s(
+    instance: Instance, service: str, deadline_at: float, now: float
+) -> float | None:
+    """Return when a refused caller should come back, or None unless all replicas rest."""
+    leaving = instance.decisions.leaving
+    rests = [
+        find_rest(instance.decisions.rests, upstream)
+        for upstream in instance.upstream_by_id.values()
+        if upstream.service == service
+        and not upstream.is_draining
+        and not has_announced_leaving(leaving, upstream)
+    ]
+    returns_at = find_earliest_return(rests, now)
+    if returns_at is None:
+        return None
+    return choose_return_s(returns_at, deadline_at, now, instance.rng)
+
+
+def end_returned_rests(instance: Instance, now: float) -> None:
+    """End the rests after which no answer came in the time for a first request."""
+    rest_by_upstream = instance.decisions.rests.rest_by_upstream
+    for id, rest in list(rest_by_upstream.items()):
+        if has_returned(rest, now):
+            del rest_by_upstream[id]
+            update_signals(instance, id)
+            _record_rest_over(instance, id, "time")
 
 
 def _is_from(
@@ -56,7 +122,7 @@
 def _apply_leaving(instance: Instance, upstream: Upstream) -> None:
     if not record_leaving(instance.decisions.leaving, upstream):
         return
-    update_leaving(instance, upstream.id)
+    update_signals(instance, upstream.id)
     instance.metrics.leaving_replicas.inc({"service": upstream.service})
     logger.info(
         "upstream leaves by its answer",
@@ -68,11 +134,52 @@
     )
 
 
-def update_leaving(instance: Instance, id: str) -> None:
-    """Set the scheduler's mark of a replica to what its present life has announced."""
-    row = instance.decisions.upstream_by_name.get(id)
-    upstream = instance.upstream_by_id.get(id)
-    if row is not None and upstream is not None:
-        row.has_announced_leaving = has_announced_leaving(
-            instance.decisions.leaving, upstream
+def _apply_rest(
+    instance: Instance, upstream: Upstream, fields: ResponseFields, now: float
+) -> None:
+    asked_s = fields.retry_after_s
+    if not is_usable_time(asked_s):
+        logger.warning(
+            "upstream asks for rest without a usable time; it gets none",
+            extra={"upstream": upstream.id},
         )
+        return
+    rests = instance.decisions.rests
+    is_new = begin_rest(rests, upstream, asked_s, now, instance.rng)
+    update_signals(instance, upstream.id)
+    if not is_new:
+        return
+    returns_at = rests.rest_by_upstream[upstream.id].returns_at
+    instance.metrics.rests.inc({"event": "begun"})
+    logger.info(
+        "upstream rests",
+        extra={
+            "upstream": upstream.id,
+            "service": upstream.service,
+            "incarnation": upstream.incarnation,
+            "asked_s": asked_s,
+            "returns_in_s": round(returns_at - now, 3),
+            "was_not_run": fields.is_not_run,
+        },
+    )
+
+
+def _record_rest_over(instance: Instance, id: str, decided_by: str) -> None:
+    instance.metrics.rests.inc({"event": "over"})
+    logger.info(
+        "upstream's rest is over", extra={"upstream": id, "decided_by": decided_by}
+    )
+
+
+def update_signals(instance: Instance, id: str) -> None:
+    """Apply to a replica's present life what its answers have said."""
+    upstream = instance.upstream_by_id.get(id)
+    if upstream is None:
+        return
+    tables = instance.decisions
+    if end_rest_of_earlier_life(tables.rests, upstream):
+        _record_rest_over(instance, id, "new life")
+    row = tables.upstream_by_name.get(id)
+    if row is not None:
+        row.has_announced_leaving = has_announced_leaving(tables.leaving, upstream)
+        row.rest = find_rest(tables.rests, upstream)
--- a/catkintrack/instance/tests/test_signals.py
+++ b/catkintrack/instance/tests/test_signals.py
@@ -9,6 +9,15 @@
 from catkintrack.calls import wait_for_decision
 from catkintrack.decisions import Dispatch as DispatchDecision
 from catkintrack.decisions import Refusal
+from catkintrack.decisions.cache_store import (
+    add_stored_blocks,
+    clear_stored_blocks,
+    count_stored_prefix,
+)
+from catkintrack.decisions.ejection import is_ejected
+from catkintrack.decisions.load import compute_ramp_fraction
+from catkintrack.decisions.rest import REST_MAX_S, RETURN_TRIAL_S, SPREAD_MAX_S
+from catkintrack.decisions.services import ensure_service_row
 from catkintrack.fleet import Upstream
 from catkintrack.http import Address
 from catkintrack.instance.attempts import (
@@ -26,7 +35,12 @@
 )
 from catkintrack.instance.reports import fetch_report
 from catkintrack.instance.service_calls import _choose_upstream
-from catkintrack.instance.signals import apply_signals, may_send
+from catkintrack.instance.signals import (
+    apply_signals,
+    end_returned_rests,
+    find_return_s,
+    may_send,
+)
 from catkintrack.instance.weights_rollout import _count_in_flight
 from catkintrack.platform import Dispatch
 from testkit.decision_tables import make_request
@@ -60,15 +74,22 @@
     def put(self, id: str, **changes: Any) -> None:
         apply_upstream(self.instance, id, make_entry_spec(**changes), time.monotonic())
 
-    def answer(self, id: str = "i1", status: int = 200, **fields: Any) -> None:
+    def answer(
+        self, id: str = "i1", status: int = 200, sent_s_ago: float = 0.0, **fields: Any
+    ) -> None:
+        """Apply an answer of a replica to a request that was sent before."""
+        now = time.monotonic()
         fields_read = make_response_fields(status, **fields)
-        apply_signals(self.instance, self.find(id), b"r1", fields_read)
+        upstream = self.find(id)
+        apply_signals(
+            self.instance, upstream, b"r1", fields_read, now - sent_s_ago, now
+        )
 
     def find(self, id: str) -> Upstream:
         return self.instance.upstream_by_id[id]
 
     def may_send(self, id: str = "i1") -> bool:
-        return may_send(self.instance, self.find(id))
+        return may_send(self.instance, self.find(id), time.monotonic())
 
     def place(self, id: str = "q1") -> str | None:
         """Return where the scheduler sends a request now, None if it refuses it."""
@@ -202,7 +223,7 @@
         earlier = self.find("i1")
         self.put("i1", born=2000)
         fields = make_response_fields(is_leaving=True)
-        apply_signals(self.instance, earlier, b"r1", fields)
+        apply_signals(self.instance, earlier, b"r1", fields, 1.0, 1.0)
         self.assertTrue(self.may_send())
 
     def test_word_of_another_replica_or_to_another_request_does_not_count(self):
@@ -233,6 +254,139 @@
         with open_raw_upstream(lambda send: send(answer)) as address:
             curio.run(_fetch, self.instance, address, Cursor(address))
         self.assertTrue(store.is_leaving)
+        add_stored_blocks(store, 1, (7,))
+        self.assertEqual(count_stored_prefix(store, 1, (7,)), 0)
+        clear_stored_blocks(store)
+        add_stored_blocks(store, 1, (7,))
+        self.assertEqual(count_stored_prefix(store, 1, (7,)), 1)
+
+
+class RestTest(InstanceTest):
+    def ask_rest(self, id: str = "i1", seconds: float = 30.0, **fields: Any) -> None:
+        fields = {"is_not_run": True} | fields
+        self.answer(id, 503, retry_after_s=seconds, **fields)
+
+    def test_503_with_a_time_means_rest_run_or_not(self):
+        headers = b"retry-after: 2.5\r\n"
+        for run in (b"", b"x-not-executed: 1\r\n"):
+            with self.subTest(run=run):
+                self.setUp()
+                try:
+                    self.attempt(make_answer(b"503 Busy", headers + run))
+                except ReplicaRejected:
+                    self.assertTrue(run)
+                self.assertFalse(self.may_send())
+                rest = self.instance.decisions.rests.rest_by_upstream["i1"]
+                left_s = rest.ends_at - time.monotonic()
+                self.assertAlmostEqual(left_s, 2.5, delta=0.2)
+
+    def test_other_answers_and_unusable_times_mean_none(self):
+        cases = [(b"503 Busy", b"")]
+        cases += [(status, b"5") for status in (b"200 OK", b"500 Error", b"429 Many")]
+        values = (b"-5", b"soon", b"nan", b"inf", b"1e3", b"0x10", b"5 s", b"0")
+        cases += [(b"503 Busy", value) for value in values]
+        cases.append((b"503 Busy", b"Fri, 04 Dec 2026 12:00:00 GMT"))
+        for status, value in cases:
+            with self.subTest(status=status, value=value):
+                headers = b"retry-after: %s\r\n" % value if value else b""
+                self.attempt(make_answer(status, headers))
+                self.assertTrue(self.may_send())
+
+    def test_days_are_bounded(self):
+        self.attempt(make_answer(b"503 Busy", b"retry-after: 864000\r\n"))
+        rest = self.instance.decisions.rests.rest_by_upstream["i1"]
+        self.assertLess(rest.returns_at - time.monotonic(), REST_MAX_S + 2.0)
+
+    def test_no_report_is_fetched_and_no_weights_are_ordered(self):
+        self.ask_rest()
+        with open_raw_upstream(lambda send: self.fail("sent")) as address:
+            self.put("i1", address=str(address))
+            report = curio.run(fetch_report, self.instance, self.find("i1"))
+        self.assertIsNone(report)
+        counts = _count_in_flight(self.instance, "m1", time.monotonic())
+        self.assertEqual(set(counts), {"i2"})
+
+    def test_report_that_asks_for_rest_begins_one(self):
+        answer = make_answer(b"503 Busy", b"retry-after: 5\r\n")
+        with open_raw_upstream(lambda send: send(answer)) as address:
+            self.put("i1", address=str(address))
+            curio.run(fetch_report, self.instance, self.find("i1"))
+        self.assertFalse(self.may_send())
+
+    def test_scheduler_and_services_choose_others_then_refuse_with_the_time(self):
+        self.ask_rest("i1")
+        for number in range(10):
+            self.assertEqual(self.place(f"q{number}"), "i2")
+        call = make_call(LOOKUP)
+        chosen = _choose_upstream(self.instance, call, frozenset())
+        self.assertEqual(chosen.id, "i2")
+        self.ask_rest("i2", 20.0)
+        self.assertIsNone(self.place("last"))
+        self.assertIsNone(_choose_upstream(self.instance, call, frozenset()))
+        now = time.monotonic()
+        wait_s = find_return_s(self.instance, "models", now + 60.0, now)
+        self.assertGreater(wait_s, 19.9)
+        self.assertLess(wait_s, 20.1 + 2 * SPREAD_MAX_S)
+
+    def test_plain_call_goes_first_after_the_rest(self):
+        self.ask_rest("i1", 0.05)
+        self.ask_rest("i2")
+        time.sleep(0.2)
+        call = make_call(LOOKUP)
+        chosen = _choose_upstream(self.instance, call, frozenset())
+        self.assertEqual(chosen.id, "i1")
+        self.assertIsNone(_choose_upstream(self.instance, call, frozenset()))
+        self.answer("i1")
+        chosen = _choose_upstream(self.instance, call, frozenset())
+        self.assertEqual(chosen.id, "i1")
+
+    def test_new_life_does_not_rest_and_an_older_entry_does(self):
+        self.ask_rest("i1")
+        self.put("i1", slots=16)
+        self.assertFalse(self.may_send())
+        self.put("i1", born=2000)
+        self.assertTrue(self.may_send())
+        self.assertIsNone(self.instance.decisions.upstream_by_name["i1"].rest)
+
+    def test_one_line_when_it_begins_and_one_when_it_is_over(self):
+        with self.assertLogs("catkintrack.instance.signals", "INFO") as logs:
+            self.ask_rest("i1", 0.05)
+            self.ask_rest("i1", 0.05)
+            time.sleep(0.2)
+            self.answer("i1", sent_s_ago=1.0)
+            self.answer("i1")
+            self.answer("i1")
+        messages = [record.getMessage() for record in logs.records]
+        self.assertEqual(messages, ["upstream rests", "upstream's rest is over"])
+        rests = self.instance.metrics.rests
+        self.assertEqual(rests.get({"event": "begun"}), 1)
+        self.assertEqual(rests.get({"event": "over"}), 1)
+
+    def test_rest_without_a_request_after_it_ends_by_time(self):
+        self.ask_rest("i1", 0.05)
+        now = time.monotonic()
+        end_returned_rests(self.instance, now)
+        self.assertFalse(self.may_send())
+        end_returned_rests(self.instance, now + 0.05 + SPREAD_MAX_S + RETURN_TRIAL_S)
+        self.assertEqual(self.instance.decisions.rests.rest_by_upstream, {})
+        self.assertIsNone(self.instance.decisions.upstream_by_name["i1"].rest)
+
+    def test_resting_replica_is_neither_ejected_nor_ramped(self):
+        self.ask_rest("i1", 0.05)
+        for row in (
+            self.instance.decisions.upstream_by_name["i1"],
+            ensure_service_row(self.instance.services, "i1"),
+        ):
+            self.assertEqual(row.consecutive_failures, 0)
+            self.assertFalse(is_ejected(row, time.monotonic()))
+            self.assertEqual(compute_ramp_fraction(row, time.monotonic()), 1.0)
+
+    def test_cache_store_that_rests_is_not_polled_in_its_time(self):
+        cursor = Cursor()
+        answer = make_answer(b"503 Busy", b"retry-after: 7\r\n")
+        with open_raw_upstream(lambda send: send(answer)) as address:
+            self.assertIsNone(curio.run(_fetch, self.instance, address, cursor))
+        self.assertEqual(cursor.rest_s, 7.0)
 
 
 if __name__ == "__main__":
--- a/catkintrack/instance/weights_rollout.py
+++ b/catkintrack/instance/weights_rollout.py
@@ -65,7 +65,7 @@
         row = instance.decisions.upstream_by_name.get(id)
         if row is None or model not in row.models or upstream.is_draining:
             continue
-        if not may_send(instance, upstream):
+        if not may_send(instance, upstream, now):
             continue
         peer_counts = [peer.in_flight_by_upstream.get(id, 0) for peer in peers]
         in_flight_by_upstream[id] = row.in_flight + sum(peer_counts)
--- a/catkintrack/platform/requests.py
+++ b/catkintrack/platform/requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import re
 from dataclasses import dataclass
 
 import msgspec
@@ -45,6 +47,7 @@
 
 # Status of a replica whose ID or weights version differs from the expected one.
 MISDIRECTED_REQUEST_STATUS = 421
+DECIMAL_NUMBER = re.compile(rb"[+-]?([0-9]+\.?[0-9]*|\.[0-9]+)")
 JSON_CONTENT_TYPE = (b"content-type", b"application/json")
 
 
@@ -87,6 +90,7 @@
 
     `load` is the numbers of running and waiting requests at the replica.  `upstream_id`
     names the replica that answered.  `is_leaving` is set if it accepts no new work.
+    `retry_after_s` is NaN if it is no number of seconds.
     """
 
     status: int
@@ -99,6 +103,7 @@
     upstream_id: str | None = None
     is_misdirected: bool = False
     is_leaving: bool = False
+    retry_after_s: float | None = None
 
 
 def parse_request_headers(request: Request) -> Result[RequestFields, DecodingError]:
@@ -192,6 +197,7 @@
         upstream_id=None if upstream_id is None else upstream_id.decode("latin-1"),
         is_misdirected=is_misdirected,
         is_leaving=find_header(headers, SERVER_LEAVING) == b"1",
+        retry_after_s=_parse_seconds(find_header(headers, RETRY_AFTER)),
     )
 
 
@@ -202,6 +208,12 @@
     return int(parts[0]), int(parts[1])
 
 
+def _parse_seconds(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    return float(value) if DECIMAL_NUMBER.fullmatch(value.strip()) else math.nan
+
+
 def _parse_version(value: bytes | None) -> int | None:
     return int(value) if value is not None and value.isdigit() else None
 
--- a/catkintrack/tests/test_replica_signals.py
+++ b/catkintrack/tests/test_replica_signals.py
@@ -1,6 +1,8 @@
-"""Run instances beside replicas that say in their answers that they leave."""
+"""Run instances beside replicas that say that they leave or ask for rest."""
 
+import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 from standins.replica import EVENTS_PER_STREAM
 from testkit.fleet import wait_until
@@ -9,6 +11,10 @@
 
 # More requests than it takes until each replica has had one.
 MAX_CALLS = 24
+REST_S = 3.0
+# Requests that an instance may send between half a second after a replica has asked it
+# for rest and the end of the time that it asked for.
+MAX_ARRIVALS_IN_REST = 2
 
 
 class SignalTest(unittest.TestCase):
@@ -93,5 +99,55 @@
         self.assertFalse(entry_by_node["n1"]["has_announced_leaving"])
 
 
+class RestTest(SignalTest):
+    def rest(self, id: str, **faults) -> None:
+        self.site.set_replica_faults(id, rest_s=REST_S, **faults)
+
+    def read_rest(self, id: str) -> dict:
+        return self.site.read_counts(id)["rest"]
+
+    def test_resting_replicas_get_nothing_and_their_callers_are_served_elsewhere(self):
+        self.rest("m0")
+        self.rest("a0")
+        started_at = time.monotonic()
+        with ThreadPoolExecutor(8) as pool:
+            while time.monotonic() - started_at < REST_S + 2.0:
+                calls = [pool.submit(self.stream_well) for _ in range(4)]
+                calls += [pool.submit(self.look_up_well) for _ in range(4)]
+                for call in calls:
+                    call.result()
+        for id in ("m0", "a0"):
+            with self.subTest(id=id):
+                rest = self.read_rest(id)
+                self.assertGreater(rest["rejected"], 0)
+                self.assertLessEqual(rest["late_arrivals"], MAX_ARRIVALS_IN_REST)
+                counts = self.site.read_counts(id)["requests_by_path"]
+                self.assertGreater(sum(counts.values()), rest["rejected"])
+
+    def test_all_resting_is_refused_at_once_with_the_time_that_is_left(self):
+        self.rest("a0")
+        self.rest("a1")
+        for _ in range(MAX_CALLS):
+            status, headers, _ = self.site.call("n0", "/order/1")
+            self.assertEqual(status, 503)
+            if all(self.read_rest(id)["rejected"] for id in ("a0", "a1")):
+                break
+        started_at = time.monotonic()
+        status, headers, _ = self.site.call("n0", "/order/1")
+        self.assertEqual(status, 503)
+        self.assertLess(time.monotonic() - started_at, 0.3)
+        self.assertGreater(float(headers["retry-after"]), REST_S / 2)
+        time.sleep(float(headers["retry-after"]))
+        self.assertEqual(self.site.call("n0", "/order/1")[0], 200)
+
+    def test_answer_that_does_not_say_not_run_means_rest_too(self):
+        self.rest("a0", rest_may_have_run=True)
+        self.call_until_met("a0", self.site.call, "n0", "/order/1")
+        met = self.count_requests("a0")
+        for _ in range(8):
+            self.assertEqual(self.site.call("n0", "/order/1")[0], 200)
+        self.assertEqual(self.count_requests("a0"), met)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -24,7 +24,12 @@
 )
 
 from .answers import drop_connection, read_json, respond_json, serve_until_stopped
-from .replica_signals import LeavingConnection
+from .replica_signals import (
+    LeavingConnection,
+    RestState,
+    is_resting,
+    make_rest_headers,
+)
 
 EVENTS_PER_STREAM = 12
 STREAM_EVENT_INTERVAL_S = 0.02
@@ -53,6 +58,10 @@
     run_s: float = 0.0
     extra_answers: int = 0
     is_leaving: bool = False
+    # The time that the replica asks for from the next request on, 0 for none, and
+    # whether the requests that meet it may have run.
+    rest_s: float = 0.0
+    rest_may_have_run: bool = False
 
 
 @dataclass(slots=True)
@@ -74,13 +83,17 @@
     whole_streams: int = 0
     left_streams: int = 0
     requests_by_path: Counter = field(default_factory=Counter)
+    rest: RestState = field(default_factory=RestState)
 
 
 async def handle(replica: Replica, request: Request, connection: Connection) -> None:
     """Route one request; only `/faults` and `/counts` work while `is_silent` is set."""
     path = request.path
     if path == "/faults":
-        for name, value in read_json(request).items():
+        changes = read_json(request)
+        if "rest_s" in changes:
+            replica.rest = RestState()
+        for name, value in changes.items():
             setattr(replica.faults, name, value)
         await respond_json(connection, 200, {})
         return
@@ -92,6 +105,11 @@
         await curio.sleep(SILENT_DELAY_S)
     if replica.faults.is_leaving:
         connection = LeavingConnection(connection)
+    if replica.faults.rest_s and is_resting(replica.rest, replica.faults.rest_s):
+        is_not_run = not replica.faults.rest_may_have_run
+        headers = make_rest_headers(replica.rest, is_not_run)
+        await connection.respond(503, headers, b"")
+        return
     if path == "/-/report":
         await respond_json(connection, 200, make_report(replica))
     elif path == "/-/order":
