Keep a rest apart from the replica's next life, also when answers and entries cross

And a new life that asks for rest before its entry arrives has its word taken for the earlier life's: with the entry the rest was forgotten and all waiting requests went there at once, so that more than two could arrive in its time.

Seen before: test_late_word_of_the_earlier_life_does_not_make_the_new_one_rest failed with the KeyError, test_new_life_within_a_rest_gets_one_request_first with a second request chosen.

The word of an earlier life than the known one is ignored, and a new life that replaces a rest still gets one request first; its answer, or 1 s, opens it. choose_upstream takes the time as an argument.

After: test_signals, test_rest, test_fleet_state, test_hubs pass.

--- a/catkintrack/decisions/rest.py
+++ b/catkintrack/decisions/rest.py
@@ -31,13 +31,15 @@
     """Hold one rest; times in seconds.
 
     The replica asked for nothing until `ends_at`; this instance sends it nothing until
-    `returns_at`, and its first request again at `trial_at`.
+    `returns_at`, and its first request again at `trial_at`.  `is_inherited` is set if
+    an earlier life asked for it: then only the order of the return is left of it.
     """
 
     incarnation: int
     ends_at: float
     returns_at: float
     trial_at: float | None = None
+    is_inherited: bool = False
 
 
 @dataclass(slots=True)
@@ -122,22 +124,28 @@
     return now >= rest.returns_at + RETURN_TRIAL_S
 
 
-def end_answered_rest(table: RestTable, upstream: Upstream, sent_at: float) -> bool:
-    """End a rest if the answered request was sent after it; report whether it was."""
+def end_answered_rest(
+    table: RestTable, upstream: Upstream, sent_at: float
+) -> Rest | None:
+    """End a rest if the answered request was sent after it; return it if so."""
     rest = find_rest(table, upstream)
     if rest is None or sent_at < rest.returns_at:
-        return False
-    del table.rest_by_upstream[upstream.id]
-    return True
+        return None
+    return table.rest_by_upstream.pop(upstream.id)
 
 
-def end_rest_of_earlier_life(table: RestTable, upstream: Upstream) -> bool:
-    """End a rest that an earlier life asked for; report whether there was one."""
+def end_rest_of_earlier_life(table: RestTable, upstream: Upstream, now: float) -> bool:
+    """End a rest that an earlier life asked for; report whether there was one.
+
+    Until its entry arrives, a new life's word is taken for that of the earlier one.  It
+    may rest itself, so it still gets one request first.
+    """
     rest = table.rest_by_upstream.get(upstream.id)
     if rest is None or rest.incarnation >= upstream.incarnation:
         return False
-    del table.rest_by_upstream[upstream.id]
-    return True
+    inherited = Rest(upstream.incarnation, now, now, is_inherited=True)
+    table.rest_by_upstream[upstream.id] = inherited
+    return not rest.is_inherited
 
 
 def find_earliest_return(rests: Iterable[Rest | None], now: float) -> float | None:
--- a/catkintrack/decisions/tests/test_rest.py
+++ b/catkintrack/decisions/tests/test_rest.py
@@ -96,8 +96,8 @@
         self.assertTrue(is_held(rest, at + STEP_S))
         self.assertFalse(is_resting(rest, at + STEP_S))
         # The answer to a request from before the rest proves nothing.
-        self.assertFalse(end_answered_rest(self.table, self.upstream, 9.0))
-        self.assertTrue(end_answered_rest(self.table, self.upstream, at))
+        self.assertIsNone(end_answered_rest(self.table, self.upstream, 9.0))
+        self.assertIs(end_answered_rest(self.table, self.upstream, at), rest)
         self.assertIsNone(self.find())
 
     def test_first_request_without_an_answer_holds_the_others_for_a_bounded_time(self):
@@ -125,8 +125,13 @@
         self.assertIsNone(self.find(2000))
         self.assertIsNotNone(self.find(900))
         newer = make_upstream(incarnation=2000)
-        self.assertTrue(end_rest_of_earlier_life(self.table, newer))
-        self.assertFalse(end_rest_of_earlier_life(self.table, newer))
+        self.assertTrue(end_rest_of_earlier_life(self.table, newer, 11.0))
+        self.assertFalse(end_rest_of_earlier_life(self.table, newer, 11.1))
+        rest = self.find(2000)
+        self.assertFalse(is_held(rest, 11.0))
+        record_placed(rest, 11.0)
+        self.assertTrue(is_held(rest, 11.0 + STEP_S))
+        self.assertFalse(is_held(rest, 11.0 + RETURN_TRIAL_S))
 
     def test_late_word_of_an_earlier_life_changes_nothing(self):
         newer = make_upstream(incarnation=2000)
--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -177,7 +177,7 @@
         row.zone = upstream.zone
         row.max_running = upstream.slots
         row.is_leaving = upstream.is_draining
-    update_signals(instance, upstream.id)
+    update_signals(instance, upstream.id, now)
 
 
 def _update_incarnation(
--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -56,7 +56,7 @@
         if progress.connected_attempts and not take_retry(budget):
             progress.reason = "the retry budget is used up"
             break
-        upstream = _choose_upstream(instance, call, excluded)
+        upstream = choose_upstream(instance, call.service, excluded, time.monotonic())
         if upstream is None:
             break
         excluded |= {upstream.id}
@@ -97,14 +97,14 @@
     raise NotServed(progress.reason or "no replica can take the call", RETRY_AFTER_S)
 
 
-def _choose_upstream(
-    instance: Instance, call: Call, excluded: frozenset[str]
+def choose_upstream(
+    instance: Instance, service: str, excluded: frozenset[str], now: float
 ) -> Upstream | None:
-    now = time.monotonic()
+    """Return the replica that gets a call to a service now, if any."""
     names = [
         upstream.id
         for upstream in instance.upstream_by_id.values()
-        if upstream.service == call.service
+        if upstream.service == service
         and not upstream.is_draining
         and upstream.id not in excluded
         and may_choose(instance, upstream, now)
--- a/catkintrack/instance/signals.py
+++ b/catkintrack/instance/signals.py
@@ -10,6 +10,7 @@
 
 from catkintrack.decisions.leaving import has_announced_leaving, record_leaving
 from catkintrack.decisions.rest import (
+    Rest,
     begin_rest,
     choose_return_s,
     end_answered_rest,
@@ -47,10 +48,11 @@
     if not _is_from(upstream, request_id, fields):
         return
     if fields.is_leaving:
-        _apply_leaving(instance, upstream)
-    if end_answered_rest(instance.decisions.rests, upstream, sent_at):
-        update_signals(instance, upstream.id)
-        _record_rest_over(instance, upstream.id, "answer")
+        _apply_leaving(instance, upstream, now)
+    rest = end_answered_rest(instance.decisions.rests, upstream, sent_at)
+    if rest is not None:
+        update_signals(instance, upstream.id, now)
+        _record_rest_over(instance, upstream.id, rest, "answer")
     if fields.status == REST_STATUS and fields.retry_after_s is not None:
         _apply_rest(instance, upstream, fields, now)
 
@@ -100,8 +102,8 @@
     for id, rest in list(rest_by_upstream.items()):
         if has_returned(rest, now):
             del rest_by_upstream[id]
-            update_signals(instance, id)
-            _record_rest_over(instance, id, "time")
+            update_signals(instance, id, now)
+            _record_rest_over(instance, id, rest, "time")
 
 
 def _is_from(
@@ -119,10 +121,10 @@
     return not fields.is_misdirected
 
 
-def _apply_leaving(instance: Instance, upstream: Upstream) -> None:
+def _apply_leaving(instance: Instance, upstream: Upstream, now: float) -> None:
     if not record_leaving(instance.decisions.leaving, upstream):
         return
-    update_signals(instance, upstream.id)
+    update_signals(instance, upstream.id, now)
     instance.metrics.leaving_replicas.inc({"service": upstream.service})
     logger.info(
         "upstream leaves by its answer",
@@ -144,9 +146,12 @@
             extra={"upstream": upstream.id},
         )
         return
+    known = instance.upstream_by_id.get(upstream.id)
+    if known is not None and known.incarnation > upstream.incarnation:
+        return
     rests = instance.decisions.rests
     is_new = begin_rest(rests, upstream, asked_s, now, instance.rng)
-    update_signals(instance, upstream.id)
+    update_signals(instance, upstream.id, now)
     if not is_new:
         return
     returns_at = rests.rest_by_upstream[upstream.id].returns_at
@@ -164,21 +169,26 @@
     )
 
 
-def _record_rest_over(instance: Instance, id: str, decided_by: str) -> None:
+def _record_rest_over(
+    instance: Instance, id: str, rest: Rest | None, decided_by: str
+) -> None:
+    """Log and count the end of a rest, an inherited one only when it was inherited."""
+    if rest is not None and rest.is_inherited:
+        return
     instance.metrics.rests.inc({"event": "over"})
     logger.info(
         "upstream's rest is over", extra={"upstream": id, "decided_by": decided_by}
     )
 
 
-def update_signals(instance: Instance, id: str) -> None:
+def update_signals(instance: Instance, id: str, now: float) -> None:
     """Apply to a replica's present life what its answers have said."""
     upstream = instance.upstream_by_id.get(id)
     if upstream is None:
         return
     tables = instance.decisions
-    if end_rest_of_earlier_life(tables.rests, upstream):
-        _record_rest_over(instance, id, "new life")
+    if end_rest_of_earlier_life(tables.rests, upstream, now):
+        _record_rest_over(instance, id, None, "new life")
     row = tables.upstream_by_name.get(id)
     if row is not None:
         row.has_announced_leaving = has_announced_leaving(tables.leaving, upstream)
--- a/catkintrack/instance/tests/test_signals.py
+++ b/catkintrack/instance/tests/test_signals.py
@@ -16,7 +16,12 @@
 )
 from catkintrack.decisions.ejection import is_ejected
 from catkintrack.decisions.load import compute_ramp_fraction
-from catkintrack.decisions.rest import REST_MAX_S, RETURN_TRIAL_S, SPREAD_MAX_S
+from catkintrack.decisions.rest import (
+    REST_MAX_S,
+    RETURN_TRIAL_S,
+    SPREAD_MAX_S,
+    is_held,
+)
 from catkintrack.decisions.services import ensure_service_row
 from catkintrack.fleet import Upstream
 from catkintrack.http import Address
@@ -34,7 +39,7 @@
     remove_upstreams,
 )
 from catkintrack.instance.reports import fetch_report
-from catkintrack.instance.service_calls import _choose_upstream
+from catkintrack.instance.service_calls import choose_upstream
 from catkintrack.instance.signals import (
     apply_signals,
     end_returned_rests,
@@ -106,6 +111,11 @@
         assert isinstance(decision, DispatchDecision)
         return decision.upstream
 
+    def choose(self) -> Upstream | None:
+        """Return the replica that a call without a prompt goes to now."""
+        now = time.monotonic()
+        return choose_upstream(self.instance, "models", frozenset(), now)
+
     def attempt(self, data: bytes) -> None:
         """Run one attempt at i1, which answers with these bytes."""
         with open_raw_upstream(lambda send: send(data)) as address:
@@ -186,14 +196,11 @@
         self.answer("i1", is_leaving=True)
         for number in range(10):
             self.assertEqual(self.place(f"q{number}"), "i2")
-        call = make_call(LOOKUP)
-        chosen = {
-            _choose_upstream(self.instance, call, frozenset()).id for _ in range(10)
-        }
+        chosen = {self.choose().id for _ in range(10)}
         self.assertEqual(chosen, {"i2"})
         self.answer("i2", is_leaving=True)
         self.assertIsNone(self.place("last"))
-        self.assertIsNone(_choose_upstream(self.instance, call, frozenset()))
+        self.assertIsNone(self.choose())
 
     def test_entry_of_the_same_or_an_earlier_life_does_not_undo_it(self):
         self.answer(is_leaving=True)
@@ -317,12 +324,11 @@
         self.ask_rest("i1")
         for number in range(10):
             self.assertEqual(self.place(f"q{number}"), "i2")
-        call = make_call(LOOKUP)
-        chosen = _choose_upstream(self.instance, call, frozenset())
+        chosen = self.choose()
         self.assertEqual(chosen.id, "i2")
         self.ask_rest("i2", 20.0)
         self.assertIsNone(self.place("last"))
-        self.assertIsNone(_choose_upstream(self.instance, call, frozenset()))
+        self.assertIsNone(self.choose())
         now = time.monotonic()
         wait_s = find_return_s(self.instance, "models", now + 60.0, now)
         self.assertGreater(wait_s, 19.9)
@@ -332,21 +338,41 @@
         self.ask_rest("i1", 0.05)
         self.ask_rest("i2")
         time.sleep(0.2)
-        call = make_call(LOOKUP)
-        chosen = _choose_upstream(self.instance, call, frozenset())
+        chosen = self.choose()
         self.assertEqual(chosen.id, "i1")
-        self.assertIsNone(_choose_upstream(self.instance, call, frozenset()))
+        self.assertIsNone(self.choose())
         self.answer("i1")
-        chosen = _choose_upstream(self.instance, call, frozenset())
+        chosen = self.choose()
         self.assertEqual(chosen.id, "i1")
 
+    def test_late_word_of_the_earlier_life_does_not_make_the_new_one_rest(self):
+        earlier = self.find("i1")
+        self.put("i1", born=2000)
+        fields = make_response_fields(503, retry_after_s=5.0)
+        now = time.monotonic()
+        apply_signals(self.instance, earlier, b"r1", fields, now, now)
+        self.assertTrue(self.may_send())
+        self.assertEqual(self.instance.decisions.rests.rest_by_upstream, {})
+
+    def test_new_life_within_a_rest_gets_one_request_first(self):
+        self.ask_rest("i1")
+        self.ask_rest("i2")
+        self.put("i1", born=2000)
+        self.assertEqual(self.choose().id, "i1")
+        self.assertIsNone(self.choose())
+        self.answer("i1")
+        self.assertEqual(self.choose().id, "i1")
+        self.assertEqual(self.place("q2"), "i1")
+
     def test_new_life_does_not_rest_and_an_older_entry_does(self):
         self.ask_rest("i1")
         self.put("i1", slots=16)
         self.assertFalse(self.may_send())
         self.put("i1", born=2000)
         self.assertTrue(self.may_send())
-        self.assertIsNone(self.instance.decisions.upstream_by_name["i1"].rest)
+        rest = self.instance.decisions.upstream_by_name["i1"].rest
+        self.assertTrue(rest.is_inherited)
+        self.assertFalse(is_held(rest, time.monotonic()))
 
     def test_one_line_when_it_begins_and_one_when_it_is_over(self):
         with self.assertLogs("catkintrack.instance.signals", "INFO") as logs:
