--- a/catkintrack/decisions/rest.py
+++ b/catkintrack/decisions/rest.py
@@ -143,9 +143,21 @@
     rest = table.rest_by_upstream.get(upstream.id)
     if rest is None or rest.incarnation >= upstream.incarnation:
         return False
+    _inherit_rest(table, upstream, now)
+    return not rest.is_inherited
+
+
+def record_word_of_earlier_life(
+    table: RestTable, upstream: Upstream, now: float
+) -> None:
+    """Record that a life before the present one, `upstream`, seemed to ask for rest."""
+    if find_rest(table, upstream) is None:
+        _inherit_rest(table, upstream, now)
+
+
+def _inherit_rest(table: RestTable, upstream: Upstream, now: float) -> None:
     inherited = Rest(upstream.incarnation, now, now, is_inherited=True)
     table.rest_by_upstream[upstream.id] = inherited
-    return not rest.is_inherited
 
 
 def find_earliest_return(rests: Iterable[Rest | None], now: float) -> float | None:
--- a/catkintrack/instance/signals.py
+++ b/catkintrack/instance/signals.py
@@ -22,6 +22,7 @@
     is_resting,
     is_usable_time,
     record_placed,
+    record_word_of_earlier_life,
 )
 from catkintrack.fleet import Upstream
 from catkintrack.platform import ResponseFields
@@ -146,10 +147,12 @@
             extra={"upstream": upstream.id},
         )
         return
+    rests = instance.decisions.rests
     known = instance.upstream_by_id.get(upstream.id)
     if known is not None and known.incarnation > upstream.incarnation:
+        record_word_of_earlier_life(rests, known, now)
+        update_signals(instance, upstream.id, now)
         return
-    rests = instance.decisions.rests
     is_new = begin_rest(rests, upstream, asked_s, now, instance.rng)
     update_signals(instance, upstream.id, now)
     if not is_new:
