End a raw upstream's thread when its caller closes without a request

test_nothing_is_sent_after_an_answer_that_came_while_connecting closes a connection without a request, after which the stand-in's thread read the closed socket without end: 0.91 s of processor time in 1 s of sleep after the test, in the process that runs the other tests. One run of test_signals on a busy machine had an attempt without an answer in its 2 s; 45 further runs did not, so that this is the likely cause, not a shown one.

After: 0.0 s; test_signals 27, test_attempt_bounds 8, test_client_bounds 9 passed.

--- a/testkit/raw_upstreams.py
+++ b/testkit/raw_upstreams.py
@@ -41,7 +41,12 @@
         with contextlib.suppress(OSError):
             received = b""
             while b"\r\n\r\n" not in received:
-                received += sock.recv(65536)
+                data = sock.recv(65536)
+                if not data:
+                    # The caller closed the connection without a request.
+                    sock.close()
+                    return
+                received += data
             script(sock.sendall)
         sock.close()
 
