--- a/catkintrack/instance/cache_store_feed.py
+++ b/catkintrack/instance/cache_store_feed.py
@@ -15,6 +15,7 @@
     clear_stored_blocks,
     remove_stored_blocks,
 )
+from catkintrack.decisions.rest import bound_rest_s
 from catkintrack.fleet import CacheChangeBatch
 from catkintrack.http import (
     Address,
@@ -22,13 +23,18 @@
     UpstreamUnreachable,
     fetch,
 )
-from catkintrack.platform import decode_cache_events, make_cache_events_request
+from catkintrack.platform import (
+    decode_cache_events,
+    make_cache_events_request,
+    parse_response_headers,
+)
 
 from .broadcasting import broadcast
 from .messages import CacheStoreChanged, CacheStoreCleared
 from .peers import find_rank
 from .prompts import hash_cached_block
 from .reports import make_request_id
+from .signals import REST_STATUS
 from .state import Instance
 
 logger = logging.getLogger(__name__)
@@ -42,11 +48,15 @@
 
 @dataclass(slots=True)
 class Cursor:
-    """Hold the position up to which the cache store's events have been read."""
+    """Hold the position up to which the cache store's events have been read.
+
+    `rest_s` is the time that its last answer asked for, in seconds.
+    """
 
     address: Address | None = None
     incarnation: int | None = None
     next_number: int = 0
+    rest_s: float = 0.0
 
 
 async def run_cache_store_feed(instance: Instance) -> None:
@@ -59,13 +69,14 @@
         )
         if address is None or not is_reader:
             cursor = Cursor()
+            _set_leaving(instance, False)
             await curio.sleep(RETRY_S)
             continue
         if address != cursor.address:
             cursor = Cursor(address)
         changes = await _fetch(instance, address, cursor)
         if changes is None:
-            await curio.sleep(RETRY_S)
+            await curio.sleep(max(RETRY_S, cursor.rest_s))
             continue
         await _apply_changes(instance, cursor, changes)
         await curio.sleep(POLL_PAUSE_S)
@@ -77,13 +88,19 @@
     request = make_cache_events_request(
         address, cursor.next_number, POLL_WAIT_S, make_request_id(instance)
     )
+    cursor.rest_s = 0.0
     timeout_s = POLL_WAIT_S + ANSWER_MARGIN_S
     try:
         head, body = await fetch(instance.pool, address, request, timeout_s)
     except (UpstreamUnreachable, UpstreamExchangeError) as error:
         logger.warning("cache store events not fetched", extra={"reason": str(error)})
         return None
-    if head.status != 200:
+    fields = parse_response_headers(head)
+    if fields.is_leaving:
+        _set_leaving(instance, True)
+    if fields.status == REST_STATUS:
+        cursor.rest_s = bound_rest_s(fields.retry_after_s)
+    if fields.status != 200:
         return None
     match decode_cache_events(body):
         case Success(changes):
@@ -93,6 +110,19 @@
             return None
 
 
+def _set_leaving(instance: Instance, is_leaving: bool) -> None:
+    """Mark the cache store as leaving by its answer, until its next life.
+
+    Events are still read, which is how a new life shows.
+    """
+    store = instance.decisions.cache_store
+    if store is None or store.is_leaving == is_leaving:
+        return
+    store.is_leaving = is_leaving
+    if is_leaving:
+        logger.info("cache store leaves by its answer", extra={"store": store.name})
+
+
 async def _apply_changes(
     instance: Instance, cursor: Cursor, changes: CacheChangeBatch
 ) -> None:
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -39,6 +39,7 @@
     AttemptCallbacks,
     CallProgress,
     ReplicaRejected,
+    ReplicaUnavailable,
     run_attempt,
 )
 from .broadcasting import broadcast
@@ -53,13 +54,12 @@
 )
 from .refusals import CallError, NotServed, OutcomeUnknown
 from .reports import learn_weights
+from .signals import find_return_s
 from .state import Instance
 
 logger = logging.getLogger(__name__)
 
 MAX_TRIES = 5
-# Status of a replica whose ID or weights version differs from the expected one.
-MISDIRECTED_REQUEST_STATUS = 421
 # Lower bound of the time from sending a request to its first token, for its priority in
 # the engine.  The scheduler has a longer one from its decision to the first token.
 MIN_FIRST_TOKEN_S = 0.02
@@ -98,8 +98,10 @@
             return
         except ReplicaRejected as error:
             progress.record_outcome(f"not run: {error}")
-            if error.status == MISDIRECTED_REQUEST_STATUS:
+            if error.fields.is_misdirected:
                 await _query_weights(instance, decision.upstream)
+        except ReplicaUnavailable as error:
+            progress.record_outcome(f"not sent: {error}")
         except UpstreamUnreachable as error:
             progress.record_outcome(f"unreachable: {error}")
         except UpstreamExchangeError as error:
@@ -108,10 +110,16 @@
             if not call.route.is_retryable or is_exhausted:
                 break
         request = replace(
-            request, excluded=request.excluded | {decision.upstream}, is_retry=True
+            request,
+            excluded=request.excluded | {decision.upstream},
+            is_retry=True,
+            has_started=progress.may_have_run,
         )
     if progress.may_have_run:
         raise OutcomeUnknown(progress.reason or "every replica failed")
+    wait_s = find_return_s(instance, call.service, call.deadline_at, time.monotonic())
+    if wait_s is not None:
+        raise NotServed("all replicas rest", wait_s)
     raise NotServed(progress.reason or "no replica can take the call", RETRY_AFTER_S)
 
 
