Store quarantined parts without a time of day

test_only_the_start_of_a_process_takes_the_time_of_day failed: the stored part held one. A part is now stored until its trial clears it, and a fleet that restarts begins its quarantine anew.

Tests: test_quarantining 14 passed, test_clock_steps 4, test_crashing_prompts 3.

--- a/catkintrack/instance/quarantining.py
+++ b/catkintrack/instance/quarantining.py
@@ -49,8 +49,6 @@
 LOAD_RETRY_S = 1.0
 STORE_RETRY_S = 0.5
 STORE_TRIES = 6
-# Stored parts are deleted this long after their quarantine, since times of day jump.
-STORED_EXPIRY_S = 86_400.0
 STORE_SOURCE = "store"
 LARGE_FLEET_PEERS = 16
 # Instances that know a part's answers spread their announcements over this time.
@@ -58,10 +56,12 @@
 
 
 class QuarantineSpec(msgspec.Struct):
-    """Represent a quarantined part as stored; `at` is the time of day, in seconds."""
+    """Represent a quarantined part as stored, until its trial clears it.
+
+    No time of day is stored: a fleet that restarts begins the quarantine anew.
+    """
 
     part: int
-    at: float
     duration_s: float = QUARANTINE_S
 
 
@@ -260,12 +260,7 @@
             extra={"object": row.name, "reason": str(error)},
         )
         return
-    # Times of day of two machines differ by seconds, which a quarantine outlasts.
-    remaining_s = spec.at + spec.duration_s - time.time()
-    if remaining_s < -STORED_EXPIRY_S:
-        await delete_object(instance.store, QUARANTINE_KIND, row.name, row.revision)
-    elif remaining_s > 0:
-        await _adopt(instance, spec.part, remaining_s, spec.duration_s, STORE_SOURCE)
+    await _adopt(instance, spec.part, spec.duration_s, spec.duration_s, STORE_SOURCE)
 
 
 async def _store_part(instance: Instance, part: int) -> None:
@@ -275,7 +270,7 @@
         row = instance.quarantine.row_by_part.get(part)
         if row is None:
             return
-        spec = msgspec.to_builtins(QuarantineSpec(part, time.time(), row.duration_s))
+        spec = msgspec.to_builtins(QuarantineSpec(part, row.duration_s))
         outcome = await create_object(instance.store, QUARANTINE_KIND, name, spec)
         match outcome:
             case Failure(StoreConflict(revision=revision)):
