Let replicas leave and rest in the soak of a site

Two kinds of faults more: a replica says that it leaves and later begins its next life, and one replica, or all of a service, ask for 0.2 to 3 s of rest. The stand-in's `born` can be set, and testkit's Site writes entries again.

--- a/catkintrack/tests/test_replica_signals.py
+++ b/catkintrack/tests/test_replica_signals.py
@@ -44,12 +44,6 @@
                 return
         self.fail(f"{id} got no request")
 
-    def rewrite_entry(self, id: str, service: str, **changes) -> None:
-        address = f"127.0.0.1:{self.site.replica_port_by_id[id]}"
-        models = [{"name": "m1", "version": 1}] if service == "models" else []
-        fields = {"service": service, "address": address, "models": models}
-        self.site.write_object("servers", id, make_entry_spec(**fields | changes))
-
     def write_marker(self, node: str) -> None:
         """Wait until the instance knows an entry that is written now."""
         spec = make_entry_spec(service="app", models=[], address="127.0.0.1:9")
@@ -72,7 +66,7 @@
         self.site.set_replica_faults("a0", is_leaving=True)
         self.call_until_met("a0", self.look_up_well)
         met = self.count_requests("a0")
-        self.rewrite_entry("a0", "app", sequence=9)
+        self.site.write_entry("a0", "app", sequence=9)
         self.write_marker("n0")
         self.site.set_store_faults("n0", is_down=True)
         for _ in range(8):
@@ -80,7 +74,7 @@
         self.assertEqual(self.count_requests("a0"), met)
         self.site.set_store_faults("n0", is_down=False)
         self.site.set_replica_faults("a0", is_leaving=False)
-        self.rewrite_entry("a0", "app", born=2000)
+        self.site.write_entry("a0", "app", born=2000)
         wait_until(lambda: self.try_again("a0", met), description="a0 is used again")
 
     def try_again(self, id: str, met: int) -> bool:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -62,6 +62,8 @@
     # whether the requests that meet it may have run.
     rest_s: float = 0.0
     rest_may_have_run: bool = False
+    # The start of the replica's present life, in Unix milliseconds.
+    born: int = 1000
 
 
 @dataclass(slots=True)
@@ -132,7 +134,7 @@
         "sequence": len(replica.orders),
         "waiting": 0,
         "running": 0,
-        "born": 1000,
+        "born": replica.faults.born,
     }
 
 
--- a/testkit/site.py
+++ b/testkit/site.py
@@ -100,8 +100,13 @@
         arguments = ["standins.replica", "--port", str(port), "--id", id]
         self.start_process(id, arguments, {})
         wait_until(lambda: call_json(port, "/counts") is not None)
+        self.write_entry(id, service, **entry)
+
+    def write_entry(self, id: str, service: str, **entry: Any) -> None:
+        """Write a replica's discovery entry, with `entry` fields changed."""
+        address = f"{HOST}:{self.replica_port_by_id[id]}"
         models = [{"name": "m1", "version": 1}] if service == "models" else []
-        fields = {"service": service, "address": f"{HOST}:{port}", "models": models}
+        fields = {"service": service, "address": address, "models": models}
         self.write_object("servers", id, make_entry_spec(**(fields | entry)))
 
     def set_replica_faults(self, id: str, **faults: Any) -> None:
--- a/testkit/site_soak.py
+++ b/testkit/site_soak.py
@@ -52,6 +52,7 @@
     rng: Random
     weights_version: int = 1
     config_version: int = 7
+    life: int = 1000
     outcomes: list[Outcome] = field(default_factory=list)
     actions: list[str] = field(default_factory=list)
     is_over: bool = False
@@ -193,6 +194,33 @@
     soak.site.set_replica_faults(id, is_silent=False)
 
 
+def _leave(soak: SoakRun) -> None:
+    """Let a replica say that it leaves, and later begin its next life."""
+    service, letter, count = soak.rng.choice(
+        (("models", "m", MODELS), ("app", "a", APPS))
+    )
+    number = soak.rng.randrange(count)
+    id = f"{letter}{number}"
+    soak.site.set_replica_faults(id, is_leaving=True)
+    time.sleep(soak.rng.uniform(0.2, 1.5))
+    soak.life += 1000
+    soak.site.set_replica_faults(id, is_leaving=False, born=soak.life)
+    version = soak.site.read_counts(id)["version"]
+    models = [{"name": "m1", "version": version}] if service == "models" else []
+    soak.site.write_entry(id, service, zone=f"z{number}", models=models, born=soak.life)
+
+
+def _rest(soak: SoakRun) -> None:
+    """Let a replica ask for rest, or all of a service."""
+    letter, count = soak.rng.choice((("m", MODELS), ("a", APPS)))
+    numbers = range(count)
+    if soak.rng.random() < 0.7:
+        numbers = [soak.rng.randrange(count)]
+    for number in numbers:
+        rest_s = soak.rng.uniform(0.2, 3.0)
+        soak.site.set_replica_faults(f"{letter}{number}", rest_s=rest_s)
+
+
 def _name_weights(soak: SoakRun) -> None:
     soak.weights_version += 1
     soak.site.write_object(
@@ -217,6 +245,8 @@
     _hurt_model,
     _hurt_app,
     _silence_model,
+    _leave,
+    _rest,
     _name_weights,
     _name_weights,
     _change_config,
@@ -236,6 +266,8 @@
             break_streams=0,
             lose_answers=0,
             unsigned=0,
+            rest_s=0.0,
+            is_leaving=False,
         )
     _name_weights(soak)
     _change_config(soak)
