--- a/testkit/signal_fleet.py
+++ b/testkit/signal_fleet.py
@@ -24,7 +24,13 @@
     submit,
     tick,
 )
-from catkintrack.decisions.rest import RETURN_TRIAL_S, is_resting
+from catkintrack.decisions.leaving import has_announced_leaving
+from catkintrack.decisions.rest import (
+    RETURN_TRIAL_S,
+    find_earliest_return,
+    find_rest,
+    is_resting,
+)
 from catkintrack.decisions.retries import add_retry_credit, take_retry
 from catkintrack.fleet import Upstream
 from catkintrack.instance.fleet_state import (
@@ -394,6 +400,21 @@
         else:
             assert isinstance(decision, Dispatch)
             _connect(fleet, call, instance.upstream_by_id[decision.upstream])
+    _check_queue(fleet, node)
+
+
+def _check_queue(fleet: SignalFleet, node: Node) -> None:
+    """Check that no request waits while all replicas that could serve it rest."""
+    tables = node.instance.decisions
+    rests = [
+        find_rest(tables.rests, upstream)
+        for upstream in node.instance.upstream_by_id.values()
+        if upstream.service == "models"
+        and not upstream.is_draining
+        and not has_announced_leaving(tables.leaving, upstream)
+    ]
+    if node.queued_by_id and find_earliest_return(rests, fleet.now) is not None:
+        fleet.faults.append(f"{fleet.now:.3f}: calls wait while all replicas rest")
 
 
 def _connect(fleet: SignalFleet, call: SimulatedCall, upstream: Upstream) -> None:
