Ask another agent for tokens at once while the platform is down

What callers saw: while the platform is down, an instance that was restarted let every model call wait a second longer for its first token.

Cause: a recount must list the agent's new incarnation before it can borrow, and no recount can be committed without the platform. The agent kept each reservation for up to 2 s in the hope of one, so the router's timeout of 1 s ran out before it asked another agent. It is one of the serial waits in test_killed_instance_serves_while_the_platform_is_down (logs with times: served 4.0 to 4.2 s after the start, of which 1.0 s passed here, also without load).

Now an agent that is not in the ledger answers that it can't decide as soon as its calls to the platform have failed for 0.5 s and no heartbeat tells of an instance that has reached it since. No limit is loosened: the router asks its other agent, as it did after its timeout.

--- a/catkintrack/agent/borrowing.py
+++ b/catkintrack/agent/borrowing.py
@@ -27,6 +27,8 @@
 BORROW_POLL_INTERVAL_S = 0.02
 UNAVAILABLE_RETRY_AFTER_S = 1.0
 CONVERGENCE_TIMEOUT_S = 2.0
+# A call that fails once, or a few within the pauses between retries, is no outage.
+PLATFORM_AWAY_AFTER_S = 0.5
 REBALANCE_INTERVAL_S = 0.05
 FULL_SHARE_RATIO = 0.99
 
@@ -157,12 +159,16 @@
 async def _expire_reservations(agent: Agent, waiting: deque[Reservation]) -> None:
     """Resolve the reservations that timed out, as UNAVAILABLE.
 
-    The timeout is longer while shares may still become available for lending.
+    The timeout is longer while shares may still become available for lending, and
+    there is none while they can't.
     """
-    timeout_s = (
-        CONVERGENCE_TIMEOUT_S if _is_ledger_converging(agent) else BORROW_TIMEOUT_S
-    )
-    oldest = time.monotonic() - timeout_s
+    now = time.monotonic()
+    timeout_s = BORROW_TIMEOUT_S
+    if is_joining_blocked(agent, now):
+        timeout_s = 0.0
+    elif _is_ledger_converging(agent):
+        timeout_s = CONVERGENCE_TIMEOUT_S
+    oldest = now - timeout_s
     while waiting and waiting[0].asked_at < oldest:
         reservation = waiting.popleft()
         reservation.retry_after_s = UNAVAILABLE_RETRY_AFTER_S
@@ -233,6 +239,19 @@
     return bool(ledger.unresolved) and age_s < CONVERGENCE_TIMEOUT_S
 
 
+def is_joining_blocked(agent: Agent, now: float) -> bool:
+    """Report whether this agent can't take part in the limits until the platform is back.
+
+    A recount must list its incarnation first, and no instance is known to have reached
+    the platform since it failed here.
+    """
+    failing_since = agent.platform_failing_since
+    if failing_since is None or agent.limits.holder.is_member:
+        return False
+    is_reached = agent.fleet_platform_contact_at >= failing_since
+    return not is_reached and now - failing_since >= PLATFORM_AWAY_AFTER_S
+
+
 def _make_lend_request(
     agent: Agent, workspace: str, tokens: float | None, ticket: int, lenders: int
 ) -> LendRequest:
--- a/catkintrack/agent/config_feed.py
+++ b/catkintrack/agent/config_feed.py
@@ -71,6 +71,7 @@
                     "watch of the configuration head failed",
                     extra={"reason": str(error)},
                 )
+                record_platform_failure(agent)
                 jitter_s = PLATFORM_RETRY_JITTER_S * agent.rng.random()
                 await curio.sleep(PLATFORM_RETRY_MIN_DELAY_S + jitter_s)
 
@@ -99,6 +100,13 @@
     now = time.monotonic()
     agent.own_platform_contact_at = now
     agent.fleet_platform_contact_at = now
+    agent.platform_failing_since = None
+
+
+def record_platform_failure(agent: Agent) -> None:
+    """Record that a call of this agent to the platform has failed."""
+    if agent.platform_failing_since is None:
+        agent.platform_failing_since = time.monotonic()
 
 
 async def _apply_head(agent: Agent, version: int, decoded: object) -> None:
@@ -239,9 +247,11 @@
                 agent.removed_instances |= removed
                 agent.removed_instances -= set(listed)
                 agent.instance_row_by_id = listed
+                agent.platform_failing_since = None
             case Failure(error):
                 logger.warning(
                     "listing the instances on the platform failed",
                     extra={"reason": str(error)},
                 )
+                record_platform_failure(agent)
         await curio.sleep(agent.settings.agent.poll_interval_s)
--- a/catkintrack/agent/state.py
+++ b/catkintrack/agent/state.py
@@ -109,7 +109,8 @@
     """Hold the whole state of an agent.
 
     `fleet_platform_contact_at` is when any instance last reached the platform, as far
-    as heartbeats tell; `own_platform_contact_at` is when this agent did.
+    as heartbeats tell; `own_platform_contact_at` is when this agent did, and
+    `platform_failing_since` when the first of its calls failed that it has made since.
     """
 
     settings: Settings
@@ -130,6 +131,7 @@
     head_version: int = 0
     fleet_platform_contact_at: float = -1e9
     own_platform_contact_at: float = -1e9
+    platform_failing_since: float | None = None
     highest_seen_revision: int = 0
     instance_row_by_id: dict[str, InstanceRow] = field(default_factory=dict)
     removed_instances: set[str] = field(default_factory=set)
--- a/catkintrack/tests/test_restarts.py
+++ b/catkintrack/tests/test_restarts.py
@@ -3,6 +3,7 @@
 import time
 import unittest
 
+from catkintrack.router.agent_links import RESERVE_TIMEOUT_S
 from testkit.caller import call_chat, call_http
 from testkit.cases import FleetTestCase, make_chat
 from testkit.fleet import wait_until
@@ -44,6 +45,22 @@
         self.nodes[0].router.start()
         self.assertLess(self.wait_until_served(0), 2 * MAX_RECOVERY_S)
 
+    def test_restarted_instance_waits_for_no_tokens_while_the_platform_is_down(self):
+        """Its agent can't join the limits again, and its router must ask another."""
+        self.fleet.set_platform_faults(is_down=True)
+        self.nodes[0].router.kill()
+        self.nodes[0].agent.kill()
+        self.nodes[0].agent.start()
+        self.nodes[0].router.start()
+        self.wait_until_served(0)
+        durations_s = []
+        for number in range(4):
+            chat = make_chat(10 + number, 1)
+            started = time.monotonic()
+            self.assert_complete_answer(self.chat(0, chat), chat)
+            durations_s.append(time.monotonic() - started)
+        self.assertLess(min(durations_s), RESERVE_TIMEOUT_S)
+
     def test_router_serves_while_its_agent_is_dead(self):
         self.nodes[0].agent.kill()
         chat = make_chat(3)
