Let a router start with another agent's limits while the platform is down

What callers saw: an instance that was restarted while the platform is down served first after 4.0 to 4.2 s, beside load after 6.3 to 8.2 s (the known red test_killed_instance_serves_while_the_platform_is_down, 6.0 s allowed).

Before: test_ready_with_another_agent_if_the_own_can_not_join failed with "False is not true" on a fleet view that has the new field only.

Now the agent tells its routers that it can't join the limits before the platform is back, and a starting router is ready as soon as its other agent can reserve. While the own agent may still join, it is waited for as before.

--- a/catkintrack/agent/routers.py
+++ b/catkintrack/agent/routers.py
@@ -33,7 +33,7 @@
 )
 from catkintrack.membership import list_alive
 
-from .borrowing import reserve_tokens, settle_reservation
+from .borrowing import is_joining_blocked, reserve_tokens, settle_reservation
 from .freshness import FreshnessEvidence, are_keys_current
 from .mesh import MeshHandler, send_to_all_peers
 from .recounting import is_recount_due
@@ -94,6 +94,7 @@
         are_limits_ready(agent, now),
         members,
         leaving,
+        is_joining_blocked(agent, now),
     )
 
 
--- a/catkintrack/links/messages.py
+++ b/catkintrack/links/messages.py
@@ -53,7 +53,10 @@
 
 
 class FleetView(Message):
-    """Send a router the members and whether its keys and limits can be relied on."""
+    """Send a router the members and whether its keys and limits can be relied on.
+
+    With `is_joining_blocked` the agent can reserve no tokens before the platform is back.
+    """
 
     agent_incarnation: int
     revision: int
@@ -61,6 +64,7 @@
     are_limits_ready: bool
     members: tuple[MemberRow, ...]
     leaving_instances: tuple[str, ...]
+    is_joining_blocked: bool = False
 
 
 class LoadReport(Message):
--- a/catkintrack/router/main.py
+++ b/catkintrack/router/main.py
@@ -151,13 +151,21 @@
     That needs configuration, current keys and token limits, all from an agent.
     """
     while not stop_task.terminated:
-        agents = list_live_agents(router, time.monotonic())
-        fleet_view = agents[0].view if agents else None
-        if fleet_view and fleet_view.are_limits_ready and is_router_ready(router):
+        if _are_limits_ready(router) and is_router_ready(router):
             return
         await curio.sleep(READY_POLL_INTERVAL_S)
 
 
+def _are_limits_ready(router: Router) -> bool:
+    """Report whether the own agent can reserve tokens, or another one in its place."""
+    views = [agent.view for agent in list_live_agents(router, time.monotonic())]
+    own = views[0] if views else None
+    if own is None or own.are_limits_ready:
+        return own is not None
+    others = [view for view in views[1:] if view is not None]
+    return own.is_joining_blocked and any(view.are_limits_ready for view in others)
+
+
 @SetParseFn(str, "settings")
 def start(settings: str) -> None:
     """Run a router.
