Let the store's stand-in come back from an older copy

What it is for: the users' store may come back from a copy some seconds old in a new era (header Store-Era in all its answers); tests need to play that on demand.

What changed: `POST /faults` with `restore_seconds_old` starts a drill: revisions go back and are given out again, what the system wrote since is gone (with `loses_system_objects` all that it wrote), operators' and replicas' objects are written again under new revisions after `rewrite_after_s`, the era rises by one, a watch from a revision that the store does not have gets 410. `era_text` spoils or removes the header on one port, `late_answers` holds complete answers back for `late_s`. The store keeps all changes with their times, so that any copy can be rebuilt.

--- a/standins/answers.py
+++ b/standins/answers.py
@@ -12,6 +12,7 @@
 from catkintrack.http import (
     Connection,
     Handler,
+    Headers,
     Request,
     ServerLimits,
     drain_server,
@@ -24,9 +25,13 @@
 JsonHandler = Callable[[Request, Connection], Awaitable[None]]
 
 
-async def respond_json(connection: Connection, status: int, value: Any) -> None:
+async def respond_json(
+    connection: Connection, status: int, value: Any, headers: Headers = ()
+) -> None:
     """Send a response with `value` as its JSON body."""
-    await connection.respond(status, JSON_HEADERS, msgspec.json.encode(value))
+    await connection.respond(
+        status, (*JSON_HEADERS, *headers), msgspec.json.encode(value)
+    )
 
 
 def read_json(request: Request) -> Any:
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -2,7 +2,8 @@
 
 The store listens on several ports, so that faults can affect only some of its clients.
 `POST /faults` injects faults for the port that it is sent to; `GET /counts` returns the
-number of calls by operation over all ports.
+number of calls by operation over all ports.  Some faults concern the whole store:
+`forget_history` and, for a drill, `restore_seconds_old` (see `Drill`).
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
 from catkintrack.http import (
     Connection,
     Handler,
+    Headers,
     Request,
     ServerLimits,
     open_server,
@@ -31,30 +33,66 @@
 
 OBJECTS_PATH = "/-/objects/"
 LATENCY_S = 0.002
+ERA_HEADER = b"store-era"
+# Kinds that operators and replicas write, and write again after a drill.
+OUTSIDE_KINDS = frozenset({"config", "servers", "versions"})
 
 
 @dataclass(slots=True)
 class Faults:
     """Hold the injected faults of one port.
 
-    The next `lost_answers` writes are applied, but get no response.
+    The next `lost_answers` writes are applied, but get no response.  The next
+    `late_answers` responses are complete, but sent `late_s` later.  `era_text` replaces
+    the era in the header; if it is empty, the header is missing.
     """
 
     is_down: bool = False
     is_busy: bool = False
     lost_answers: int = 0
+    late_answers: int = 0
+    late_s: float = 0.0
+    era_text: str | None = None
+
+
+class Drill(msgspec.Struct):
+    """Describe a return of the store from a copy that is `restore_seconds_old`.
+
+    The store is away for `away_s` first.  What operators and replicas have written since
+    the copy is written again `rewrite_after_s` after the return.  With
+    `loses_system_objects` the copy has no objects that the system wrote.
+    """
+
+    restore_seconds_old: float
+    away_s: float = 0.0
+    rewrite_after_s: float = 0.2
+    loses_system_objects: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Record a change of an object and when it was made, in seconds."""
+
+    at: float
+    revision: int
+    kind: str
+    row: dict[str, Any]
+    is_deleted: bool
 
 
 @dataclass(slots=True)
 class Store:
     """Hold the objects, the change history and the call counters.
 
-    A watch from before `compacted_revision` gets 410 and must list again.
+    A watch from before `compacted_revision` gets 410 and must list again.  `changes` are
+    all changes of the current era and of the copies that it goes back to.
     """
 
     object_by_key: dict[tuple[str, str], dict[str, Any]] = field(default_factory=dict)
-    history: list[tuple[int, str, dict[str, Any], bool]] = field(default_factory=list)
+    changes: list[Change] = field(default_factory=list)
     compacted_revision: int = 0
+    era: int = 1
+    is_away: bool = False
     revision: int = 1
     changed: curio.Condition = field(default_factory=curio.Condition)
     count_by_call: Counter = field(default_factory=Counter)
@@ -66,21 +104,16 @@
     """Serve one request to a port with the given faults."""
     path = request.path
     if path == "/faults":
-        changes = read_json(request)
-        if changes.pop("forget_history", False):
-            store.history.clear()
-            store.compacted_revision = store.revision
-        for name, value in changes.items():
-            setattr(faults, name, value)
+        await inject_faults(store, faults, read_json(request))
         await respond_json(connection, 200, {})
         return
     if path == "/counts":
         await respond_json(connection, 200, dict(store.count_by_call))
         return
-    if faults.is_down:
+    if faults.is_down or store.is_away:
         await drop_connection(connection)
     if faults.is_busy:
-        await respond_json(connection, 503, {})
+        await respond_json(connection, 503, {}, make_era_headers(store, faults))
         return
     await curio.sleep(LATENCY_S)
     kind, _, rest = path.removeprefix(OBJECTS_PATH).partition("/")
@@ -91,12 +124,86 @@
     if faults.lost_answers > 0 and request.method != b"GET":
         faults.lost_answers -= 1
         await drop_connection(connection)
-    await respond_json(connection, *response)
+    if store.is_away:
+        await drop_connection(connection)
+    headers = make_era_headers(store, faults)
+    if faults.late_answers > 0:
+        faults.late_answers -= 1
+        await curio.sleep(faults.late_s)
+    await respond_json(connection, *response, headers)
 
 
 Response = tuple[int, Any]
 
 
+def make_era_headers(store: Store, faults: Faults) -> Headers:
+    """Return the header with the store's era, or as a fault changes it."""
+    text = str(store.era) if faults.era_text is None else faults.era_text
+    return ((ERA_HEADER, text.encode()),) if text else ()
+
+
+async def inject_faults(store: Store, faults: Faults, changes: dict[str, Any]) -> None:
+    """Set the faults of a port, or start one that concerns the whole store."""
+    if "restore_seconds_old" in changes:
+        await run_drill(store, msgspec.convert(changes, Drill))
+        return
+    if changes.pop("forget_history", False):
+        store.compacted_revision = store.revision
+    for name, value in changes.items():
+        setattr(faults, name, value)
+
+
+async def run_drill(store: Store, drill: Drill) -> None:
+    """Go back to a copy, in a new era; let operators and replicas write again."""
+    copied_at = time.monotonic() - drill.restore_seconds_old
+    if drill.away_s:
+        store.is_away = True
+        await curio.sleep(drill.away_s)
+        store.is_away = False
+    before = store.object_by_key
+    store.changes = [change for change in store.changes if change.at <= copied_at]
+    store.revision = max((change.revision for change in store.changes), default=1)
+    store.compacted_revision = min(store.compacted_revision, store.revision)
+    if drill.loses_system_objects:
+        store.changes = [c for c in store.changes if c.kind in OUTSIDE_KINDS]
+    store.object_by_key = {}
+    for change in store.changes:
+        key = (change.kind, change.row["metadata"]["name"])
+        store.object_by_key.pop(key, None)
+        if not change.is_deleted:
+            store.object_by_key[key] = change.row
+    store.era += 1
+    async with store.changed:
+        await store.changed.notify_all()
+    copy = dict(store.object_by_key)
+    await curio.spawn(
+        write_again, store, store.era, before, copy, drill.rewrite_after_s, daemon=True
+    )
+
+
+async def write_again(
+    store: Store,
+    era: int,
+    before: dict[tuple[str, str], dict[str, Any]],
+    copy: dict[tuple[str, str], dict[str, Any]],
+    delay_s: float,
+) -> None:
+    """Write again what operators and replicas wrote since the copy, unless too late.
+
+    An entry that was removed since is removed again.
+    """
+    await curio.sleep(delay_s)
+    for key in sorted(before.keys() | copy.keys()):
+        row = before.get(key)
+        is_same = row == copy.get(key) or store.object_by_key.get(key) != copy.get(key)
+        if store.era != era or key[0] not in OUTSIDE_KINDS or is_same:
+            continue
+        if row is not None:
+            await write_object(store, *key, row["spec"])
+            continue
+        await record_change(store, key[0], store.object_by_key.pop(key), True)
+
+
 async def read_objects(
     store: Store, faults: Faults, kind: str, name: str, request: Request
 ) -> Response:
@@ -122,14 +229,15 @@
     since = int(query["watch"])
     deadline = time.monotonic() + int(query.get("wait_ms", "0")) / 1e3
     while True:
-        if since < store.compacted_revision:
+        if not store.compacted_revision <= since <= store.revision:
             return 410, {}
         events = [
-            {"object": row, "deleted": is_deleted}
-            for revision, of, row, is_deleted in store.history
-            if revision > since and of == kind
+            {"object": change.row, "deleted": change.is_deleted}
+            for change in store.changes
+            if change.revision > since and change.kind == kind
         ]
         is_over = time.monotonic() >= deadline or faults.is_down or faults.is_busy
+        is_over = is_over or store.is_away
         if events or is_over:
             return 200, {"events": events, "store_revision": store.revision}
         async with store.changed:
@@ -190,7 +298,9 @@
 ) -> None:
     """Append a change to the history and notify the watches."""
     store.revision += 1
-    store.history.append((store.revision, kind, row, is_deleted))
+    store.changes.append(
+        Change(time.monotonic(), store.revision, kind, row, is_deleted)
+    )
     async with store.changed:
         await store.changed.notify_all()
 
--- /dev/null
+++ b/standins/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the stand-ins."""
