Decode the store's era into the outcome of each call

What callers would see: after the store has come back from an older copy, its revisions mean something else, and nobody in the instance can tell.

Cause: the adapter read neither the header nor could it tell a late answer of an earlier era from a current one.

Evidence before: catkintrack.platform.tests.test_store_eras could not be imported (`cannot import name 'observe_era'`): the outcomes had no era.

What changed: lists, watches, single objects, missing objects, conflicts and forgotten histories carry the era; the client keeps the highest one and calls `on_new_era` when it rises. A missing or unreadable value counts as the era last seen. An answer of an earlier era is discarded: a read is repeated once on a new connection and then fails as unavailable, a write has an unknown outcome. A list whose pages are of two eras starts again. Only platform/names.py names the header.

--- a/catkintrack/platform/__init__.py
+++ b/catkintrack/platform/__init__.py
@@ -40,6 +40,7 @@
     delete_object,
     get_object,
     list_objects,
+    observe_era,
     replace_object,
     watch_objects,
 )
@@ -84,6 +85,7 @@
     "get_object",
     "list_objects",
     "load_site",
+    "observe_era",
     "make_response_headers",
     "make_cache_events_request",
     "make_order_request",
--- a/catkintrack/platform/errors.py
+++ b/catkintrack/platform/errors.py
@@ -32,25 +32,28 @@
 class StoreConflict:
     """Report that the object already exists or has an unexpected revision.
 
-    `revision` and `spec` are those of the stored object.
+    `revision` and `spec` are those of the stored object in the store's `era`.
     """
 
     revision: int
     spec: Any
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class ObjectMissing:
-    """Report that the object does not exist."""
+    """Report that the object does not exist in the store's `era`."""
 
     name: str
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class HistoryGone:
-    """Report that the store no longer retains the changes since a revision."""
+    """Report that the store, in its `era`, does not have the changes since a revision."""
 
     revision: int
+    era: int = 0
 
 
 StoreError = (
--- a/catkintrack/platform/names.py
+++ b/catkintrack/platform/names.py
@@ -29,6 +29,8 @@
 CONTINUE_FROM = b"kv-from"
 API_KEY = b"x-credential"
 WAIT_MS = b"wait-ms"
+# Rises by one when the store has come back from an older copy of itself.
+STORE_ERA = b"store-era"
 
 # Headers that only the router may set on requests to replicas; a caller's own are
 # dropped.
--- a/catkintrack/platform/store.py
+++ b/catkintrack/platform/store.py
@@ -1,8 +1,17 @@
-"""Access the platform's object store over HTTP."""
+"""Access the platform's object store over HTTP.
+
+Each response states the store's era, which rises by one when the store has come back
+from an older copy of itself: what was written since the copy is gone, and its revisions
+are given out again.  A revision therefore means something only within its era.  If the
+era is missing or no number, it is unknown, and the response counts as of the era last
+seen.  A response of an earlier era, which comes late, is discarded: a read is repeated,
+a write has an unknown outcome.
+"""
 
 from __future__ import annotations
 
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import quote, urlencode
@@ -15,10 +24,10 @@
     ClientLimits,
     Pool,
     Request,
-    ResponseHead,
     UpstreamExchangeError,
     UpstreamUnreachable,
     fetch,
+    find_header,
 )
 
 from .errors import (
@@ -29,7 +38,7 @@
     StoreOutcomeUnknown,
     StoreUnavailable,
 )
-from .names import OBJECTS_PATH
+from .names import OBJECTS_PATH, STORE_ERA
 
 # The store usually responds in 4 ms; the timeout allows for a slow store.
 CALL_TIMEOUT_S = 1.5
@@ -37,6 +46,10 @@
 CONNECT_TIMEOUT_S = 0.5
 # A full page takes 2 s on the slowest link.
 BODY_TIMEOUT_S = 5.0
+# A response of an earlier era and its repetition.
+MAX_READS = 2
+# Longer numbers can't be eras, which rise by one.
+MAX_ERA_DIGITS = 9
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +60,7 @@
     revision: int
     spec: Any
     is_deleting: bool = False
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +77,7 @@
 
     objects: tuple[StoredObject, ...]
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +86,7 @@
 
     events: tuple[ObjectEvent, ...]
     revision: int
+    era: int = 0
 
 
 def make_store_pool() -> Pool:
@@ -83,8 +99,9 @@
 
 @dataclass(slots=True)
 class StoreClient:
-    """Hold the connections to the store and the number of calls by operation.
+    """Hold the connections to the store, its era and the number of calls by operation.
 
+    `era` is the highest one seen, 0 if none; `on_new_era` is called when it has risen.
     Reads of different kinds share no connection: a response that comes late and twice
     can then not be taken for one of another kind.
     """
@@ -94,6 +111,15 @@
         default_factory=lambda: defaultdict(make_store_pool)
     )
     count_by_call: Counter[str] = field(default_factory=Counter)
+    era: int = 0
+    on_new_era: Callable[[int], None] = lambda _era: None
+
+
+@dataclass(frozen=True, slots=True)
+class _Response:
+    status: int
+    body: bytes
+    era: int
 
 
 class _Metadata(msgspec.Struct):
@@ -123,30 +149,44 @@
     events: list[_Event] = []
 
 
+def observe_era(client: StoreClient, era: int) -> None:
+    """Record an era of the store that was seen; the highest one counts."""
+    if era > client.era:
+        client.era = era
+        client.on_new_era(era)
+
+
 async def list_objects(
     client: StoreClient, kind: str, allows_stale: bool = False
 ) -> Result[ObjectList, StoreError]:
     """Return all objects of a kind, reading page by page.
 
-    With `allows_stale` the store may return outdated objects.
+    With `allows_stale` the store may return outdated objects.  If the era rises between
+    two pages, the list starts again.
     """
     objects: list[StoredObject] = []
     query: dict[str, str] = {"allow_stale": "1"} if allows_stale else {}
     revision: int | None = None
+    era: int | None = None
     while True:
         outcome = await _send_request(
             client, "list", b"GET", _make_target(kind, "", query)
         )
         match outcome.bind(lambda response: _decode(response, _Page)):
-            case Success(page):
+            case Success((page, page_era)):
                 pass
             case Failure(error):
                 return Failure(error)
+        if era is not None and page_era != era:
+            objects, revision, era = [], None, None
+            query.pop("after")
+            continue
         # Later pages may be newer; a watch from the first page's revision misses none.
         revision = page.store_revision if revision is None else revision
-        objects += [_make_object(item) for item in page.items]
+        era = page_era
+        objects += [_make_object(item, era) for item in page.items]
         if not page.has_more or not page.items:
-            return Success(ObjectList(tuple(objects), revision))
+            return Success(ObjectList(tuple(objects), revision, era))
         query["after"] = objects[-1].name
 
 
@@ -166,28 +206,32 @@
         timeout_s=wait_s + WATCH_MARGIN_S,
     )
     match outcome:
-        case Success((ResponseHead(status=410), _)):
-            return Failure(HistoryGone(revision))
+        case Success(_Response(status=410, era=era)):
+            return Failure(HistoryGone(revision, era))
     return outcome.bind(lambda response: _decode(response, _Changes)).map(
-        lambda changes: ObjectEvents(
-            tuple(
-                ObjectEvent(_make_object(row.object), row.deleted)
-                for row in changes.events
-            ),
-            changes.store_revision,
-        )
+        lambda decoded: _make_events(*decoded)
     )
 
 
+def _make_events(changes: _Changes, era: int) -> ObjectEvents:
+    events = tuple(
+        ObjectEvent(_make_object(row.object, era), row.deleted)
+        for row in changes.events
+    )
+    return ObjectEvents(events, changes.store_revision, era)
+
+
 async def get_object(
     client: StoreClient, kind: str, name: str
 ) -> Result[StoredObject, StoreError]:
     """Return an object; fail with ObjectMissing if it does not exist."""
     outcome = await _send_request(client, "get", b"GET", _make_target(kind, name, {}))
     match outcome:
-        case Success((ResponseHead(status=404), _)):
-            return Failure(ObjectMissing(name))
-    return outcome.bind(lambda response: _decode(response, _Object)).map(_make_object)
+        case Success(_Response(status=404, era=era)):
+            return Failure(ObjectMissing(name, era))
+    return outcome.bind(lambda response: _decode(response, _Object)).map(
+        lambda decoded: _make_object(*decoded)
+    )
 
 
 async def create_object(
@@ -224,41 +268,44 @@
     body = b"" if fields is None else msgspec.json.encode(fields)
     outcome = await _send_request(client, operation, method, target, body)
     match outcome:
-        case Success((ResponseHead(status=409), response_body)):
-            found = _decode_object(response_body)
-            return Failure(StoreConflict(found.revision, found.spec))
-        case Success((ResponseHead(status=404), _)):
-            return Failure(ObjectMissing(target))
-        case Success((ResponseHead(status=status), response_body)) if status < 300:
-            return Success(_decode_object(response_body))
-        case Success((head, _)):
-            return Failure(StoreUnavailable(f"status {head.status}"))
+        case Success(_Response(status=409) as response):
+            found = _decode_object(response)
+            return Failure(StoreConflict(found.revision, found.spec, found.era))
+        case Success(_Response(status=404, era=era)):
+            return Failure(ObjectMissing(target, era))
+        case Success(_Response(status=status) as response) if status < 300:
+            return Success(_decode_object(response))
+        case Success(_Response(status=status)):
+            return Failure(StoreUnavailable(f"status {status}"))
     return outcome
 
 
-def _decode_object(body: bytes) -> StoredObject:
+def _decode_object(response: _Response) -> StoredObject:
     """Return the object in a response body, or an empty one if there is none."""
     try:
-        return _make_object(msgspec.json.decode(body, type=_Object))
+        row = msgspec.json.decode(response.body, type=_Object)
     except (msgspec.DecodeError, UnicodeDecodeError):
-        return StoredObject("", 0, None)
+        return StoredObject("", 0, None, era=response.era)
+    return _make_object(row, response.era)
 
 
 def _decode(
-    response: tuple[ResponseHead, bytes], type_: type[Any]
-) -> Result[Any, StoreError]:
-    head, body = response
-    if head.status != 200:
-        return Failure(StoreUnavailable(f"status {head.status}"))
+    response: _Response, type_: type[Any]
+) -> Result[tuple[Any, int], StoreError]:
+    """Return the decoded body and the era of a response."""
+    if response.status != 200:
+        return Failure(StoreUnavailable(f"status {response.status}"))
     try:
-        return Success(msgspec.json.decode(body, type=type_))
+        return Success((msgspec.json.decode(response.body, type=type_), response.era))
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return Failure(StoreUnavailable(f"invalid response: {error}"))
 
 
-def _make_object(row: _Object) -> StoredObject:
+def _make_object(row: _Object, era: int) -> StoredObject:
     metadata = row.metadata
-    return StoredObject(metadata.name, metadata.revision, row.spec, metadata.deleting)
+    return StoredObject(
+        metadata.name, metadata.revision, row.spec, metadata.deleting, era
+    )
 
 
 def _make_target(kind: str, name: str, query: dict[str, str]) -> str:
@@ -273,28 +320,43 @@
     target: str,
     body: bytes = b"",
     timeout_s: float = CALL_TIMEOUT_S,
-) -> Result[tuple[ResponseHead, bytes], StoreError]:
-    client.count_by_call[operation] += 1
+) -> Result[_Response, StoreError]:
+    """Send a request; repeat a read whose response is of an earlier era."""
     headers = [(b"host", str(client.address).encode())]
     if method != b"GET":
         headers.append((b"content-type", b"application/json"))
         headers.append((b"content-length", str(len(body)).encode()))
     request = Request(method, target.encode(), tuple(headers), body)
-    try:
-        return Success(
-            await fetch(
+    is_read = method == b"GET"
+    for attempt in range(MAX_READS if is_read else 1):
+        client.count_by_call[operation] += 1
+        try:
+            head, response_body = await fetch(
                 client.pool_by_path[target.partition("?")[0]],
                 client.address,
                 request,
                 timeout_s,
                 # The outcome of a write is never read from a connection in use before.
-                force_new=method != b"GET",
+                force_new=attempt > 0 or not is_read,
                 body_timeout_s=BODY_TIMEOUT_S,
             )
-        )
-    except UpstreamUnreachable as error:
-        return Failure(StoreUnavailable(str(error)))
-    except UpstreamExchangeError as error:
-        if method == b"GET":
+        except UpstreamUnreachable as error:
             return Failure(StoreUnavailable(str(error)))
-        return Failure(StoreOutcomeUnknown(str(error)))
+        except UpstreamExchangeError as error:
+            if is_read:
+                return Failure(StoreUnavailable(str(error)))
+            return Failure(StoreOutcomeUnknown(str(error)))
+        era = _decode_era(find_header(head.headers, STORE_ERA))
+        era = client.era if era is None else era
+        observe_era(client, era)
+        if era == client.era:
+            return Success(_Response(head.status, response_body, era))
+    reason = f"response of era {era}, now {client.era}"
+    return Failure(StoreUnavailable(reason) if is_read else StoreOutcomeUnknown(reason))
+
+
+def _decode_era(text: bytes | None) -> int | None:
+    """Return the era in a header's value, or None if it is missing or no number."""
+    if text is None or not text.isdigit() or len(text) > MAX_ERA_DIGITS:
+        return None
+    return int(text)
