Let a lease hold only within an era of the store

What callers would see: after the store has come back from a copy without the lease, two instances order replicas at once, one of them under a token that replicas have already passed.

Cause: a missing record counted as a free lease; records were ordered by revision alone; a renewal counted when its condition, a revision that the new era had given out again, held by chance; the next fencing token was the record's plus one.

What changed: an instance begins an era when an answer of the store or a peer shows it (instance/eras.py): its own lease ends, candidates wait out the full lease time from then, and look for a record first in order of rank. A record says in which era its writer was: one of another era, from the copy or from a write that a new era accepted by chance, is neither own nor released. An accepted write counts only if its answer is of the era that it was sent in. Fencing tokens start above all of earlier eras; the highest one known is kept and gossiped, and a refusal raises the next one in growing steps. Gossip carries the era; messages of earlier builds decode. One log line and a gauge show the era seen.

--- a/catkintrack/instance/dump.py
+++ b/catkintrack/instance/dump.py
@@ -17,6 +17,7 @@
         "instance": instance.site.instance,
         "incarnation": instance.incarnation,
         "is_stopping": instance.is_stopping,
+        "era": instance.store.era,
         "config": instance.config.revision if instance.config else None,
         "feeds": {
             kind: {
@@ -30,6 +31,7 @@
         "lease": {
             "holder": instance.lease.record.holder,
             "fencing": instance.lease.record.fencing,
+            "era": instance.lease.record.era,
             "is_own": instance.lease.renewed_at is not None,
         },
         "upstreams": {
--- a/catkintrack/instance/gossip.py
+++ b/catkintrack/instance/gossip.py
@@ -82,6 +82,7 @@
         level_by_workspace={name: round(row.level) for name, row in levels.items()},
         in_flight_by_upstream=changed["in_flight"],
         lease=_make_lease_row(instance, is_full),
+        era=instance.store.era,
     )
 
 
@@ -108,7 +109,16 @@
 
 def _make_lease_row(instance: Instance, is_full: bool) -> LeaseRow | None:
     """Return the lease record; only its holder sends it in every message."""
-    record = instance.lease.record
-    if not record.revision or not (is_full or instance.lease.renewed_at is not None):
+    lease = instance.lease
+    record = lease.record
+    is_known = record.revision > 0 or lease.highest_fencing > 0
+    if not is_known or not (is_full or lease.renewed_at is not None):
         return None
-    return LeaseRow(record.holder, record.incarnation, record.fencing, record.revision)
+    return LeaseRow(
+        record.holder,
+        record.incarnation,
+        record.fencing,
+        record.revision,
+        record.era,
+        lease.highest_fencing,
+    )
--- a/catkintrack/instance/lease_keeper.py
+++ b/catkintrack/instance/lease_keeper.py
@@ -14,8 +14,11 @@
     LeaseAction,
     LeaseRecord,
     choose_action,
+    choose_fencing,
     drop_lease,
+    forget_record,
     is_held,
+    is_own_record,
     observe_record,
     record_acquisition,
     record_renewal,
@@ -39,6 +42,9 @@
 LEASE_KIND = "catkintrack-leases"
 LEASE_NAME = "weights"
 TICK_S = 0.1
+# Stands for the holder in a record that was written in an earlier era: it is neither
+# released nor this process's own, whatever it says.
+EARLIER_ERA_HOLDER = "-"
 
 
 class LeaseSpec(msgspec.Struct):
@@ -50,6 +56,9 @@
     # Changes with each renewal: candidates take a changed record as a sign that the
     # holder is alive.
     renewals: int = 0
+    # The store's era as the writer knew it.  A record of a later era that names an
+    # earlier one comes from a copy of the store or from a late write.
+    era: int = 0
 
 
 async def run_lease_keeper(instance: Instance) -> None:
@@ -83,13 +92,15 @@
 
 async def _read_lease(instance: Instance) -> None:
     lease = instance.lease
+    lease.last_attempt_at = read_boot_clock()
     match await get_object(instance.store, LEASE_KIND, LEASE_NAME):
         case Success(found):
             observe_record(lease, _decode_record(found), read_boot_clock())
             lease.last_read_at = read_boot_clock()
             await _renew_own_record(instance)
         case Failure(ObjectMissing()):
-            await _create_lease(instance)
+            forget_record(lease)
+            lease.last_read_at = read_boot_clock()
         case Failure(error):
             _log_failure("lease read failed", error)
 
@@ -100,7 +111,7 @@
     Only an accepted write shows that no other instance has acquired it since.
     """
     lease = instance.lease
-    if not _is_own_record(instance, lease.record):
+    if not is_own_record(lease, lease.record):
         return
     if lease.record.fencing == lease.refused_fencing:
         await _acquire(instance)
@@ -119,22 +130,17 @@
         instance.store,
         LEASE_KIND,
         LEASE_NAME,
-        msgspec.to_builtins(LeaseSpec("", 0, record.fencing)),
+        msgspec.to_builtins(LeaseSpec("", 0, record.fencing, era=record.era)),
         record.revision,
     )
     match outcome:
-        case Success(StoredObject(revision=revision)):
-            lease.record = LeaseRecord("", 0, record.fencing, revision)
+        case Success(StoredObject(revision=revision, era=era)):
+            lease.record = LeaseRecord("", 0, record.fencing, revision, era)
             logger.info("lease released", extra={"fencing": record.fencing})
         case Failure(error):
             _log_failure("lease release failed", error)
 
 
-def _is_own_record(instance: Instance, record: LeaseRecord) -> bool:
-    lease = instance.lease
-    return (record.holder, record.incarnation) == (lease.owner, lease.incarnation)
-
-
 def _decode_record(found: StoredObject) -> LeaseRecord:
     try:
         spec = msgspec.convert(found.spec, LeaseSpec)
@@ -143,37 +149,43 @@
         # replaces it.
         logger.error("stored lease record invalid", extra={"reason": str(error)})
         spec = LeaseSpec("", 0, 0)
-    return LeaseRecord(spec.holder, spec.incarnation, spec.fencing, found.revision)
-
-
-async def _create_lease(instance: Instance) -> None:
-    spec = _make_spec(instance, 1)
-    requested_at = read_boot_clock()
-    outcome = await create_object(
-        instance.store, LEASE_KIND, LEASE_NAME, msgspec.to_builtins(spec)
+    if spec.era != found.era:
+        return LeaseRecord(
+            EARLIER_ERA_HOLDER, 0, spec.fencing, found.revision, found.era
+        )
+    return LeaseRecord(
+        spec.holder, spec.incarnation, spec.fencing, found.revision, found.era
     )
-    _apply_acquisition(instance, outcome, spec, requested_at)
 
 
 async def _acquire(instance: Instance) -> None:
-    record = instance.lease.record
-    spec = _make_spec(instance, record.fencing + 1)
-    requested_at = read_boot_clock()
-    instance.lease.last_attempt_at = requested_at
-    outcome = await replace_object(
-        instance.store,
-        LEASE_KIND,
-        LEASE_NAME,
-        msgspec.to_builtins(spec),
-        record.revision,
+    """Take the lease, creating its record if there is none."""
+    lease = instance.lease
+    spec = LeaseSpec(
+        instance.site.instance,
+        instance.incarnation,
+        choose_fencing(lease),
+        era=lease.era,
     )
+    fields = msgspec.to_builtins(spec)
+    requested_at = read_boot_clock()
+    lease.last_attempt_at = requested_at
+    revision = lease.record.revision
+    if revision:
+        outcome = await replace_object(
+            instance.store, LEASE_KIND, LEASE_NAME, fields, revision
+        )
+    else:
+        outcome = await create_object(instance.store, LEASE_KIND, LEASE_NAME, fields)
     _apply_acquisition(instance, outcome, spec, requested_at)
 
 
 async def _renew_lease(instance: Instance) -> None:
     lease = instance.lease
     record = lease.record
-    spec = LeaseSpec(record.holder, record.incarnation, record.fencing, record.revision)
+    spec = LeaseSpec(
+        record.holder, record.incarnation, record.fencing, record.revision, record.era
+    )
     requested_at = read_boot_clock()
     lease.last_attempt_at = requested_at
     outcome = await replace_object(
@@ -184,12 +196,17 @@
         record.revision,
     )
     match outcome:
-        case Success(StoredObject(revision=revision)):
-            record_renewal(lease, revision, requested_at)
-        case Failure(StoreConflict(revision=revision, spec=found)):
+        case Success(StoredObject() as found) if found.era != spec.era:
+            _handle_write_in_other_era(instance, found)
+        case Success(StoredObject(revision=revision, era=era)):
+            record_renewal(lease, revision, requested_at, era)
+        case Failure(StoreConflict(revision=revision, spec=found, era=era)):
             _handle_renewal_conflict(
-                instance, StoredObject(LEASE_NAME, revision, found)
+                instance, StoredObject(LEASE_NAME, revision, found, era=era)
             )
+        case Failure(ObjectMissing()):
+            logger.warning("lease lost", extra={"reason": "record missing"})
+            drop_lease(lease)
         case Failure(StoreOutcomeUnknown() as error):
             _log_failure("lease renewal outcome unknown", error)
         case Failure(error):
@@ -200,7 +217,7 @@
     """Tell an own renewal whose response was lost from another holder's write."""
     lease = instance.lease
     record = _decode_record(found)
-    if _is_own_record(instance, record) and record.fencing == lease.record.fencing:
+    if is_own_record(lease, record) and record.fencing == lease.record.fencing:
         lease.record = record
         lease.last_attempt_at = -1e9
         return
@@ -215,14 +232,18 @@
     instance: Instance, outcome: Any, spec: LeaseSpec, requested_at: float
 ) -> None:
     match outcome:
-        case Success(StoredObject(revision=revision)):
-            record = LeaseRecord(spec.holder, spec.incarnation, spec.fencing, revision)
+        case Success(StoredObject() as found) if found.era != spec.era:
+            _handle_write_in_other_era(instance, found)
+        case Success(StoredObject(revision=revision, era=era)):
+            record = LeaseRecord(
+                spec.holder, spec.incarnation, spec.fencing, revision, era
+            )
             record_acquisition(instance.lease, record, requested_at)
             logger.info(
                 "lease taken", extra={"fencing": spec.fencing, "revision": revision}
             )
-        case Failure(StoreConflict(revision=revision, spec=found)):
-            record = _decode_record(StoredObject(LEASE_NAME, revision, found))
+        case Failure(StoreConflict(revision=revision, spec=found, era=era)):
+            record = _decode_record(StoredObject(LEASE_NAME, revision, found, era=era))
             observe_record(instance.lease, record, read_boot_clock())
             # An earlier write of this instance may have taken effect.
             instance.lease.last_read_at = -1e9
@@ -232,8 +253,14 @@
             _log_failure("lease acquisition failed", error)
 
 
-def _make_spec(instance: Instance, fencing: int) -> LeaseSpec:
-    return LeaseSpec(instance.site.instance, instance.incarnation, fencing)
+def _handle_write_in_other_era(instance: Instance, found: StoredObject) -> None:
+    """Treat a write that a new era accepted by chance as one of an earlier era.
+
+    Its condition named a revision that the new era has given out again, perhaps to a
+    new holder, who notices with its next renewal.
+    """
+    logger.warning("lease write fell into a new era", extra={"era": found.era})
+    observe_record(instance.lease, _decode_record(found), read_boot_clock())
 
 
 def _log_failure(message: str, error: Any) -> None:
--- a/catkintrack/instance/main.py
+++ b/catkintrack/instance/main.py
@@ -49,6 +49,7 @@
 from .calls import handle_call
 from .clocks import read_boot_clock
 from .dump import dump_instance
+from .eras import follow_eras
 from .feeds import WATCHED_KINDS, run_feed
 from .fleet_state import remove_lapsed_upstreams
 from .gossip import send_gossip
@@ -116,6 +117,7 @@
         limits=limits,
         lease=Lease(site.instance, incarnation, site.bounds.lease_s),
     )
+    follow_eras(instance)
     instance.decisions.zone = site.zone
     # An instance limits retries per service instead.
     instance.decisions.retry_budget = None
--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -18,7 +18,8 @@
     record_remote_prefill_end,
 )
 from catkintrack.fleet import ModelWeights
-from catkintrack.leases import LeaseRecord, observe_record
+from catkintrack.leases import LeaseRecord, observe_fencing, observe_record
+from catkintrack.platform import observe_era
 from catkintrack.pooling import (
     adopt_level,
     compute_report_delay_s,
@@ -197,6 +198,7 @@
     peer.in_flight_by_upstream = {id: count for id, count in in_flight.items() if count}
     for row in gossip.peers:
         get_or_add_peer(instance, row.instance, row.zone, row.host, row.port)
+    observe_era(instance.store, gossip.era, gossip.instance)
     _apply_gossiped_state(instance, gossip, now)
     await pull_newer(instance, peer, gossip, now)
 
@@ -236,7 +238,11 @@
         )
     if gossip.lease is not None:
         row = gossip.lease
-        record = LeaseRecord(row.holder, row.incarnation, row.fencing, row.revision)
+        observe_era(instance.store, row.era, gossip.instance)
+        record = LeaseRecord(
+            row.holder, row.incarnation, row.fencing, row.revision, row.era
+        )
+        observe_fencing(instance.lease, row.highest_fencing)
         observe_record(instance.lease, record, read_boot_clock())
 
 
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -10,6 +10,7 @@
 class PeerMessage(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Encode a message as an array that starts with its type name.
 
+    Earlier builds send fewer fields: new ones come last and have defaults.
     A class with an explicit `tag` has another type name on the wire.
     """
 
@@ -24,12 +25,17 @@
 
 
 class LeaseRow(msgspec.Struct, frozen=True, array_like=True):
-    """Carry the lease record that the sender last saw."""
+    """Carry the lease record that the sender last saw and the highest token it knows.
+
+    `revision` 0 means that it knows no record in the store's `era`.
+    """
 
     holder: str
     incarnation: int
     fencing: int
     revision: int
+    era: int = 0
+    highest_fencing: int = 0
 
 
 class GossipMessage(PeerMessage, frozen=True, tag="News"):
@@ -37,6 +43,7 @@
 
     The dictionaries hold the changes since the last gossip, or everything if `is_full`.
     `named_weights` holds each model's target weights, as (version, age in seconds).
+    `era` is the highest era of the store that the sender has seen, 0 if none.
     `is_store_heard` says that the sender's own view of the store is current,
     `is_asking` that it has no live peers yet and requests their full state.
     """
@@ -60,6 +67,7 @@
     level_by_workspace: dict[str, int]
     in_flight_by_upstream: dict[str, int]
     lease: LeaseRow | None
+    era: int = 0
 
 
 class ZoneRelay(PeerMessage, frozen=True, tag="Relayed"):
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -26,6 +26,7 @@
     store_errors: Counter
     waiting_calls: Gauge
     config_revision: Gauge
+    store_era: Gauge
     peers: Gauge
 
 
@@ -50,5 +51,6 @@
         store_errors=counter("store_errors_total", "Failed calls, by kind."),
         waiting_calls=gauge("waiting_calls", "Model calls that wait."),
         config_revision=gauge("config_revision", "Configuration in force."),
+        store_era=gauge("store_era", "Highest era of the store seen."),
         peers=gauge("peers_heard", "Peers heard of late."),
     )
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -85,6 +85,7 @@
     `batch_queue` says of each message whether it also goes to the other zones.
     `followed_hub` is the name of the own zone's hub and when it was chosen.
     `running_at` is when the process last ran its housekeeping, on the boot clock.
+    `era_seen_at` is when the store's era last rose while something was known.
     """
 
     site: Site
@@ -100,6 +101,7 @@
     config: Configuration | None = None
     config_spec: Any = None
     config_object_revision: int = 0
+    era_seen_at: float = -1e9
     upstream_by_id: dict[str, Upstream] = field(default_factory=dict)
     spec_by_upstream: dict[str, Any] = field(default_factory=dict)
     pending_removal_by_upstream: dict[str, PendingRemoval] = field(default_factory=dict)
--- a/catkintrack/platform/store.py
+++ b/catkintrack/platform/store.py
@@ -101,7 +101,8 @@
 class StoreClient:
     """Hold the connections to the store, its era and the number of calls by operation.
 
-    `era` is the highest one seen, 0 if none; `on_new_era` is called when it has risen.
+    `era` is the highest one seen, 0 if none; `on_new_era` gets each new one and
+    what showed it.
     Reads of different kinds share no connection: a response that comes late and twice
     can then not be taken for one of another kind.
     """
@@ -112,7 +113,7 @@
     )
     count_by_call: Counter[str] = field(default_factory=Counter)
     era: int = 0
-    on_new_era: Callable[[int], None] = lambda _era: None
+    on_new_era: Callable[[int, str], None] = lambda _era, _source: None
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,11 +150,11 @@
     events: list[_Event] = []
 
 
-def observe_era(client: StoreClient, era: int) -> None:
-    """Record an era of the store that was seen; the highest one counts."""
+def observe_era(client: StoreClient, era: int, source: str) -> None:
+    """Record an era of the store that `source` has shown; the highest one counts."""
     if era > client.era:
         client.era = era
-        client.on_new_era(era)
+        client.on_new_era(era, source)
 
 
 async def list_objects(
@@ -348,7 +349,7 @@
             return Failure(StoreOutcomeUnknown(str(error)))
         era = _decode_era(find_header(head.headers, STORE_ERA))
         era = client.era if era is None else era
-        observe_era(client, era)
+        observe_era(client, era, "store")
         if era == client.era:
             return Success(_Response(head.status, response_body, era))
     reason = f"response of era {era}, now {client.era}"
--- a/catkintrack/platform/tests/test_store_eras.py
+++ b/catkintrack/platform/tests/test_store_eras.py
@@ -62,7 +62,9 @@
         self.store = ScriptedStore(*answers)
         self.addCleanup(self.store.listener.close)
         self.eras = []
-        self.client = StoreClient(self.store.address, on_new_era=self.eras.append)
+        self.client = StoreClient(
+            self.store.address, on_new_era=lambda era, _source: self.eras.append(era)
+        )
         return self.client
 
     def test_all_typed_outcomes_carry_the_era(self):
@@ -131,7 +133,7 @@
 
     def test_read_that_stays_in_an_earlier_era_fails(self):
         client = self.open(("1", 200, PAGE), ("1", 200, PAGE))
-        observe_era(client, 2)
+        observe_era(client, 2, "n2")
 
         async def run():
             return await list_objects(client, "config")
@@ -145,7 +147,7 @@
     def test_outcome_of_a_write_from_an_earlier_era_is_unknown(self):
         """A write accepted in the earlier era is lost, one of the new era may exist."""
         client = self.open(("1", 200, OBJECT))
-        observe_era(client, 2)
+        observe_era(client, 2, "n2")
 
         async def run():
             return await replace_object(client, "leases", "weights", {}, 1)
@@ -175,9 +177,9 @@
 
     def test_era_learned_elsewhere_only_rises(self):
         client = self.open()
-        observe_era(client, 4)
-        observe_era(client, 3)
-        observe_era(client, 4)
+        observe_era(client, 4, "n2")
+        observe_era(client, 3, "n3")
+        observe_era(client, 4, "n4")
         self.assertEqual((client.era, self.eras), (4, [4]))
 
 
--- a/testkit/states.py
+++ b/testkit/states.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from catkintrack.http import Pool
+from catkintrack.instance.eras import follow_eras
 from catkintrack.instance.messages import (
     GossipMessage,
     PeerMessage,
@@ -23,7 +24,7 @@
 def make_instance() -> Instance:
     """Return an instance that has its site settings and no other state."""
     site = decode_site(SETTINGS_LINES).unwrap()
-    return Instance(
+    instance = Instance(
         site=site,
         incarnation=1,
         started_at=0.0,
@@ -35,6 +36,8 @@
         limits=PooledLimits(0.0, 0.0),
         lease=Lease("n1", 1, 3.0),
     )
+    follow_eras(instance)
+    return instance
 
 
 def make_gossip(**changes: Any) -> GossipMessage:
