--- /dev/null
+++ b/catkintrack/instance/config_history.py
@@ -0,0 +1,45 @@
+"""Remember which configurations the store had at which revisions of an era.
+
+When the store comes back from an older copy, a configuration that it did not have then
+was written since.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+
+import msgspec
+
+from .state import ConfigHistory
+
+# Far more changes than fall into the age of a copy.
+MAX_REMEMBERED_CONFIGS = 64
+
+
+def begin_config_history(history: ConfigHistory, revision: int, spec: Any) -> None:
+    """Begin with a configuration that the store has listed."""
+    history.digest_by_revision = {revision: _digest(spec)}
+
+
+def record_config_change(history: ConfigHistory, revision: int, spec: Any) -> None:
+    """Record the next change, in the order of revisions."""
+    history.digest_by_revision[revision] = _digest(spec)
+    if len(history.digest_by_revision) > MAX_REMEMBERED_CONFIGS:
+        del history.digest_by_revision[min(history.digest_by_revision)]
+
+
+def was_not_there(history: ConfigHistory, until: int, revision: int, spec: Any) -> bool:
+    """Report whether the store certainly did not have a configuration at a revision.
+
+    All changes from the first remembered one up to the store's revision `until` are
+    known.
+    """
+    first = min(history.digest_by_revision, default=until + 1)
+    if not first <= revision <= until:
+        return False
+    return history.digest_by_revision.get(revision) != _digest(spec)
+
+
+def _digest(spec: Any) -> bytes:
+    return hashlib.blake2b(msgspec.msgpack.encode(spec), digest_size=16).digest()
--- a/catkintrack/instance/feeds.py
+++ b/catkintrack/instance/feeds.py
@@ -29,6 +29,11 @@
     watch_objects,
 )
 
+from .config_history import (
+    begin_config_history,
+    record_config_change,
+    was_not_there,
+)
 from .fleet_state import (
     apply_configuration,
     apply_target_weights,
@@ -168,7 +173,23 @@
         apply_upstreams(instance, specs, now, may_have_lapsed, revisions)
         return
     for row in listing.objects:
-        _apply_object(instance, feed.kind, row, now, False)
+        is_written = feed.kind == CONFIG_KIND and _follow_listed_config(
+            instance, feed, row
+        )
+        _apply_object(instance, feed.kind, row, now, is_written)
+
+
+def _follow_listed_config(instance: Instance, feed: Feed, row: StoredObject) -> bool:
+    """Begin the history of configurations; report whether `row` is not of a copy.
+
+    `feed.revision` is still that of the last change or list before.
+    """
+    if row.name != CONFIG_NAME:
+        return False
+    history = instance.config_history
+    is_written = was_not_there(history, feed.revision, row.revision, row.spec)
+    begin_config_history(history, row.revision, row.spec)
+    return is_written
 
 
 async def _watch(
@@ -259,6 +280,10 @@
     instance: Instance, feed: Feed, changes: ObjectEvents, now: float
 ) -> None:
     """Apply the last state of each object that changed; removals come first."""
+    for event in changes.events:
+        row = event.object
+        if feed.kind == CONFIG_KIND and row.name == CONFIG_NAME:
+            record_config_change(instance.config_history, row.revision, row.spec)
     last_by_name = {event.object.name: event for event in changes.events}
     gone = [name for name, event in last_by_name.items() if event.is_deleted]
     if gone and feed.kind == UPSTREAM_KIND:
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -34,6 +34,13 @@
     revision: int = 0
 
 
+@dataclass(slots=True)
+class ConfigHistory:
+    """Hold digests of all configurations since one was listed, by object revision."""
+
+    digest_by_revision: dict[int, bytes] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class Feed:
     """Hold the watch state of one kind of object; times in seconds.
@@ -128,6 +135,7 @@
     config_stamp: ConfigStamp = ConfigStamp()
     is_config_written: bool = False
     held_back_config: ConfigStamp = ConfigStamp()
+    config_history: ConfigHistory = field(default_factory=ConfigHistory)
     era_seen_at: float = -1e9
     upstream_by_id: dict[str, Upstream] = field(default_factory=dict)
     spec_by_upstream: dict[str, Any] = field(default_factory=dict)
