--- a/catkintrack/instance/anti_entropy.py
+++ b/catkintrack/instance/anti_entropy.py
@@ -9,6 +9,7 @@
 
 from catkintrack.platform import CONFIG_KIND, UPSTREAM_KIND, observe_era
 
+from .config_history import merge_superseded
 from .feeds import is_current, make_stored_config, make_stored_upstreams
 from .fleet_state import (
     apply_configuration,
@@ -98,7 +99,7 @@
 async def handle_stored_config(instance: Instance, message: StoredConfig) -> None:
     """Apply a configuration from a peer if it is newer."""
     observe_era(instance.store, message.era, "peer")
-    apply_configuration(
+    is_applied = apply_configuration(
         instance,
         message.revision,
         message.spec,
@@ -106,6 +107,9 @@
         message.era,
         message.is_written,
     )
+    if is_applied:
+        history = instance.config_history
+        merge_superseded(history, message.superseded, message.spec)
     feed = instance.feed_by_kind.get(CONFIG_KIND)
     if feed is not None:
         feed.stale_since = None
@@ -119,8 +123,8 @@
     if feed is None or is_current(feed, now, STORE_STALENESS_S):
         return
     if (message.era, message.revision) > (feed.era, feed.changed_revision):
-        apply_upstreams(instance, message.spec_by_id, now, False)
         _record_peer_update(feed, message.era, message.revision)
+        apply_upstreams(instance, message.spec_by_id, now, False)
 
 
 async def handle_upstream_changes(
--- a/catkintrack/instance/config_history.py
+++ b/catkintrack/instance/config_history.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Iterable
 from typing import Any
 
 import msgspec
@@ -15,6 +16,7 @@
 
 # Far more changes than fall into the age of a copy.
 MAX_REMEMBERED_CONFIGS = 64
+MAX_SUPERSEDED_CONFIGS = 16
 
 
 def begin_config_history(history: ConfigHistory, revision: int, spec: Any) -> None:
@@ -41,5 +43,24 @@
     return history.digest_by_revision.get(revision) != _digest(spec)
 
 
+def record_superseded(history: ConfigHistory, spec: Any, next_spec: Any) -> None:
+    """Record that a configuration in force was replaced by the next one."""
+    merge_superseded(history, (_digest(spec),), next_spec)
+
+
+def merge_superseded(
+    history: ConfigHistory, digests: Iterable[bytes], spec: Any
+) -> None:
+    """Add what was in force before a configuration, here or at a peer."""
+    merged = dict.fromkeys([*history.superseded, *digests])
+    merged.pop(_digest(spec), None)
+    history.superseded = list(merged)[-MAX_SUPERSEDED_CONFIGS:]
+
+
+def is_superseded(history: ConfigHistory, spec: Any) -> bool:
+    """Report whether a configuration was in force before the present one."""
+    return _digest(spec) in history.superseded
+
+
 def _digest(spec: Any) -> bytes:
     return hashlib.blake2b(msgspec.msgpack.encode(spec), digest_size=16).digest()
--- a/catkintrack/instance/config_order.py
+++ b/catkintrack/instance/config_order.py
@@ -29,13 +29,15 @@
 class OfferedConfig:
     """Hold a stored configuration and where it was found.
 
-    `is_written` says that it was certainly written in the era of its stamp.
+    `is_written` says that it was certainly written in the era of its stamp,
+    `is_superseded` that it was in force before the known one.
     """
 
     stamp: ConfigStamp
     version: int
     spec: Any
     is_written: bool
+    is_superseded: bool = False
 
 
 def judge_configuration(
@@ -54,11 +56,12 @@
     if offered.spec == known.spec:
         return Judgement.CONFIRM
     if offered.stamp.era == known.stamp.era:
-        # Within an era versions only grow; one that the copy had is of an earlier era.
-        is_era_of_version = known.is_written or known.stamp.era == 0
-        is_older = offered.version <= known.version and is_era_of_version
+        # Within an era the store's revisions decide; without eras versions grow too.
+        is_older = offered.stamp.era == 0 and offered.version <= known.version
         return Judgement.IGNORE if is_older else Judgement.APPLY
-    if offered.version > known.version or is_written_again(known, offered, held_back):
+    # After a lower version was written, the copy's is higher and yet older.
+    is_newer = offered.version > known.version and not offered.is_superseded
+    if is_newer or is_written_again(known, offered, held_back):
         return Judgement.APPLY
     return Judgement.HOLD_BACK
 
--- a/catkintrack/instance/feeds.py
+++ b/catkintrack/instance/feeds.py
@@ -146,6 +146,8 @@
     match await list_objects(instance.store, feed.kind):
         case Success(listing):
             now = time.monotonic()
+            if _is_outdated(feed, listing):
+                return None
             is_new_era = feed.era < listing.era
             feed.era = listing.era
             _apply_list(instance, feed, listing, now)
@@ -158,6 +160,11 @@
             return error
 
 
+def _is_outdated(feed: Feed, found: ObjectList | ObjectEvents) -> bool:
+    """Report whether a peer has told of later changes while the store answered."""
+    return (found.era, found.revision) < (feed.era, feed.changed_revision)
+
+
 def _may_have_lapsed(feed: Feed, now: float) -> bool:
     """Report whether missing entries may have lapsed only because of a store outage."""
     return feed.last_failure_at > 0 and now - feed.last_failure_at < LAPSE_RESTORE_S
@@ -200,6 +207,8 @@
     match await watch_objects(instance.store, feed.kind, feed.revision, wait_s):
         case Success(changes) if changes.era != feed.era:
             return HistoryGone(feed.revision, changes.era)
+        case Success(changes) if _is_outdated(feed, changes):
+            return None
         case Success(changes):
             now = time.monotonic()
             _apply_events(instance, feed, changes, now)
@@ -262,7 +271,11 @@
     """Return the message that carries the configuration in force."""
     stamp = instance.config_stamp
     return StoredConfig(
-        stamp.revision, instance.config_spec, stamp.era, instance.is_config_written
+        stamp.revision,
+        instance.config_spec,
+        stamp.era,
+        instance.is_config_written,
+        tuple(instance.config_history.superseded),
     )
 
 
--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -34,6 +34,7 @@
     record_target_weights,
 )
 
+from .config_history import is_superseded, record_superseded
 from .config_order import (
     Judgement,
     OfferedConfig,
@@ -41,10 +42,12 @@
     judge_configuration,
 )
 from .departures import (
-    forget_departure,
     forget_old_departures,
     is_carried_over,
+    list_held_entries,
     record_departure,
+    record_return,
+    record_unlisted,
 )
 from .eras import is_after_new_era
 from .state import ConfigStamp, Instance, PendingRemoval
@@ -91,9 +94,14 @@
             return False
         case Success(config):
             pass
-    offered = OfferedConfig(stamp, config.revision, spec, is_written)
+    history = instance.config_history
+    offered = OfferedConfig(
+        stamp, config.revision, spec, is_written, is_superseded(history, spec)
+    )
     if not _judge_and_record_config(instance, offered):
         return False
+    if instance.config is not None:
+        record_superseded(history, instance.config_spec, spec)
     instance.config = config
     instance.config_spec = spec
     instance.metrics.config_revision.set({}, config.revision)
@@ -206,17 +214,21 @@
             _drop_upstream(instance, id, "unreadable")
         case Success(upstream):
             instance.pending_removal_by_upstream.pop(id, None)
+            known = instance.upstream_by_id.get(id)
             if upstream.is_draining:
                 _record_departure(instance, upstream, now)
+            elif known is not None and known.incarnation != upstream.incarnation:
+                _record_departure(instance, known, now)
             else:
-                forget_departure(instance, id)
+                record_return(instance, upstream)
             _put_upstream(instance, upstream, now)
 
 
 def _record_departure(instance: Instance, upstream: Upstream, now: float) -> None:
-    """Remember that a replica leaves, and up to which revision the store was known."""
+    """Remember that a replica leaves, and where the store was then."""
     feed = instance.feed_by_kind.get(UPSTREAM_KIND)
-    record_departure(instance, upstream, feed.revision if feed else 0, now)
+    if feed is not None:
+        record_departure(instance, feed, upstream, now)
 
 
 def _put_upstream(instance: Instance, upstream: Upstream, now: float) -> None:
@@ -317,6 +329,7 @@
     gone_services = _find_mass_removals(instance, ids)
     mass_grace_s = MASS_REMOVAL_GRACE_SHARE * instance.site.bounds.drain_s
     for id in ids:
+        record_unlisted(instance, id)
         instance.spec_by_upstream.pop(id, None)
         upstream = instance.upstream_by_id.get(id)
         if upstream is None:
@@ -347,14 +360,23 @@
 
 
 def remove_lapsed_upstreams(instance: Instance, now: float) -> None:
-    """Remove the upstreams whose lapsed entries were not restored in time."""
+    """Remove the upstreams whose lapsed entries were not restored in time.
+
+    A new era gives them time again.  Of upstreams that left, the entries that only a
+    live one can have apply again.
+    """
+    forget_old_departures(instance, now)
+    feed = instance.feed_by_kind.get(UPSTREAM_KIND)
+    for id, spec in list_held_entries(instance, feed.era if feed else 0, now).items():
+        apply_upstream(instance, id, spec, now)
+    if is_after_new_era(instance, now):
+        return
     due = [d for d in instance.pending_removal_by_upstream.values() if d.due_at <= now]
     for removal in due:
         upstream = instance.upstream_by_id.get(removal.upstream)
         if upstream is not None:
             _record_departure(instance, upstream, now)
         _drop_upstream(instance, removal.upstream, "entry lapsed")
-    forget_old_departures(instance, now)
 
 
 def _drop_upstream(instance: Instance, id: str, reason: str) -> None:
@@ -385,9 +407,11 @@
     gone = set(instance.spec_by_upstream) - set(spec_by_id)
     is_restore_likely = is_lapse_likely or is_after_new_era(instance, now)
     remove_upstreams(instance, gone, now, is_restore_likely)
+    for id in set(instance.departure_by_upstream) - set(spec_by_id):
+        record_unlisted(instance, id)
     for id, spec in spec_by_id.items():
         revision = revision_by_id.get(id) if revision_by_id else None
-        if _is_carried_over(instance, id, spec, revision):
+        if _is_carried_over(instance, id, spec, revision, now):
             continue
         if instance.spec_by_upstream.get(id) != spec:
             apply_upstream(instance, id, spec, now)
@@ -396,14 +420,15 @@
 
 
 def _is_carried_over(
-    instance: Instance, id: str, spec: Any, revision: int | None
+    instance: Instance, id: str, spec: Any, revision: int | None, now: float
 ) -> bool:
-    if id not in instance.departure_by_upstream:
+    feed = instance.feed_by_kind.get(UPSTREAM_KIND)
+    has_history = id in instance.departure_by_upstream or id in instance.upstream_by_id
+    if feed is None or not has_history or instance.spec_by_upstream.get(id) == spec:
         return False
     match decode_upstream(id, spec, frozenset()):
-        case Success(upstream) if is_carried_over(instance, upstream, spec, revision):
-            logger.info("entry of an older copy skipped", extra={"upstream": id})
-            return True
+        case Success(upstream):
+            return is_carried_over(instance, feed.era, upstream, spec, revision, now)
     return False
 
 
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -114,13 +114,15 @@
 class StoredConfig(PeerMessage, frozen=True):
     """Carry the configuration as it is stored, in an era of the store.
 
-    `is_written` says that it was certainly written in that era.
+    `is_written` says that it was certainly written in that era; `superseded` are digests
+    of those that were in force before it.
     """
 
     revision: int
     spec: Any
     era: int = 0
     is_written: bool = False
+    superseded: tuple[bytes, ...] = ()
 
 
 class StoredUpstreams(PeerMessage, frozen=True):
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -36,9 +36,13 @@
 
 @dataclass(slots=True)
 class ConfigHistory:
-    """Hold digests of all configurations since one was listed, by object revision."""
+    """Hold digests of all configurations since one was listed, by object revision.
+
+    `superseded` are those that were in force before the present one, the newest last.
+    """
 
     digest_by_revision: dict[int, bytes] = field(default_factory=dict)
+    superseded: list[bytes] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -96,7 +100,8 @@
 class Departure:
     """Hold a replica that left: the store's era and revision then, and the time.
 
-    `listed_spec` is the entry that `listed_era` lists for it nevertheless.
+    `listed_spec` is the entry that `listed_era` lists for it nevertheless, since
+    `listed_at`.
     """
 
     incarnation: int
@@ -105,6 +110,7 @@
     at: float
     listed_era: int = -1
     listed_spec: Any = None
+    listed_at: float = -1e9
 
 
 @dataclass(slots=True)
--- a/catkintrack/instance/tests/test_discovery_eras.py
+++ b/catkintrack/instance/tests/test_discovery_eras.py
@@ -13,7 +13,7 @@
     handle_stored_upstreams,
     handle_upstream_changes,
 )
-from catkintrack.instance.departures import DEPARTURE_MEMORY_S
+from catkintrack.instance.departures import DEPARTURE_MEMORY_S, HELD_ENTRY_S
 from catkintrack.instance.fleet_state import (
     apply_configuration,
     apply_target_weights,
@@ -131,6 +131,13 @@
                 self.list(instance.store.era + 1, 120, specs, i1=90, i2=91, **row)
                 self.assertEqual(self.list_in_use(), {"i1", "i2", "i3"})
 
+    def test_earlier_life_of_a_replica_does_not_come_back(self):
+        self.watch(1, 104, "i3", make_entry_spec(born=2000))
+        self.list(2, 95, i1=90, i2=91, i3=92)
+        self.assertEqual(self.instance.upstream_by_id["i3"].incarnation, 2000)
+        self.watch(2, 96, "i3", make_entry_spec(born=2000))
+        self.assertEqual(self.list_in_use(), {"i1", "i2", "i3"})
+
     def test_departed_replica_whose_entry_changes_between_two_lists(self):
         self.watch(1, 104, "i3")
         self.list(2, 95, i1=90, i2=91, i3=92)
@@ -138,6 +145,53 @@
         self.list(2, 97, specs, i1=90, i2=91, i3=97)
         self.assertEqual(self.list_in_use(), {"i1", "i2", "i3"})
 
+    def test_earlier_life_stays_departed_after_the_next_one_was_seen(self):
+        self.watch(1, 104, "i3")
+        self.watch(1, 105, "i3", make_entry_spec(born=2000))
+        self.watch(1, 106, "i3")
+        self.list(2, 95, i1=90, i2=91, i3=92)
+        self.assertEqual(self.list_in_use(), {"i1", "i2"})
+
+    def test_entry_that_outlives_the_heartbeats_belongs_to_a_live_replica(self):
+        self.watch(1, 104, "i3")
+        self.list(2, 95, i1=90, i2=91, i3=92)
+        self.wait(HELD_ENTRY_S - 1.0)
+        self.assertEqual(self.list_in_use(), {"i1", "i2"})
+        self.wait(1.1)
+        self.assertEqual(self.list_in_use(), {"i1", "i2", "i3"})
+
+    def test_entry_of_the_copy_that_expires_does_not_come_back(self):
+        for unlist in (
+            lambda: self.watch(2, 96, "i3"),
+            lambda: self.list(3, 95, i1=90, i2=91),
+        ):
+            self.setUp()
+            self.watch(1, 104, "i3")
+            self.list(2, 95, i1=90, i2=91, i3=92)
+            unlist()
+            self.wait(HELD_ENTRY_S + 1.0)
+            self.assertEqual(self.list_in_use(), {"i1", "i2"})
+
+    def test_replica_missing_since_an_earlier_era_stays_departed(self):
+        """Guards against one that is dropped just after the next era was seen."""
+        self.list(2, 95, i1=90, i2=91)
+        self.wait(2.4)
+        observe_era(self.instance.store, 3, "n2")
+        self.wait(2.6)
+        self.assertEqual(self.list_in_use(), {"i1", "i2"})
+        self.list(3, 95, i1=90, i2=91, i3=92)
+        self.assertEqual(self.list_in_use(), {"i1", "i2"})
+
+    def test_list_that_is_older_than_what_a_peer_told_is_not_applied(self):
+        """Guards against a departed replica that a late answer of the store lists."""
+        changes = UpstreamsChanged(100, 106, {}, ("i3",), False, 1)
+        self.feed.last_success_at = -1e9
+        curio.run(handle_upstream_changes, self.instance, changes)
+        self.list(1, 105, i1=90, i2=91, i3=92)
+        self.assertEqual(self.list_in_use(), {"i1", "i2"})
+        self.assertIsNone(self.watch(1, 105, "i3", self.spec))
+        self.assertEqual(self.list_in_use(), {"i1", "i2"})
+
     def test_entry_deleted_in_the_new_era_is_gone_at_once(self):
         self.list(2, 95, i1=90, i2=91, i3=92)
         self.watch(2, 96, "i3")
