Take a configuration of an older copy only where that is certain; bind watches to an era

Cause: a peer that held back a configuration was trusted although it was not sure that it is the copy's; what nobody is sure of stayed held back for ever; a watch sent in one era was applied in the next, to which a peer had taken the feed meanwhile.

What changed: only a peer whose configuration has certainly replaced the copy's offers it to one that started with the copy's. A held one that nobody knows to be replaced takes effect if the operators leave it in place for 6 s and the store is in reach. A watch counts only in the era in which it was sent.

--- a/catkintrack/instance/anti_entropy.py
+++ b/catkintrack/instance/anti_entropy.py
@@ -37,6 +37,9 @@
     instance: Instance, peer: Peer, gossip: GossipMessage, now: float
 ) -> None:
     """Request the configuration or discovery entries if a peer has newer ones."""
+    held = instance.held_config
+    is_same = held.spec is not None and held.stamp == tuple(gossip.replaced_config)
+    held.is_copied = held.is_copied or is_same
     wants_config = _may_be_newer(instance, gossip)
     wants_config = wants_config and _is_pull_due(instance, CONFIG_KIND, now)
     feed = instance.feed_by_kind.get(UPSTREAM_KIND)
@@ -59,13 +62,14 @@
     """Report whether a peer's configuration may be newer than the one in force."""
     offered = ConfigStamp(gossip.config_era, gossip.config_revision)
     known = instance.config_stamp
-    if offered == instance.held_back_config and not gossip.is_config_written:
+    held = instance.held_config
+    if offered == held.stamp and not gossip.is_config_written:
         return False
     if offered.era >= known.era:
         return offered > known
-    # The one in force may come from a copy of the store that ends before the peer's.
-    is_beyond_copy = offered.revision > known.revision
-    return offered.era > 0 and is_beyond_copy and not instance.is_config_written
+    # The peer has found that the one in force comes from a copy of the store.
+    is_replaced = ConfigStamp(*gossip.replaced_config) == known
+    return offered.era > 0 and is_replaced and not instance.is_config_written
 
 
 def _is_pull_due(instance: Instance, kind: str, now: float) -> bool:
@@ -106,6 +110,7 @@
         "peer",
         message.era,
         message.is_written,
+        ConfigStamp(*message.replaced),
     )
     if is_applied:
         history = instance.config_history
--- a/catkintrack/instance/config_history.py
+++ b/catkintrack/instance/config_history.py
@@ -44,7 +44,7 @@
 
 
 def record_superseded(history: ConfigHistory, spec: Any, next_spec: Any) -> None:
-    """Record that a configuration in force was replaced by the next one."""
+    """Record that a configuration in force was replaced by `next_spec`."""
     merge_superseded(history, (_digest(spec),), next_spec)
 
 
--- a/catkintrack/instance/config_order.py
+++ b/catkintrack/instance/config_order.py
@@ -30,7 +30,8 @@
     """Hold a stored configuration and where it was found.
 
     `is_written` says that it was certainly written in the era of its stamp,
-    `is_superseded` that it was in force before the known one.
+    `is_superseded` that it was in force before the known one.  `replaced` is where the
+    peer that offers it has found one that it has certainly replaced.
     """
 
     stamp: ConfigStamp
@@ -38,6 +39,7 @@
     spec: Any
     is_written: bool
     is_superseded: bool = False
+    replaced: ConfigStamp = ConfigStamp()
 
 
 def judge_configuration(
@@ -85,12 +87,8 @@
 def _judge_earlier(known: OfferedConfig, offered: OfferedConfig) -> Judgement:
     """Judge a configuration of an earlier era than the one in force.
 
-    It is newer if the one in force comes from a copy that ends before it.
+    It is newer if it has certainly replaced the one in force, which is a copy's.
     """
-    is_newer = (
-        offered.stamp.era > 0
-        and not known.is_written
-        and offered.stamp.revision > known.stamp.revision
-        and offered.version > known.version
-    )
+    is_newer = offered.replaced == known.stamp and not known.is_written
+    is_newer = is_newer and offered.version > known.version
     return Judgement.APPLY if is_newer else Judgement.IGNORE
--- a/catkintrack/instance/dump.py
+++ b/catkintrack/instance/dump.py
@@ -20,7 +20,7 @@
         "era": instance.store.era,
         "config": instance.config.revision if instance.config else None,
         "config_stamp": list(instance.config_stamp),
-        "config_held_back": list(instance.held_back_config),
+        "config_held_back": list(instance.held_config.stamp),
         "feeds": {
             kind: {
                 "era": feed.era,
--- a/catkintrack/instance/feeds.py
+++ b/catkintrack/instance/feeds.py
@@ -50,7 +50,7 @@
     UpstreamsChanged,
     encode_peer_message,
 )
-from .state import Feed, Instance
+from .state import ConfigStamp, Feed, Instance
 
 logger = logging.getLogger(__name__)
 
@@ -202,10 +202,11 @@
 async def _watch(
     instance: Instance, feed: Feed, on_change: OnChange
 ) -> StoreError | None:
-    since = feed.changed_revision
+    # A peer may take the feed to a new era before the store answers.
+    era, since = feed.era, feed.changed_revision
     wait_s = _choose_watch_wait_s(instance, feed)
     match await watch_objects(instance.store, feed.kind, feed.revision, wait_s):
-        case Success(changes) if changes.era != feed.era:
+        case Success(changes) if changes.era != era:
             return HistoryGone(feed.revision, changes.era)
         case Success(changes) if _is_outdated(feed, changes):
             return None
@@ -276,9 +277,16 @@
         stamp.era,
         instance.is_config_written,
         tuple(instance.config_history.superseded),
+        find_replaced_config(instance),
     )
 
 
+def find_replaced_config(instance: Instance) -> ConfigStamp:
+    """Return where the store has one that the configuration in force has replaced."""
+    held = instance.held_config
+    return held.stamp if held.is_copied else ConfigStamp()
+
+
 def make_stored_upstreams(instance: Instance, feed: Feed) -> StoredUpstreams:
     """Return the message that carries all discovery entries."""
     return StoredUpstreams(feed.revision, instance.spec_by_upstream, feed.era)
--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections import Counter
 from collections.abc import Collection, Mapping
 from dataclasses import replace
@@ -23,6 +24,7 @@
 from catkintrack.decisions.transfers import TransferRates
 from catkintrack.fleet import ModelWeights, Upstream
 from catkintrack.platform import (
+    CONFIG_KIND,
     UPSTREAM_KIND,
     decode_configuration,
     decode_upstream,
@@ -50,7 +52,7 @@
     record_unlisted,
 )
 from .eras import is_after_new_era
-from .state import ConfigStamp, Instance, PendingRemoval
+from .state import ConfigStamp, HeldConfig, Instance, PendingRemoval
 
 logger = logging.getLogger(__name__)
 
@@ -61,6 +63,8 @@
 MASS_REMOVAL_MIN_COUNT = 2
 # Part of the operators' bound for leaving replicas that such replicas are kept for.
 MASS_REMOVAL_GRACE_SHARE = 0.75
+# Operators write the newest configuration again within this time after a drill.
+HELD_CONFIG_S = 6.0
 # Used until the prefill rate of a replica has been learned.
 INITIAL_PREFILL_TOKENS_PER_S = 85_000.0
 # Latency of a KV cache transfer before its first byte.
@@ -74,16 +78,18 @@
     source: str,
     era: int = 0,
     is_written: bool = False,
+    replaced: ConfigStamp | None = None,
 ) -> bool:
     """Apply a configuration if it is valid and newer; report whether it was applied.
 
     `era` is the store's, 0 if it has none; `is_written` says that the configuration was
     certainly written in it, and does not come from an older copy of the store.
+    `replaced` is where the peer that sent it has found one that does.
     """
     stamp = ConfigStamp(era, revision)
     if stamp == instance.config_stamp:
         return False
-    if stamp == instance.held_back_config and not is_written:
+    if stamp == instance.held_config.stamp and not is_written:
         return False
     match decode_configuration(spec):
         case Failure(error):
@@ -96,7 +102,12 @@
             pass
     history = instance.config_history
     offered = OfferedConfig(
-        stamp, config.revision, spec, is_written, is_superseded(history, spec)
+        stamp,
+        config.revision,
+        spec,
+        is_written,
+        is_superseded(history, spec),
+        replaced or ConfigStamp(),
     )
     if not _judge_and_record_config(instance, offered):
         return False
@@ -131,14 +142,17 @@
             instance.config_spec,
             instance.is_config_written,
         )
-    held_back = instance.held_back_config
+    held_back = instance.held_config.stamp
     judgement = judge_configuration(known, offered, held_back)
     if judgement is Judgement.HOLD_BACK:
-        instance.held_back_config = offered.stamp
+        instance.held_config = HeldConfig(
+            offered.stamp, offered.spec, time.monotonic(), offered.is_superseded
+        )
         logger.warning(
-            "configuration of an older copy held back",
+            "older configuration held back",
             extra={
                 "config": offered.version,
+                "is_copied": offered.is_superseded,
                 "era": offered.stamp.era,
                 "object_revision": offered.stamp.revision,
             },
@@ -149,7 +163,7 @@
         instance.is_config_written = offered.is_written
     elif offered.stamp.era < known.stamp.era:
         # The one in force so far comes from an older copy.
-        instance.held_back_config = known.stamp
+        instance.held_config = HeldConfig(known.stamp, known.spec, is_copied=True)
         instance.is_config_written = offered.is_written
     elif offered.stamp.era == known.stamp.era:
         instance.is_config_written = True
@@ -159,6 +173,24 @@
     return judgement is Judgement.APPLY
 
 
+def apply_held_config(instance: Instance, now: float) -> None:
+    """Apply a held configuration that operators leave in place for HELD_CONFIG_S.
+
+    They write the newest one again sooner.  One that certainly comes from an older copy
+    stays out of force until then, and while the store can't be read nothing is known.
+    """
+    held = instance.held_config
+    feed = instance.feed_by_kind.get(CONFIG_KIND)
+    is_due = held.spec is not None and now - held.at > HELD_CONFIG_S
+    if not is_due or held.is_copied or held.stamp.era != instance.store.era:
+        return
+    if feed is None or feed.last_success_at <= feed.last_failure_at:
+        return
+    spec, held.spec = held.spec, None
+    era, revision = held.stamp
+    apply_configuration(instance, revision, spec, "store, unchanged", era, True)
+
+
 def _update_server_limits(instance: Instance) -> None:
     """Set the HTTP server's limits to those of the configuration."""
     if instance.server is None or instance.config is None:
--- a/catkintrack/instance/gossip.py
+++ b/catkintrack/instance/gossip.py
@@ -8,7 +8,7 @@
 from catkintrack.platform import CONFIG_KIND, UPSTREAM_KIND
 
 from .broadcasting import broadcast
-from .feeds import is_current
+from .feeds import find_replaced_config, is_current
 from .messages import GossipMessage, LeaseRow, PeerRow
 from .peers import list_live_peers
 from .state import Instance
@@ -86,6 +86,7 @@
         config_era=instance.config_stamp.era,
         upstreams_era=feed.era if feed else 0,
         is_config_written=instance.is_config_written,
+        replaced_config=find_replaced_config(instance),
     )
 
 
--- a/catkintrack/instance/main.py
+++ b/catkintrack/instance/main.py
@@ -51,7 +51,7 @@
 from .dump import dump_instance
 from .eras import follow_eras
 from .feeds import WATCHED_KINDS, run_feed
-from .fleet_state import remove_lapsed_upstreams
+from .fleet_state import apply_held_config, remove_lapsed_upstreams
 from .gossip import send_gossip
 from .lease_keeper import release_lease, run_lease_keeper
 from .mesh import estimate_report_delay_s, run_mesh
@@ -217,6 +217,7 @@
         now = time.monotonic()
         limit_after_own_pause(instance, read_boot_clock(), now)
         remove_lapsed_upstreams(instance, now)
+        apply_held_config(instance, now)
         await probe_suspects(instance)
         live_peers = [p for p in list_live_peers(instance, now) if not p.is_leaving]
         known_count = max(1, len(instance.peer_by_address) + 1)
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -44,7 +44,8 @@
     The dictionaries hold the changes since the last gossip, or everything if `is_full`.
     `named_weights` holds each model's target weights, as (version, age in seconds).
     `era` is the highest era of the store that the sender has seen, 0 if none.
-    `config_revision` is of `config_era`, `upstreams_revision` of `upstreams_era`; `is_config_written` is as in StoredConfig.
+    `config_revision` is of `config_era`, `upstreams_revision` of `upstreams_era`; `is_config_written` and
+    `replaced_config` (there `replaced`) are as in StoredConfig.
     `is_store_heard` says that the sender's own view of the store is current,
     `is_asking` that it has no live peers yet and requests their full state.
     """
@@ -72,6 +73,7 @@
     config_era: int = 0
     upstreams_era: int = 0
     is_config_written: bool = False
+    replaced_config: tuple[int, int] = (0, 0)
 
 
 class ZoneRelay(PeerMessage, frozen=True, tag="Relayed"):
@@ -115,7 +117,8 @@
     """Carry the configuration as it is stored, in an era of the store.
 
     `is_written` says that it was certainly written in that era; `superseded` are digests
-    of those that were in force before it.
+    of those that were in force before it.  `replaced` is the era and revision at which
+    the sender has found one that this one has certainly replaced, (0, 0) if none.
     """
 
     revision: int
@@ -123,6 +126,7 @@
     era: int = 0
     is_written: bool = False
     superseded: tuple[bytes, ...] = ()
+    replaced: tuple[int, int] = (0, 0)
 
 
 class StoredUpstreams(PeerMessage, frozen=True):
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -34,6 +34,20 @@
     revision: int = 0
 
 
+@dataclass(slots=True)
+class HeldConfig:
+    """Hold where an older configuration was found, and when; it is not in force.
+
+    `is_copied` says that it was certainly in force before the present one, so that it
+    comes from an older copy of the store.
+    """
+
+    stamp: ConfigStamp = ConfigStamp()
+    spec: Any = None
+    at: float = -1e9
+    is_copied: bool = False
+
+
 @dataclass(slots=True)
 class ConfigHistory:
     """Hold digests of all configurations since one was listed, by object revision.
@@ -122,7 +136,7 @@
     `followed_hub` is the name of the own zone's hub and when it was chosen.
     `running_at` is when the process last ran its housekeeping, on the boot clock.
     `is_config_written` says that the configuration was certainly written in the era of
-    its stamp; `held_back_config` is where one of an older copy of the store was found.
+    its stamp; `held_config` is one that may come from an older copy of the store.
     `era_seen_at` is when the store's era last rose while something was known.
     """
 
@@ -140,7 +154,7 @@
     config_spec: Any = None
     config_stamp: ConfigStamp = ConfigStamp()
     is_config_written: bool = False
-    held_back_config: ConfigStamp = ConfigStamp()
+    held_config: HeldConfig = field(default_factory=HeldConfig)
     config_history: ConfigHistory = field(default_factory=ConfigHistory)
     era_seen_at: float = -1e9
     upstream_by_id: dict[str, Upstream] = field(default_factory=dict)
--- a/catkintrack/instance/tests/test_config_eras.py
+++ b/catkintrack/instance/tests/test_config_eras.py
@@ -1,16 +1,23 @@
 """Keep the newest configuration in force when the store comes back from a copy."""
 
+import time
 import unittest
 
 import curio
 
 from catkintrack.instance import anti_entropy
+from catkintrack.instance.config_history import record_superseded
 from catkintrack.instance.feeds import make_stored_config
-from catkintrack.instance.fleet_state import apply_configuration
+from catkintrack.instance.fleet_state import (
+    HELD_CONFIG_S,
+    apply_configuration,
+    apply_held_config,
+)
 from catkintrack.instance.gossip import make_gossip
 from catkintrack.instance.messages import Pull
 from catkintrack.instance.peers import get_or_add_peer
-from catkintrack.platform import observe_era
+from catkintrack.instance.state import Feed
+from catkintrack.platform import CONFIG_KIND, observe_era
 from testkit.instances import make_config_spec
 from testkit.states import RecordingLink, make_instance
 
@@ -128,6 +135,9 @@
         observe_era(newcomer.store, 2, "store")
         observe_era(other.store, 2, "store")
         apply_configuration(newcomer, 95, make_config_spec(4), "store", 2)
+        replaced = make_config_spec(4)
+        record_superseded(other.config_history, replaced, other.config_spec)
+        apply_configuration(other, 95, replaced, "store", 2)
         self.assertEqual(self.exchange(newcomer, other), 1)
         self.assertEqual(newcomer.config.revision, 5)
         apply_configuration(newcomer, 95, make_config_spec(4), "store", 2)
@@ -142,6 +152,44 @@
         apply_configuration(newcomer, 95, make_config_spec(5), "store", 3)
         self.assertEqual(newcomer.config.revision, 3)
 
+    def test_instance_that_starts_does_not_take_one_that_was_replaced(self):
+        """Guards against a peer that has not heard of the new era yet."""
+        newcomer, other = make_instance(), make_known()
+        observe_era(newcomer.store, 2, "store")
+        apply_configuration(newcomer, 96, make_config_spec(4), "store", 2)
+        self.exchange(newcomer, other)
+        self.assertEqual(newcomer.config.revision, 4)
+
+    def test_one_that_may_have_been_written_applies_if_it_stays(self):
+        instance = make_known()
+        observe_era(instance.store, 2, "store")
+        apply_configuration(instance, 95, make_config_spec(4), "store", 2)
+        feed = instance.feed_by_kind[CONFIG_KIND] = Feed(CONFIG_KIND)
+        feed.last_success_at, feed.last_failure_at = 1.0, 2.0
+        apply_held_config(instance, time.monotonic() + HELD_CONFIG_S + 0.5)
+        self.assertEqual(instance.config.revision, 5)
+        feed.last_success_at = 3.0
+        apply_held_config(instance, time.monotonic() + HELD_CONFIG_S - 0.5)
+        self.assertEqual(instance.config.revision, 5)
+        apply_held_config(instance, time.monotonic() + HELD_CONFIG_S + 0.5)
+        self.assertEqual(instance.config.revision, 4)
+
+    def test_one_that_was_replaced_here_or_at_a_peer_never_applies_by_itself(self):
+        here, other = make_instance(), make_known()
+        observe_era(here.store, 1, "store")
+        for version, revision in ((4, 95), (5, 105)):
+            spec = make_config_spec(version)
+            apply_configuration(here, revision, spec, "store", 1, True)
+        for instance in (here, other):
+            observe_era(instance.store, 2, "store")
+            apply_configuration(instance, 95, make_config_spec(4), "store", 2)
+        self.exchange(other, here)
+        for instance in (here, other):
+            feed = instance.feed_by_kind[CONFIG_KIND] = Feed(CONFIG_KIND)
+            feed.last_success_at = 3.0
+            apply_held_config(instance, time.monotonic() + HELD_CONFIG_S + 0.5)
+            self.assertEqual(instance.config.revision, 5)
+
     def test_copy_that_a_peer_has_does_not_come_into_force(self):
         newcomer, other = make_instance(), make_known()
         observe_era(newcomer.store, 2, "store")
--- a/catkintrack/instance/tests/test_discovery_eras.py
+++ b/catkintrack/instance/tests/test_discovery_eras.py
@@ -209,6 +209,24 @@
         self.assertEqual(error, HistoryGone(100, 2))
         self.assertEqual(self.list_in_use(), {"i1", "i2", "i3"})
 
+    def test_changes_that_were_requested_in_an_earlier_era_are_not_applied(self):
+        """Guards against changes that are missed for good.
+
+        A peer's list takes the feed to the new era while the watch is under way; its
+        changes are those since a revision of the earlier era.
+        """
+        listed = StoredUpstreams(95, {f"i{n}": self.spec for n in (1, 2, 3)}, 2)
+
+        async def watching(*_arguments):
+            self.feed.last_success_at = -1e9
+            await handle_stored_upstreams(self.instance, listed)
+            return Success(ObjectEvents((), 107, 2))
+
+        with patch.object(feeds, "watch_objects", watching):
+            error = curio.run(feeds._watch, self.instance, self.feed, ignore_change)
+        self.assertEqual(error, HistoryGone(95, 2))
+        self.assertEqual(self.feed.revision, 95)
+
     def test_feed_is_not_current_until_it_has_listed_in_the_era(self):
         feeds._record_success(self.feed, self.now)
         self.assertTrue(feeds.is_current(self.feed, self.now, 1.0))
