End a pending watch with its era; claim nothing about an era that was not seen

What callers would see: a watch that hangs on a connection of the earlier era delays a change by up to 9 s, although a peer has told of the era.

Cause and change: watches end within 0.25 s of a new era (run_within_era). A peer that was behind called a configuration certainly written because its revision was above its own: now only a change, or one after the copy's, is certain. The history of one era says nothing about a copy of another one that was not seen. Full gossip tells what the configuration has replaced, for instances that have just started. A held entry is forgotten once a newer one of that replica has come.

--- a/catkintrack/instance/anti_entropy.py
+++ b/catkintrack/instance/anti_entropy.py
@@ -40,6 +40,9 @@
     held = instance.held_config
     is_same = held.spec is not None and held.stamp == tuple(gossip.replaced_config)
     held.is_copied = held.is_copied or is_same
+    if (gossip.config_era, gossip.config_revision) == instance.config_stamp:
+        history, spec = instance.config_history, instance.config_spec
+        merge_superseded(history, gossip.superseded_configs, spec)
     wants_config = _may_be_newer(instance, gossip)
     wants_config = wants_config and _is_pull_due(instance, CONFIG_KIND, now)
     feed = instance.feed_by_kind.get(UPSTREAM_KIND)
--- a/catkintrack/instance/config_history.py
+++ b/catkintrack/instance/config_history.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Collection
 from typing import Any
 
 import msgspec
@@ -49,9 +49,11 @@
 
 
 def merge_superseded(
-    history: ConfigHistory, digests: Iterable[bytes], spec: Any
+    history: ConfigHistory, digests: Collection[bytes], spec: Any
 ) -> None:
     """Add what was in force before a configuration, here or at a peer."""
+    if set(digests) <= set(history.superseded):
+        return
     merged = dict.fromkeys([*history.superseded, *digests])
     merged.pop(_digest(spec), None)
     history.superseded = list(merged)[-MAX_SUPERSEDED_CONFIGS:]
--- a/catkintrack/instance/config_order.py
+++ b/catkintrack/instance/config_order.py
@@ -63,22 +63,20 @@
         return Judgement.IGNORE if is_older else Judgement.APPLY
     # After a lower version was written, the copy's is higher and yet older.
     is_newer = offered.version > known.version and not offered.is_superseded
-    if is_newer or is_written_again(known, offered, held_back):
+    # A copy has no higher revision than the newest that was known before.
+    is_newer = is_newer or offered.stamp.revision > known.stamp.revision
+    if is_newer or is_written_again(offered, held_back):
         return Judgement.APPLY
     return Judgement.HOLD_BACK
 
 
-def is_written_again(
-    known: OfferedConfig, offered: OfferedConfig, held_back: ConfigStamp
-) -> bool:
+def is_written_again(offered: OfferedConfig, held_back: ConfigStamp) -> bool:
     """Report whether a configuration was certainly written in its era.
 
-    A copy has no higher revision than the newest that was known before, and what is
-    stored after one that the copy had was written since.
+    What is stored after one that the copy had was written since.
     """
     return (
         offered.is_written
-        or offered.stamp.revision > known.stamp.revision
         or held_back.era == offered.stamp.era
         and offered.stamp.revision > held_back.revision
     )
--- a/catkintrack/instance/eras.py
+++ b/catkintrack/instance/eras.py
@@ -7,7 +7,11 @@
 
 import logging
 import time
+from collections.abc import Awaitable
 from functools import partial
+from typing import Any
+
+import curio
 
 from catkintrack.leases import begin_lease_era
 
@@ -18,6 +22,8 @@
 
 # Replicas' entries that are missing in the copy are restored within this time.
 ENTRY_RESTORE_S = 2.5
+# Interval at which a pending watch checks that its era lasts.
+ERA_CHECK_S = 0.25
 
 
 def follow_eras(instance: Instance) -> None:
@@ -25,6 +31,26 @@
     instance.store.on_new_era = partial(_begin_era, instance)
 
 
+async def run_within_era(instance: Instance, era: int, call: Awaitable[Any]) -> Any:
+    """Return the result of a call to the store, or None as soon as the era is over.
+
+    A watch may hang on a connection of the earlier era for seconds.
+    """
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(_run, call)
+        await group.spawn(_await_end_of_era, instance, era)
+    return group.completed.result
+
+
+async def _run(call: Awaitable[Any]) -> Any:
+    return await call
+
+
+async def _await_end_of_era(instance: Instance, era: int) -> None:
+    while instance.store.era <= era:
+        await curio.sleep(ERA_CHECK_S)
+
+
 def is_after_new_era(instance: Instance, now: float) -> bool:
     """Report whether replicas may still have to write their entries again."""
     return now - instance.era_seen_at < ENTRY_RESTORE_S
--- a/catkintrack/instance/feeds.py
+++ b/catkintrack/instance/feeds.py
@@ -34,6 +34,7 @@
     record_config_change,
     was_not_there,
 )
+from .eras import run_within_era
 from .fleet_state import (
     apply_configuration,
     apply_target_weights,
@@ -194,8 +195,13 @@
     if row.name != CONFIG_NAME:
         return False
     history = instance.config_history
-    is_written = was_not_there(history, feed.revision, row.revision, row.spec)
+    # The copy may come from an era that this instance has not seen.
+    is_next_era = row.era == history.era + 1
+    is_written = is_next_era and was_not_there(
+        history, feed.revision, row.revision, row.spec
+    )
     begin_config_history(history, row.revision, row.spec)
+    history.era = row.era
     return is_written
 
 
@@ -205,7 +211,10 @@
     # A peer may take the feed to a new era before the store answers.
     era, since = feed.era, feed.changed_revision
     wait_s = _choose_watch_wait_s(instance, feed)
-    match await watch_objects(instance.store, feed.kind, feed.revision, wait_s):
+    call = watch_objects(instance.store, feed.kind, feed.revision, wait_s)
+    match await run_within_era(instance, era, call):
+        case None:
+            return HistoryGone(feed.revision, instance.store.era)
         case Success(changes) if changes.era != era:
             return HistoryGone(feed.revision, changes.era)
         case Success(changes) if _is_outdated(feed, changes):
--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -168,7 +168,7 @@
     elif offered.stamp.era == known.stamp.era:
         instance.is_config_written = True
     else:
-        instance.is_config_written = is_written_again(known, offered, held_back)
+        instance.is_config_written = is_written_again(offered, held_back)
     instance.config_stamp = offered.stamp
     return judgement is Judgement.APPLY
 
@@ -246,6 +246,7 @@
             _drop_upstream(instance, id, "unreadable")
         case Success(upstream):
             instance.pending_removal_by_upstream.pop(id, None)
+            record_unlisted(instance, id)
             known = instance.upstream_by_id.get(id)
             if upstream.is_draining:
                 _record_departure(instance, upstream, now)
--- a/catkintrack/instance/gossip.py
+++ b/catkintrack/instance/gossip.py
@@ -86,6 +86,7 @@
         config_era=instance.config_stamp.era,
         upstreams_era=feed.era if feed else 0,
         is_config_written=instance.is_config_written,
+        superseded_configs=tuple(instance.config_history.superseded) if is_full else (),
         replaced_config=find_replaced_config(instance),
     )
 
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -46,6 +46,7 @@
     `era` is the highest era of the store that the sender has seen, 0 if none.
     `config_revision` is of `config_era`, `upstreams_revision` of `upstreams_era`; `is_config_written` and
     `replaced_config` (there `replaced`) are as in StoredConfig.
+    `superseded_configs` are those of StoredConfig, in full gossip only.
     `is_store_heard` says that the sender's own view of the store is current,
     `is_asking` that it has no live peers yet and requests their full state.
     """
@@ -74,6 +75,7 @@
     upstreams_era: int = 0
     is_config_written: bool = False
     replaced_config: tuple[int, int] = (0, 0)
+    superseded_configs: tuple[bytes, ...] = ()
 
 
 class ZoneRelay(PeerMessage, frozen=True, tag="Relayed"):
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -50,11 +50,12 @@
 
 @dataclass(slots=True)
 class ConfigHistory:
-    """Hold digests of all configurations since one was listed, by object revision.
+    """Hold digests of all configurations since one was listed in an era, by revision.
 
     `superseded` are those that were in force before the present one, the newest last.
     """
 
+    era: int = 0
     digest_by_revision: dict[int, bytes] = field(default_factory=dict)
     superseded: list[bytes] = field(default_factory=list)
 
--- a/catkintrack/instance/tests/test_config_eras.py
+++ b/catkintrack/instance/tests/test_config_eras.py
@@ -190,6 +190,26 @@
             apply_held_config(instance, time.monotonic() + HELD_CONFIG_S + 0.5)
             self.assertEqual(instance.config.revision, 5)
 
+    def test_one_newer_than_what_was_known_is_not_certainly_written_again(self):
+        """Guards against a peer that has the copy's and calls it the newest."""
+        behind, ahead = make_known(5, 105), make_known(7, 110)
+        record_superseded(ahead.config_history, make_config_spec(6), ahead.config_spec)
+        for instance in (behind, ahead):
+            observe_era(instance.store, 2, "store")
+        apply_configuration(behind, 107, make_config_spec(6), "store", 2)
+        self.assertEqual(behind.config.revision, 6)
+        self.exchange(ahead, behind)
+        self.assertEqual(ahead.config.revision, 7)
+
+    def test_instance_that_starts_learns_what_its_configuration_has_replaced(self):
+        newcomer, other = make_instance(), make_known()
+        for instance in (newcomer, other):
+            spec = make_config_spec(3)
+            apply_configuration(instance, 96, spec, "store", 2, instance is other)
+        self.exchange(newcomer, other)
+        apply_configuration(newcomer, 95, make_config_spec(5), "store", 3)
+        self.assertEqual(newcomer.config.revision, 3)
+
     def test_copy_that_a_peer_has_does_not_come_into_force(self):
         newcomer, other = make_instance(), make_known()
         observe_era(newcomer.store, 2, "store")
--- a/catkintrack/instance/tests/test_config_history.py
+++ b/catkintrack/instance/tests/test_config_history.py
@@ -91,6 +91,9 @@
         self.assertEqual(self.list(2, 10, 5), 6)
         self.assertEqual(self.list(2, 11, 4), 4)
 
+    def test_copy_of_an_era_that_was_not_seen_is_uncertain(self):
+        self.assertEqual(self.list(3, 15, 4), 6)
+
     def test_revision_given_out_again_takes_effect(self):
         self.assertEqual(self.list(2, 20, 5), 5)
 
--- a/catkintrack/instance/tests/test_discovery_eras.py
+++ b/catkintrack/instance/tests/test_discovery_eras.py
@@ -160,6 +160,13 @@
         self.wait(1.1)
         self.assertEqual(self.list_in_use(), {"i1", "i2", "i3"})
 
+    def test_entry_of_the_copy_that_the_next_life_replaces(self):
+        self.watch(1, 104, "i3")
+        self.list(2, 95, i1=90, i2=91, i3=92)
+        self.watch(2, 96, "i3", make_entry_spec(born=2000))
+        self.wait(HELD_ENTRY_S + 1.0)
+        self.assertEqual(self.instance.upstream_by_id["i3"].incarnation, 2000)
+
     def test_entry_of_the_copy_that_expires_does_not_come_back(self):
         for unlist in (
             lambda: self.watch(2, 96, "i3"),
@@ -286,6 +293,31 @@
         self.assertEqual(self.list_in_use(), {"i1", "i2", "i3"})
 
 
+class PendingWatchTest(unittest.TestCase):
+    def test_pending_watch_ends_with_its_era(self):
+        """Guards against a watch that hangs for seconds after a peer told of the era."""
+        instance = make_instance()
+        observe_era(instance.store, 1, "store")
+        feed = Feed(UPSTREAM_KIND, 100, 100, era=1)
+
+        async def see_era():
+            await curio.sleep(0.05)
+            observe_era(instance.store, 2, "n2")
+
+        async def watching(*_arguments):
+            await curio.spawn(see_era, daemon=True)
+            await curio.sleep(1.5)
+            return Success(ObjectEvents((), 100, 1))
+
+        async def run():
+            return await curio.ignore_after(
+                1.0, feeds._watch, instance, feed, ignore_change
+            )
+
+        with patch.object(feeds, "watch_objects", watching):
+            self.assertEqual(curio.run(run), HistoryGone(100, 2))
+
+
 class TargetWeightsEraTest(unittest.TestCase):
     def test_target_weights_of_the_copy_do_not_go_back(self):
         instance = make_instance()
--- a/testkit/era_model.py
+++ b/testkit/era_model.py
@@ -249,6 +249,10 @@
             self.counts["late answers"] += 1
         return Failure(failure("earlier era"))
 
+    async def run_within_era(self, _instance: Any, _era: int, call: Any) -> Any:
+        """Wait for a call to the store; the model's watches end with their era."""
+        return await call
+
     async def list_objects(self, client: Any, kind: str, *_: Any) -> Result:
         """List the objects of a kind."""
 
@@ -264,7 +268,7 @@
         self, client: Any, kind: str, revision: int, wait_s: float
     ) -> Result:
         """Return the changes of a kind, waiting for the first."""
-        deadline = self.now + wait_s
+        deadline, era = self.now + wait_s, client.era
 
         def operation() -> Result:
             store = self.store
@@ -284,6 +288,7 @@
         while True:
             is_over = self.now >= deadline or self.store.is_away
             is_over = is_over or node.store_cut_until > self.now
+            is_over = is_over or client.era > era
             match operation():
                 case Success(ObjectEvents(events=())) if not is_over:
                     await wait(WATCH_POLL_S)
@@ -664,7 +669,7 @@
             stack.enter_context(patch(target, value))
         stack.enter_context(patch.object(peers, "connect_link", model.connect))
         for module, names in (
-            (feeds, ("list_objects", "watch_objects")),
+            (feeds, ("list_objects", "watch_objects", "run_within_era")),
             (lease_keeper, ("get_object", "create_object", "replace_object")),
         ):
             for name in names:
