--- a/catkintrack/instance/reload.py
+++ b/catkintrack/instance/reload.py
@@ -41,7 +41,12 @@
     log_changes(asdict(old), asdict(merged), asdict(wanted))
     instance.site = merged
     if merged.store != old.store:
-        instance.store = StoreClient(merged.store)
+        # Eras only grow, wherever the store is reached.
+        instance.store = StoreClient(
+            merged.store,
+            era=instance.store.era,
+            on_new_era=instance.store.on_new_era,
+        )
     bounds, router_count = merged.bounds, instance.decisions.router_count
     for budget in instance.retry_budget_by_service.values():
         wanted_budget = make_retry_budget(
--- a/catkintrack/instance/tests/test_reload.py
+++ b/catkintrack/instance/tests/test_reload.py
@@ -9,6 +9,7 @@
 from catkintrack.http import Address
 from catkintrack.instance.fleet_state import find_retry_budget
 from catkintrack.instance.reload import apply_site, make_site_reload
+from catkintrack.platform import observe_era
 from testkit.instances import SETTINGS_LINES
 from testkit.states import make_instance
 
@@ -52,6 +53,14 @@
             make_site_reload(self.instance, Path("settings.conf"))()
         self.assertEqual(self.instance.site, self.site)
 
+    def test_era_of_the_store_outlasts_a_change_of_its_address(self):
+        observe_era(self.instance.store, 3, "store")
+        self.reload(SETTINGS_LINES + "platform.address=10.200.1.8:8601\n")
+        self.assertEqual(self.instance.store.address, Address("10.200.1.8", 8601))
+        self.assertEqual(self.instance.store.era, 3)
+        observe_era(self.instance.store, 4, "store")
+        self.assertEqual(self.instance.lease.era, 4)
+
     def test_missing_file_changes_nothing(self):
         with self.assertLogs("catkintrack.processes.reload", "ERROR"):
             make_site_reload(self.instance, Path("/nonexistent/settings.conf"))()
