--- a/catkintrack/instance/quarantining.py
+++ b/catkintrack/instance/quarantining.py
@@ -286,6 +286,20 @@
         await curio.sleep(STORE_RETRY_S * 2**number)
 
 
+async def store_parts_of_new_era(instance: Instance) -> None:
+    """Write the quarantined parts again if the store has come back from an older copy.
+
+    Only the first live instance does so.
+    """
+    era = instance.store.era
+    if instance.quarantine_era >= era:
+        return
+    instance.quarantine_era = era
+    if find_rank(instance, time.monotonic()) == 0:
+        for part in instance.quarantine.row_by_part:
+            await curio.spawn(_store_part, instance, part, daemon=True)
+
+
 async def _delete_stored_part(instance: Instance, part: int) -> None:
     match await get_object(instance.store, QUARANTINE_KIND, f"{part:016x}"):
         case Success(found):
--- a/catkintrack/instance/tests/test_quarantining.py
+++ b/catkintrack/instance/tests/test_quarantining.py
@@ -24,7 +24,12 @@
     encode_peer_message,
 )
 from catkintrack.instance.refusals import CrashingPrompt, OutcomeUnknown
-from catkintrack.platform import ObjectList, StoreConflict, StoredObject
+from catkintrack.platform import (
+    ObjectList,
+    StoreConflict,
+    StoredObject,
+    observe_era,
+)
 from testkit.instances import make_prompt
 from testkit.states import make_gossip, make_instance
 
@@ -122,6 +127,27 @@
             curio.run(quarantining._store_part, self.instance, PART)
         self.assertEqual(replaced, [(f"{PART:016x}", 4)])
 
+    def test_parts_are_stored_again_in_a_new_era(self):
+        """A store that comes back from an older copy may have lost them."""
+        written = []
+
+        async def create_object(_client, _kind, name, _spec):
+            written.append(name)
+            return Success(StoredObject(name, 1, None))
+
+        async def store_twice():
+            for _ in range(2):
+                await quarantining.store_parts_of_new_era(self.instance)
+                await curio.sleep(0.01)
+
+        now = time.monotonic()
+        adopt_quarantine(self.instance.quarantine, PART, 60.0, QUARANTINE_S, now)
+        with mock.patch.object(quarantining, "create_object", create_object):
+            for era in (1, 2):
+                observe_era(self.instance.store, era, "store")
+                curio.run(store_twice)
+        self.assertEqual(written, [f"{PART:016x}"] * 2)
+
     def test_request_that_may_have_run_is_not_called_not_run(self):
         self.hear_losses(LOST_REPLICAS_TO_QUARANTINE)
         with self.assertRaises(OutcomeUnknown):
