--- a/testkit/soak_faults.py
+++ b/testkit/soak_faults.py
@@ -11,6 +11,7 @@
 
 from standins.replica import EVENTS_PER_STREAM
 
+from .fleet import call_json
 from .instances import make_config_spec
 from .site import KEY, Site
 
@@ -147,6 +148,17 @@
     state.site.set_store_faults(forget_history=True)
 
 
+def restore_store(state: SoakState, rng: Random) -> None:
+    """Let the store come back from a copy up to a few seconds old, maybe twice."""
+    for _ in range(rng.choice((1, 1, 2))):
+        drill = {
+            "restore_seconds_old": rng.uniform(0.5, 5.0),
+            "rewrite_after_s": rng.uniform(0.0, 2.0),
+        }
+        call_json(state.site.store_ports[0], "/faults", drill)
+        time.sleep(rng.uniform(0.2, 2.0))
+
+
 def hurt_model(state: SoakState, rng: Random) -> None:
     """Make a model replica reject, lose or break its next responses."""
     faults = (
@@ -233,6 +245,7 @@
     lose_store,
     lose_answers,
     forget_history,
+    restore_store,
     hurt_model,
     hurt_app,
     end_with_connections,
