Load weights on replicas that respond before those that did not

The copy of the store had listed two ended replicas again; m2-3, in service, got no order at all.

Cause: the least busy replicas load first, and a replica that is gone but still listed is idle. Its order fails after most of a second, longer than the pause before the next one, so two such replicas held both places for good. Callers would have been answered by old weights, or refused, on the others.

Change: replicas with more orders in a row without effect come after the others.

--- a/catkintrack/weights/plan.py
+++ b/catkintrack/weights/plan.py
@@ -43,11 +43,15 @@
 
 @dataclass(slots=True)
 class WeightsLoad:
-    """Hold an order to load weights; `has_ended` is set if it ended without effect."""
+    """Hold an order to load weights; `has_ended` is set if it ended without effect.
+
+    `previous_orders` counts those before it that had no effect either.
+    """
 
     weights: ModelWeights
     sent_at: float
     has_ended: bool = False
+    previous_orders: int = 0
 
 
 @dataclass(slots=True)
@@ -133,7 +137,8 @@
     tables: WeightsTables, upstream: str, weights: ModelWeights, now: float
 ) -> None:
     """Record that a replica was ordered to load weights."""
-    tables.load_by_upstream[upstream] = WeightsLoad(weights, now)
+    count = _count_vain_orders(tables, upstream)
+    tables.load_by_upstream[upstream] = WeightsLoad(weights, now, previous_orders=count)
 
 
 def record_load_ended(tables: WeightsTables, upstream: str) -> None:
@@ -172,7 +177,14 @@
         replica for replica in behind if _may_load(tables, replica, target.version, now)
     ]
     max_loading = max(1, math.floor(MAX_LOADING_FRACTION * len(work_by_upstream)))
-    ready.sort(key=lambda upstream: (work_by_upstream[upstream], upstream))
+    # A replica that is gone but still listed is idle: it must not come first each time.
+    ready.sort(
+        key=lambda upstream: (
+            _count_vain_orders(tables, upstream),
+            work_by_upstream[upstream],
+            upstream,
+        )
+    )
     weights = ModelWeights(model, target.version)
     return [
         PlannedLoad(upstream, weights, SwapMode.KEEP_RUNNING)
@@ -180,6 +192,12 @@
     ]
 
 
+def _count_vain_orders(tables: WeightsTables, upstream: str) -> int:
+    """Return the number of orders in a row after which a replica loaded nothing."""
+    load = tables.load_by_upstream.get(upstream)
+    return 0 if load is None else load.previous_orders + 1
+
+
 def _is_loading(tables: WeightsTables, upstream: str, now: float) -> bool:
     load = tables.load_by_upstream.get(upstream)
     if load is None or load.has_ended:
--- a/catkintrack/weights/tests/test_plan.py
+++ b/catkintrack/weights/tests/test_plan.py
@@ -25,6 +25,20 @@
 
 
 class PlanTest(unittest.TestCase):
+    def test_replicas_that_load_nothing_do_not_keep_others_from_loading(self):
+        """Guards against idle replicas that are gone but still listed."""
+        tables = make_tables()
+        work = {"dead1": 0, "dead2": 0, "live": 3}
+        ordered = []
+        for second in range(6):
+            for planned in plan_loads(tables, "m1", work, float(second)):
+                ordered.append(planned.upstream)
+                record_load_sent(tables, planned.upstream, planned.weights, second)
+            # Without a response, an order counts as failed after most of a second.
+            for upstream in work:
+                record_load_ended(tables, upstream)
+        self.assertEqual(sorted(ordered[:3]), ["dead1", "dead2", "live"])
+
     def test_few_replicas_load_at_once_the_least_busy_first(self):
         planned = plan_loads(make_tables(), "m1", WORK_BY_UPSTREAM, 10.0)
         self.assertEqual([row.upstream for row in planned], ["u0", "u1"])
