Store a quarantined part in hexadecimal

A 64-bit number may lose its low digits in a reader of JSON that keeps numbers as floats; a restarted fleet would then have refused another part.

--- a/catkintrack/instance/quarantining.py
+++ b/catkintrack/instance/quarantining.py
@@ -58,10 +58,11 @@
 class QuarantineSpec(msgspec.Struct):
     """Represent a quarantined part as stored, until its trial clears it.
 
-    No time of day is stored: a fleet that restarts begins the quarantine anew.
+    No time of day is stored: a fleet that restarts begins the quarantine anew. `part` is
+    hexadecimal, since not all readers of JSON keep numbers of 64 bits.
     """
 
-    part: int
+    part: str
     duration_s: float = QUARANTINE_S
 
 
@@ -254,13 +255,14 @@
 async def _load_object(instance: Instance, row: StoredObject) -> None:
     try:
         spec = msgspec.convert(row.spec, QuarantineSpec)
-    except msgspec.ValidationError as error:
+        part = int(spec.part, 16)
+    except (msgspec.ValidationError, ValueError) as error:
         logger.error(
             "stored quarantine invalid; it is not used",
             extra={"object": row.name, "reason": str(error)},
         )
         return
-    await _adopt(instance, spec.part, spec.duration_s, spec.duration_s, STORE_SOURCE)
+    await _adopt(instance, part, spec.duration_s, spec.duration_s, STORE_SOURCE)
 
 
 async def _store_part(instance: Instance, part: int) -> None:
@@ -270,7 +272,7 @@
         row = instance.quarantine.row_by_part.get(part)
         if row is None:
             return
-        spec = msgspec.to_builtins(QuarantineSpec(part, row.duration_s))
+        spec = msgspec.to_builtins(QuarantineSpec(name, row.duration_s))
         outcome = await create_object(instance.store, QUARANTINE_KIND, name, spec)
         match outcome:
             case Failure(StoreConflict(revision=revision)):
