Name the module of replicas' answers after what it reads

instance/signals.py shared its name with processes/signals.py, which is about signals of the operating system.

--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -30,7 +30,7 @@
     parse_response_headers,
 )
 
-from .signals import apply_signals, may_send
+from .replica_signals import apply_signals, may_send
 from .state import Instance
 from .stream_events import EventSplitter
 
--- a/catkintrack/instance/cache_store_feed.py
+++ b/catkintrack/instance/cache_store_feed.py
@@ -33,8 +33,8 @@
 from .messages import CacheStoreChanged, CacheStoreCleared
 from .peers import find_rank
 from .prompts import hash_cached_block
+from .replica_signals import REST_STATUS
 from .reports import make_request_id
-from .signals import REST_STATUS
 from .state import Instance
 
 logger = logging.getLogger(__name__)
--- a/catkintrack/instance/dump.py
+++ b/catkintrack/instance/dump.py
@@ -8,7 +8,7 @@
 from catkintrack.decisions.leaving import has_announced_leaving
 
 from .peers import list_live_peers
-from .signals import may_send
+from .replica_signals import may_send
 from .state import Instance
 
 
--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -53,7 +53,7 @@
     record_unlisted,
 )
 from .eras import is_after_new_era
-from .signals import update_signals
+from .replica_signals import update_signals
 from .state import ConfigStamp, HeldConfig, Instance, PendingRemoval
 
 logger = logging.getLogger(__name__)
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -53,8 +53,8 @@
     start_trial,
 )
 from .refusals import CallError, NotServed, OutcomeUnknown
+from .replica_signals import find_return_s
 from .reports import learn_weights
-from .signals import find_return_s
 from .state import Instance
 
 logger = logging.getLogger(__name__)
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -62,7 +62,7 @@
 from .readiness import is_ready, open_readiness_server
 from .refusals import respond_to_bad_request
 from .reload import make_site_reload
-from .signals import end_returned_rests
+from .replica_signals import end_returned_rests
 from .state import Instance
 from .weights_rollout import run_weights_rollout
 
--- a/catkintrack/instance/reports.py
+++ b/catkintrack/instance/reports.py
@@ -23,8 +23,8 @@
 )
 
 from .fleet_state import apply_replica_weights, apply_target_weights
-from .signals import apply_signals
-from .signals import may_send as accepts_requests
+from .replica_signals import apply_signals
+from .replica_signals import may_send as accepts_requests
 from .state import Instance
 
 logger = logging.getLogger(__name__)
--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -31,7 +31,7 @@
 )
 from .fleet_state import find_retry_budget
 from .refusals import NotServed, OutcomeUnknown
-from .signals import find_return_s, may_choose, record_chosen
+from .replica_signals import find_return_s, may_choose, record_chosen
 from .state import Instance
 
 logger = logging.getLogger(__name__)
--- a/catkintrack/instance/tests/test_signals.py
+++ b/catkintrack/instance/tests/test_replica_answers.py
@@ -38,14 +38,14 @@
     apply_upstream,
     remove_upstreams,
 )
-from catkintrack.instance.reports import fetch_report
-from catkintrack.instance.service_calls import choose_upstream
-from catkintrack.instance.signals import (
+from catkintrack.instance.replica_signals import (
     apply_signals,
     end_returned_rests,
     find_return_s,
     may_send,
 )
+from catkintrack.instance.reports import fetch_report
+from catkintrack.instance.service_calls import choose_upstream
 from catkintrack.instance.weights_rollout import _count_in_flight
 from catkintrack.platform import Dispatch
 from testkit.decision_tables import make_request
@@ -247,7 +247,7 @@
         self.assertEqual(set(counts), {"i2"})
 
     def test_one_line_and_one_count_a_replica(self):
-        with self.assertLogs("catkintrack.instance.signals", "INFO") as logs:
+        with self.assertLogs("catkintrack.instance.replica_signals", "INFO") as logs:
             for _ in range(3):
                 self.answer(is_leaving=True)
         self.assertEqual(len(logs.records), 1)
@@ -378,7 +378,7 @@
         self.assertFalse(is_held(rest, time.monotonic()))
 
     def test_one_line_when_it_begins_and_one_when_it_is_over(self):
-        with self.assertLogs("catkintrack.instance.signals", "INFO") as logs:
+        with self.assertLogs("catkintrack.instance.replica_signals", "INFO") as logs:
             self.ask_rest("i1", 0.05)
             self.ask_rest("i1", 0.05)
             time.sleep(0.2)
--- a/catkintrack/instance/weights_rollout.py
+++ b/catkintrack/instance/weights_rollout.py
@@ -22,8 +22,8 @@
 from .lease_keeper import holds_lease
 from .messages import LoadBegun
 from .peers import list_live_peers
+from .replica_signals import may_send
 from .reports import exchange_with, make_request_id, refresh_report
-from .signals import may_send
 from .state import Instance
 
 logger = logging.getLogger(__name__)
--- a/testkit/signal_fleet.py
+++ b/testkit/signal_fleet.py
@@ -39,13 +39,13 @@
     find_retry_budget,
     remove_upstreams,
 )
-from catkintrack.instance.service_calls import choose_upstream
-from catkintrack.instance.signals import (
+from catkintrack.instance.replica_signals import (
     apply_signals,
     end_returned_rests,
     find_return_s,
     may_send,
 )
+from catkintrack.instance.service_calls import choose_upstream
 from catkintrack.instance.state import Instance
 
 from .decision_tables import make_request
