--- a/catkintrack/instance/anti_entropy.py
+++ b/catkintrack/instance/anti_entropy.py
@@ -10,13 +10,9 @@
 from catkintrack.platform import CONFIG_KIND, UPSTREAM_KIND, observe_era
 
 from .config_history import merge_superseded
+from .config_state import apply_configuration
 from .feeds import is_current, make_stored_config, make_stored_upstreams
-from .fleet_state import (
-    apply_configuration,
-    apply_upstream,
-    apply_upstreams,
-    remove_upstreams,
-)
+from .fleet_state import apply_upstream, apply_upstreams, remove_upstreams
 from .gossip import STORE_STALENESS_S
 from .messages import (
     GossipMessage,
--- /dev/null
+++ b/catkintrack/instance/config_state.py
@@ -0,0 +1,193 @@
+"""Apply stored configurations to the state of an instance."""
+
+from __future__ import annotations
+
+import logging
+import time
+from dataclasses import replace
+from typing import Any
+
+from returns.result import Failure, Success
+
+from catkintrack.decisions.cache_store import CacheStoreIndex
+from catkintrack.decisions.transfers import TransferRates
+from catkintrack.platform import CONFIG_KIND, decode_configuration
+
+from .config_history import is_superseded, record_superseded
+from .config_order import (
+    Judgement,
+    OfferedConfig,
+    is_written_again,
+    judge_configuration,
+)
+from .fleet_state import resync_upstreams
+from .state import ConfigStamp, HeldConfig, Instance
+
+logger = logging.getLogger(__name__)
+
+# Operators write the newest configuration again within this time after a drill.
+HELD_CONFIG_S = 6.0
+# Latency of a KV cache transfer before its first byte.
+TRANSFER_SETUP_S = 0.002
+
+
+def apply_configuration(
+    instance: Instance,
+    revision: int,
+    spec: Any,
+    source: str,
+    era: int = 0,
+    is_written: bool = False,
+    replaced: ConfigStamp | None = None,
+) -> bool:
+    """Apply a configuration if it is valid and newer; report whether it was applied.
+
+    `era` is the store's, 0 if it has none; `is_written` says that the configuration was
+    certainly written in it, and does not come from an older copy of the store.
+    `replaced` is where the peer that sent it has found one that does.
+    """
+    stamp = ConfigStamp(era, revision)
+    if stamp == instance.config_stamp:
+        return False
+    if stamp == instance.held_config.stamp and not is_written:
+        return False
+    match decode_configuration(spec):
+        case Failure(error):
+            logger.error(
+                "invalid configuration; the previous one stays in force",
+                extra={"revision": revision, "reason": error.reason},
+            )
+            return False
+        case Success(config):
+            pass
+    history = instance.config_history
+    offered = OfferedConfig(
+        stamp,
+        config.revision,
+        spec,
+        is_written,
+        is_superseded(history, spec),
+        replaced or ConfigStamp(),
+    )
+    if not _judge_and_record_config(instance, offered):
+        return False
+    if instance.config is not None:
+        record_superseded(history, instance.config_spec, spec)
+    instance.config = config
+    instance.config_spec = spec
+    instance.metrics.config_revision.set({}, config.revision)
+    _update_server_limits(instance)
+    _update_transfer_rates(instance)
+    resync_upstreams(instance)
+    logger.info(
+        "configuration in force",
+        extra={
+            "config": config.revision,
+            "era": era,
+            "object_revision": revision,
+            "routes": sum(len(rows) for rows in config.routes_by_host.values()),
+            "source": source,
+        },
+    )
+    return True
+
+
+def _judge_and_record_config(instance: Instance, offered: OfferedConfig) -> bool:
+    """Record where a configuration is stored; report whether to apply it."""
+    known = None
+    if instance.config is not None:
+        known = OfferedConfig(
+            instance.config_stamp,
+            instance.config.revision,
+            instance.config_spec,
+            instance.is_config_written,
+        )
+    held_back = instance.held_config.stamp
+    judgement = judge_configuration(known, offered, held_back)
+    if judgement is Judgement.HOLD_BACK:
+        instance.held_config = HeldConfig(
+            offered.stamp, offered.spec, time.monotonic(), offered.is_superseded
+        )
+        logger.warning(
+            "older configuration held back",
+            extra={
+                "config": offered.version,
+                "is_copied": offered.is_superseded,
+                "era": offered.stamp.era,
+                "object_revision": offered.stamp.revision,
+            },
+        )
+    if judgement not in (Judgement.CONFIRM, Judgement.APPLY):
+        return False
+    if known is None:
+        instance.is_config_written = offered.is_written
+    elif offered.stamp.era < known.stamp.era:
+        # The one in force so far comes from an older copy.
+        instance.held_config = HeldConfig(known.stamp, known.spec, is_copied=True)
+        instance.is_config_written = offered.is_written
+    elif offered.stamp.era == known.stamp.era:
+        instance.is_config_written = True
+    else:
+        instance.is_config_written = is_written_again(offered, held_back)
+    instance.config_stamp = offered.stamp
+    return judgement is Judgement.APPLY
+
+
+def apply_held_config(instance: Instance, now: float) -> None:
+    """Apply a held configuration that operators leave in place for HELD_CONFIG_S.
+
+    They write the newest one again sooner.  One that certainly comes from an older copy
+    stays out of force until then, and while the store can't be read nothing is known.
+    """
+    held = instance.held_config
+    feed = instance.feed_by_kind.get(CONFIG_KIND)
+    is_due = held.spec is not None and now - held.at > HELD_CONFIG_S
+    if not is_due or held.is_copied or held.stamp.era != instance.store.era:
+        return
+    if feed is None or feed.last_success_at <= feed.last_failure_at:
+        return
+    spec, held.spec = held.spec, None
+    era, revision = held.stamp
+    apply_configuration(instance, revision, spec, "store, unchanged", era, True)
+
+
+def _update_server_limits(instance: Instance) -> None:
+    """Set the HTTP server's limits to those of the configuration."""
+    if instance.server is None or instance.config is None:
+        return
+    limits = instance.config.limits
+    instance.server.limits = replace(
+        instance.server.limits,
+        max_head_bytes=limits.max_head_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        head_timeout_s=limits.head_timeout_s,
+        idle_timeout_s=limits.idle_timeout_s,
+    )
+
+
+def _update_transfer_rates(instance: Instance) -> None:
+    """Derive the transfer time per cached token from the engines' profiles."""
+    services = instance.config.service_by_name.values() if instance.config else ()
+    profiles = [s.engine for s in services if s.engine and s.engine.link_mbps > 0]
+    if profiles:
+        token_s = max(p.kv_bytes_per_token * 8 / (p.link_mbps * 1e6) for p in profiles)
+        instance.decisions.transfer_rates = TransferRates(TRANSFER_SETUP_S, token_s)
+        _update_cache_store(instance, token_s)
+
+
+def _update_cache_store(instance: Instance, token_s: float) -> None:
+    """Use the cache store that the configuration names."""
+    services = instance.config.service_by_name.values() if instance.config else ()
+    known = instance.decisions.cache_store
+    for service in services:
+        store = service.cache_store
+        if store is None:
+            continue
+        if known is None or known.name != str(store.address):
+            # Each transfer crosses two links, one after the other.
+            index = CacheStoreIndex(str(store.address), store.zone, 2 * token_s)
+            instance.decisions.cache_store = index
+        instance.cache_store_address = store.address
+        return
+    instance.decisions.cache_store = None
+    instance.cache_store_address = None
--- a/catkintrack/instance/feeds.py
+++ b/catkintrack/instance/feeds.py
@@ -34,9 +34,9 @@
     record_config_change,
     was_not_there,
 )
+from .config_state import apply_configuration
 from .eras import run_within_era
 from .fleet_state import (
-    apply_configuration,
     apply_target_weights,
     apply_upstream,
     apply_upstreams,
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -47,10 +47,11 @@
 from .cache_store_feed import run_cache_store_feed
 from .calls import handle_call
 from .clocks import read_boot_clock
+from .config_state import apply_held_config
 from .dump import dump_instance
 from .eras import follow_eras
 from .feeds import WATCHED_KINDS, run_feed
-from .fleet_state import apply_held_config, remove_lapsed_upstreams
+from .fleet_state import remove_lapsed_upstreams
 from .gossip import send_gossip
 from .lease_keeper import release_lease, run_lease_keeper
 from .mesh import estimate_report_delay_s, run_mesh
--- a/catkintrack/instance/tests/test_config_eras.py
+++ b/catkintrack/instance/tests/test_config_eras.py
@@ -7,12 +7,12 @@
 
 from catkintrack.instance import anti_entropy
 from catkintrack.instance.config_history import record_superseded
-from catkintrack.instance.feeds import make_stored_config
-from catkintrack.instance.fleet_state import (
+from catkintrack.instance.config_state import (
     HELD_CONFIG_S,
     apply_configuration,
     apply_held_config,
 )
+from catkintrack.instance.feeds import make_stored_config
 from catkintrack.instance.gossip import make_gossip
 from catkintrack.instance.messages import Pull
 from catkintrack.instance.peers import get_or_add_peer
@@ -44,7 +44,7 @@
         return self.instance.config.revision
 
     def test_configuration_of_the_copy_does_not_come_into_force(self):
-        with self.assertLogs("catkintrack.instance.fleet_state", "WARNING"):
+        with self.assertLogs("catkintrack.instance.config_state", "WARNING"):
             self.assertEqual(self.offer(2, 95, 4), 5)
         self.assertEqual(self.instance.config_stamp, (1, 105))
         self.assertEqual(self.offer(2, 95, 4), 5)
--- a/catkintrack/instance/tests/test_discovery_eras.py
+++ b/catkintrack/instance/tests/test_discovery_eras.py
@@ -13,9 +13,9 @@
     handle_stored_upstreams,
     handle_upstream_changes,
 )
+from catkintrack.instance.config_state import apply_configuration
 from catkintrack.instance.departures import DEPARTURE_MEMORY_S, HELD_ENTRY_S
 from catkintrack.instance.fleet_state import (
-    apply_configuration,
     apply_target_weights,
     remove_lapsed_upstreams,
 )
--- a/catkintrack/instance/tests/test_era_model.py
+++ b/catkintrack/instance/tests/test_era_model.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest.mock import patch
 
-from catkintrack.instance import departures, fleet_state
+from catkintrack.instance import config_state, departures, fleet_state
 from catkintrack.instance.config_order import Judgement
 from catkintrack.leases import lease
 from testkit.era_model import ModelBroken, run_seed
@@ -32,7 +32,7 @@
 
     def test_configuration_of_the_copy_that_comes_into_force(self):
         judge = lambda *_: Judgement.APPLY  # noqa: E731
-        with patch.object(fleet_state, "judge_configuration", judge):
+        with patch.object(config_state, "judge_configuration", judge):
             self.assert_caught("configuration goes back")
 
     def test_departed_replica_that_comes_back(self):
--- a/catkintrack/instance/tests/test_fleet_state.py
+++ b/catkintrack/instance/tests/test_fleet_state.py
@@ -5,8 +5,8 @@
 from catkintrack.fleet import ModelWeights, Workspace
 from catkintrack.http import Request, UpstreamExchangeError
 from catkintrack.instance.calls import make_call
+from catkintrack.instance.config_state import apply_configuration
 from catkintrack.instance.fleet_state import (
-    apply_configuration,
     apply_replica_weights,
     apply_target_weights,
     apply_upstream,
@@ -58,7 +58,7 @@
     def test_invalid_configuration_keeps_the_previous_one(self):
         instance = make_instance()
         apply_configuration(instance, 5, make_config_spec(7), "store")
-        with self.assertLogs("catkintrack.instance.fleet_state", "ERROR"):
+        with self.assertLogs("catkintrack.instance.config_state", "ERROR"):
             apply_configuration(instance, 6, {"version": "x"}, "store")
         self.assertEqual(instance.config.revision, 7)
 
--- a/catkintrack/instance/tests/test_pauses.py
+++ b/catkintrack/instance/tests/test_pauses.py
@@ -8,7 +8,8 @@
 from catkintrack.fleet import ModelWeights, RateLimit, SwapMode
 from catkintrack.instance import weights_rollout
 from catkintrack.instance.clocks import read_boot_clock
-from catkintrack.instance.fleet_state import apply_configuration, apply_upstream
+from catkintrack.instance.config_state import apply_configuration
+from catkintrack.instance.fleet_state import apply_upstream
 from catkintrack.instance.pauses import PAUSE_S, limit_after_own_pause
 from catkintrack.leases import LeaseRecord, record_acquisition
 from catkintrack.pooling import take
--- a/catkintrack/instance/tests/test_probing.py
+++ b/catkintrack/instance/tests/test_probing.py
@@ -7,7 +7,8 @@
 import curio
 
 from catkintrack.decisions.ejection import is_ejected
-from catkintrack.instance.fleet_state import apply_configuration, apply_upstream
+from catkintrack.instance.config_state import apply_configuration
+from catkintrack.instance.fleet_state import apply_upstream
 from catkintrack.instance.probing import probe_suspects
 from testkit.instances import make_config_spec, make_entry_spec
 from testkit.states import make_instance
--- a/catkintrack/instance/tests/test_replica_answers.py
+++ b/catkintrack/instance/tests/test_replica_answers.py
@@ -33,11 +33,8 @@
     run_attempt,
 )
 from catkintrack.instance.cache_store_feed import Cursor, _fetch
-from catkintrack.instance.fleet_state import (
-    apply_configuration,
-    apply_upstream,
-    remove_upstreams,
-)
+from catkintrack.instance.config_state import apply_configuration
+from catkintrack.instance.fleet_state import apply_upstream, remove_upstreams
 from catkintrack.instance.replica_signals import (
     apply_signals,
     end_returned_rests,
--- a/catkintrack/instance/tests/test_upstream_life_cycle.py
+++ b/catkintrack/instance/tests/test_upstream_life_cycle.py
@@ -13,9 +13,9 @@
     handle_stored_upstreams,
     handle_upstream_changes,
 )
+from catkintrack.instance.config_state import apply_configuration
 from catkintrack.instance.fleet_state import (
     LAPSE_GRACE_S,
-    apply_configuration,
     apply_replica_weights,
     apply_upstream,
     apply_upstreams,
--- a/catkintrack/instance/tests/test_weights_rollout.py
+++ b/catkintrack/instance/tests/test_weights_rollout.py
@@ -8,7 +8,8 @@
 
 from catkintrack.fleet import ModelWeights, SwapMode
 from catkintrack.instance import weights_rollout
-from catkintrack.instance.fleet_state import apply_configuration, apply_upstream
+from catkintrack.instance.config_state import apply_configuration
+from catkintrack.instance.fleet_state import apply_upstream
 from catkintrack.instance.messages import LoadBegun
 from catkintrack.weights.plan import PlannedLoad
 from testkit.instances import make_config_spec, make_entry_spec
--- a/testkit/era_model.py
+++ b/testkit/era_model.py
@@ -25,7 +25,8 @@
 
 from catkintrack.http import Address
 from catkintrack.instance import feeds, lease_keeper, mesh, peers
-from catkintrack.instance.fleet_state import apply_held_config, remove_lapsed_upstreams
+from catkintrack.instance.config_state import apply_held_config
+from catkintrack.instance.fleet_state import remove_lapsed_upstreams
 from catkintrack.instance.gossip import send_gossip
 from catkintrack.instance.lease_keeper import holds_lease, run_lease_keeper
 from catkintrack.instance.peers import get_or_add_peer
--- a/testkit/signal_fleet.py
+++ b/testkit/signal_fleet.py
@@ -33,8 +33,8 @@
 )
 from catkintrack.decisions.retries import add_retry_credit, take_retry
 from catkintrack.fleet import Upstream
+from catkintrack.instance.config_state import apply_configuration
 from catkintrack.instance.fleet_state import (
-    apply_configuration,
     apply_upstream,
     find_retry_budget,
     remove_upstreams,
