Stop the clock of the tests in which hubs read the store for the fleet

test_change_reaches_the_whole_fleet failed once, at a load average of 25: 'i-1' was in no instance. Cause: peers count as silent 1.5 s after the fleet was built, by the real clock. With a pause of 1.6 s before the change it fails the same way each time, with 0.8 s it passes; with the clock stopped it passes with both. The test checks what it did before.

--- a/catkintrack/instance/tests/test_hubs.py
+++ b/catkintrack/instance/tests/test_hubs.py
@@ -316,6 +316,10 @@
         names = {self.fleet.find_hub(any_instance, zone) for zone in ZONES}
         self.hub_by_name = {n: self.fleet.instance_by_name[n] for n in names}
         now = time.monotonic()
+        # A slow machine must not let peers fall silent during the test.
+        stopped_clock = patch("time.monotonic", lambda: now)
+        stopped_clock.start()
+        self.addCleanup(stopped_clock.stop)
         for instance in self.fleet.instance_by_name.values():
             instance.feed_by_kind[UPSTREAM_KIND] = Feed(UPSTREAM_KIND, 10, 10)
             for peer in instance.peer_by_address.values():
