--- a/catkintrack/instance/tests/test_config_eras.py
+++ b/catkintrack/instance/tests/test_config_eras.py
@@ -2,9 +2,11 @@
 
 import time
 import unittest
+from dataclasses import asdict
 
 import curio
 
+from catkintrack.fleet import RateLimit
 from catkintrack.instance import anti_entropy
 from catkintrack.instance.config_history import record_superseded
 from catkintrack.instance.config_state import (
@@ -18,10 +20,12 @@
 from catkintrack.instance.peers import get_or_add_peer
 from catkintrack.instance.state import Feed
 from catkintrack.platform import CONFIG_KIND, observe_era
+from catkintrack.pooling import PooledLimits, take
 from testkit.instances import make_config_spec
 from testkit.states import RecordingLink, make_instance
 
 NOW = 1000.0
+LIMIT = RateLimit(1.0, 1000.0, True, 10.0)
 
 
 def make_known(version=5, revision=105, is_written=True):
@@ -229,5 +233,17 @@
         self.assertEqual(unsure.config.revision, 3)
 
 
+class LimitEraTest(unittest.TestCase):
+    def test_limits_are_neither_refilled_nor_emptied_by_a_new_era(self):
+        instance = make_known()
+        instance.limits = PooledLimits(1000.0, NOW)
+        take(instance.limits, "w1", LIMIT, 600.0, NOW)
+        before = asdict(instance.limits.bucket_by_workspace["w1"])
+        observe_era(instance.store, 2, "store")
+        self.assertEqual(asdict(instance.limits.bucket_by_workspace["w1"]), before)
+        self.assertIsNone(take(instance.limits, "w1", LIMIT, 300.0, NOW))
+        self.assertIsNotNone(take(instance.limits, "w1", LIMIT, 600.0, NOW))
+
+
 if __name__ == "__main__":
     unittest.main()
