Test the refusal over a limit with a rate that refills nothing meanwhile

With a pause of 0.4 s between the calls it gives [200, 200] each time, rightly. The test now sets a rate of 100 tokens a second; it checks what it did before.

--- a/catkintrack/tests/test_instance_calls.py
+++ b/catkintrack/tests/test_instance_calls.py
@@ -5,6 +5,7 @@
 
 from standins.replica import EVENTS_PER_STREAM
 from testkit.fleet import wait_until
+from testkit.instances import make_config_spec
 from testkit.site import count_events
 from testkit.site_cases import SiteTest
 
@@ -44,6 +45,12 @@
         self.assertEqual(workspaces, {"w1"})
 
     def test_rate_limit_refusal_has_retry_after(self):
+        spec = make_config_spec(8)
+        # Too low to refill the limit between two calls, however slow the machine is.
+        spec["tenants"][0]["rate_per_s"] = 100
+        self.site.write_object("config", "main", spec)
+        node = self.site.node_by_name["n0"]
+        wait_until(lambda: node.dump()["config"] == 8, 5)
         statuses = []
         headers = {"X-Token-Usage": "60000,100", "X-Prompt-Prefix": "aa:60000"}
         for _ in range(2):
