--- a/catkintrack/decisions/quarantine.py
+++ b/catkintrack/decisions/quarantine.py
@@ -15,6 +15,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from functools import lru_cache
+from typing import Any
 
 # Replicas lost to a part that quarantine it.  A failure of hardware can hit two replicas
 # at once.
@@ -86,6 +87,11 @@
     return int.from_bytes(digest, "big")
 
 
+def _drop_oldest(table: OrderedDict[int, Any], size: int) -> None:
+    while len(table) > size:
+        table.popitem(last=False)
+
+
 def record_served(
     quarantine: Quarantine, parts: Iterable[int], now: float
 ) -> tuple[int, ...]:
@@ -97,8 +103,7 @@
         was_suspect = quarantine.lost_by_suspect.pop(part, None) is not None
         if quarantine.row_by_part.pop(part, None) is not None or was_suspect:
             cleared.append(part)
-    while len(quarantine.served_at_by_part) > MAX_SERVED_PARTS:
-        quarantine.served_at_by_part.popitem(last=False)
+    _drop_oldest(quarantine.served_at_by_part, MAX_SERVED_PARTS)
     return tuple(cleared)
 
 
@@ -120,8 +125,7 @@
     for part in parts:
         quarantine.announced_at_by_part[part] = now
         quarantine.announced_at_by_part.move_to_end(part)
-    while len(quarantine.announced_at_by_part) > MAX_SUSPECT_PARTS:
-        quarantine.announced_at_by_part.popitem(last=False)
+    _drop_oldest(quarantine.announced_at_by_part, MAX_SUSPECT_PARTS)
 
 
 def record_lost_replica(
@@ -142,8 +146,7 @@
         for old in [r for r, at in lost.items() if now - at > SUSPICION_S]:
             del lost[old]
     culprit = _find_culprit(quarantine, parts)
-    while len(quarantine.lost_by_suspect) > MAX_SUSPECT_PARTS:
-        quarantine.lost_by_suspect.popitem(last=False)
+    _drop_oldest(quarantine.lost_by_suspect, MAX_SUSPECT_PARTS)
     if culprit is not None:
         _release_explained(quarantine, culprit)
         put_in_quarantine(quarantine, culprit, now + QUARANTINE_S, QUARANTINE_S)
--- a/catkintrack/instance/quarantining.py
+++ b/catkintrack/instance/quarantining.py
@@ -38,6 +38,7 @@
 
 from .attempts import CallProgress
 from .broadcasting import broadcast
+from .hubs import has_hubs
 from .messages import GossipMessage, PartsServed, ReplicaLost
 from .peers import find_rank
 from .refusals import RETRY_AFTER_JITTER, CrashingPrompt, OutcomeUnknown
@@ -50,7 +51,6 @@
 STORE_RETRY_S = 0.5
 STORE_TRIES = 6
 STORE_SOURCE = "store"
-LARGE_FLEET_PEERS = 16
 # Instances that know a part's answers spread their announcements over this time.
 ANNOUNCEMENT_SPREAD_S = 0.2
 
@@ -152,7 +152,7 @@
 
     In a large fleet many instances know a shared part, so each waits a random time.
     """
-    if len(instance.peer_by_address) > LARGE_FLEET_PEERS:
+    if has_hubs(instance):
         await curio.sleep(ANNOUNCEMENT_SPREAD_S * instance.rng.random())
     now = time.monotonic()
     served = list_unannounced(instance.quarantine, parts, now)
--- a/testkit/crashes.py
+++ b/testkit/crashes.py
@@ -23,7 +23,6 @@
 CRASHING_SHARE = 0.2
 RESTART_S = 3.0
 FIRST_EVENT_S = 0.1
-STREAM_S = 0.3
 DURATION_S = 30.0
 # Mean time between the losses of replicas that have another cause.
 OTHER_LOSS_INTERVAL_S = 4.0
