Log each failed call to the store, and the answers that are skipped as outdated

The record of the leaving that nobody heard does not tell whether a watch was never answered or its answer not used: only the first failure of a row is logged, without the time that the call had waited. Both are logged now, the wait is a metric, and the dump tells how long the pending call has waited.

--- a/catkintrack/instance/dump.py
+++ b/catkintrack/instance/dump.py
@@ -29,6 +29,7 @@
                 "era": feed.era,
                 "revision": feed.revision,
                 "heard_s_ago": round(now - feed.last_success_at, 3),
+                "asked_s_ago": round(now - feed.asked_at, 3),
                 "is_broken": feed.last_failure_at > feed.last_success_at,
             }
             for kind, feed in instance.feed_by_kind.items()
--- a/catkintrack/instance/feeds.py
+++ b/catkintrack/instance/feeds.py
@@ -88,6 +88,7 @@
             await curio.sleep(DELEGATED_CHECK_S)
             continue
         feed.is_delegated = False
+        feed.asked_at = asked_at
         is_listed = is_listed and feed.era == instance.store.era
         if not is_listed:
             error = await _list(instance, feed, on_change)
@@ -134,11 +135,21 @@
 def _record_failure(
     instance: Instance, feed: Feed, error: StoreError, asked_at: float
 ) -> None:
+    now = time.monotonic()
+    reason = getattr(error, "reason", type(error).__name__)
     instance.metrics.store_errors.inc({"kind": feed.kind})
+    instance.metrics.failed_wait_seconds.set({"kind": feed.kind}, now - asked_at)
     if feed.last_failure_at < feed.last_success_at or feed.last_success_at < 0:
-        reason = getattr(error, "reason", type(error).__name__)
         logger.warning("store lost", extra={"kind": feed.kind, "reason": reason})
-    feed.last_failure_at = time.monotonic()
+    logger.info(
+        "store call failed",
+        extra={
+            "kind": feed.kind,
+            "waited_s": round(now - asked_at, 3),
+            "reason": reason,
+        },
+    )
+    feed.last_failure_at = now
 
 
 async def _list(
@@ -148,6 +159,7 @@
         case Success(listing):
             now = time.monotonic()
             if _is_outdated(feed, listing):
+                _log_outdated(feed, listing)
                 return None
             is_new_era = feed.era < listing.era
             feed.era = listing.era
@@ -166,6 +178,17 @@
     return (found.era, found.revision) < (feed.era, feed.changed_revision)
 
 
+def _log_outdated(feed: Feed, found: ObjectList | ObjectEvents) -> None:
+    logger.info(
+        "outdated answer of the store skipped",
+        extra={
+            "kind": feed.kind,
+            "answered": [found.era, found.revision],
+            "known": [feed.era, feed.changed_revision],
+        },
+    )
+
+
 def _may_have_lapsed(feed: Feed, now: float) -> bool:
     """Report whether missing entries may have lapsed only because of a store outage."""
     return feed.last_failure_at > 0 and now - feed.last_failure_at < LAPSE_RESTORE_S
@@ -218,6 +241,7 @@
         case Success(changes) if changes.era != era:
             return HistoryGone(feed.revision, changes.era)
         case Success(changes) if _is_outdated(feed, changes):
+            _log_outdated(feed, changes)
             return None
         case Success(changes):
             now = time.monotonic()
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -26,6 +26,7 @@
     leaving_replicas: Counter
     rests: Counter
     store_errors: Counter
+    failed_wait_seconds: Gauge
     waiting_calls: Gauge
     quarantined_parts: Gauge
     config_revision: Gauge
@@ -56,6 +57,9 @@
         ),
         rests=counter("rests_total", "Rests of replicas, by event: begun, over."),
         store_errors=counter("store_errors_total", "Failed calls, by kind."),
+        failed_wait_seconds=gauge(
+            "store_failed_wait_seconds", "Wait of the last failed call, by kind."
+        ),
         quarantined_parts=gauge("quarantined_parts", "Parts that crash replicas."),
         waiting_calls=gauge("waiting_calls", "Model calls that wait."),
         config_revision=gauge("config_revision", "Configuration in force."),
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -68,7 +68,8 @@
     The store's `revision` grows with each change of any kind within an `era`,
     `changed_revision` is that of this kind's last change.  While `is_delegated` other instances watch the
     kind instead.  `stale_since` is when a peer first reported a newer revision, or was last
-    asked for it; None if no peer has a newer one.
+    asked for it; None if no peer has a newer one.  `asked_at` is when the last call was
+    sent.
     """
 
     kind: str
@@ -79,6 +80,7 @@
     is_delegated: bool = False
     stale_since: float | None = None
     era: int = 0
+    asked_at: float = -1e9
 
 
 @dataclass(slots=True)
