--- /dev/null
+++ b/catkintrack/instance/tests/test_unanswered_watches.py
@@ -0,0 +1,77 @@
+"""Hear of changes in time although the store left a watch without an answer."""
+
+import unittest
+from contextlib import suppress
+
+import curio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from catkintrack.instance import feeds
+from catkintrack.instance.config_state import apply_configuration
+from catkintrack.platform import UPSTREAM_KIND
+from testkit.instances import make_config_spec, make_entry_spec
+from testkit.silent_store import EndOfRun, SilentStore, patched_store
+from testkit.states import make_instance
+
+READY = make_entry_spec()
+DRAINING = make_entry_spec(state="draining")
+
+
+def run_discovery(store):
+    """Run the feed of discovery entries; return when each replica was known to leave."""
+    instance = make_instance()
+    apply_configuration(instance, 5, make_config_spec(7), "store")
+    known_at = {}
+
+    async def record_leaving(_kind):
+        for upstream in instance.upstream_by_id.values():
+            if upstream.is_draining:
+                known_at.setdefault(upstream.id, store.now)
+
+    with patched_store(store), suppress(EndOfRun):
+        curio.run(feeds.run_feed, instance, UPSTREAM_KIND, record_leaving)
+    return known_at
+
+
+class UnansweredWatchTest(unittest.TestCase):
+    def setUp(self):
+        self.bounds = make_instance().site.bounds
+
+    def test_leaving_is_heard_in_time_after_a_watch_was_sent_into_an_outage(self):
+        store = SilentStore(
+            silences=((16.5, 22.7),),
+            changes=[(0.0, "i1", READY), (2.9, "i2", READY), (25.8, "i1", DRAINING)],
+        )
+        known_at = run_discovery(store)
+        self.assertLessEqual(known_at["i1"], 25.8 + self.bounds.drain_s)
+
+    @given(
+        first_change_s=st.floats(0.0, 8.0),
+        start_s=st.floats(5.0, 20.0),
+        duration_s=st.floats(0.05, 12.0),
+        delay_s=st.floats(0.0, 12.0),
+        loses_answers=st.booleans(),
+    )
+    def test_leaving_is_heard_in_time_after_any_outage(
+        self, first_change_s, start_s, duration_s, delay_s, loses_answers
+    ):
+        end_s = start_s + duration_s
+        store = SilentStore(
+            silences=((start_s, end_s),),
+            changes=[
+                (0.0, "i1", READY),
+                (first_change_s, "i2", READY),
+                (end_s + delay_s, "i1", DRAINING),
+            ],
+            loses_answers=loses_answers,
+        )
+        known_at = run_discovery(store)
+        due_at = max(
+            end_s + delay_s + self.bounds.drain_s, end_s + self.bounds.stable_window_s
+        )
+        self.assertLessEqual(known_at.get("i1", store.ends_at), due_at)
+
+
+if __name__ == "__main__":
+    unittest.main()
