Bound how long a watch of the store may go without an answer

Callers saw: requests reached a replica 3.06 and 3.12 s after it had announced its leaving; 2 s are allowed. Nothing failed, but the replica might have ended under them.

Cause: a watch that was sent while the store answered nobody was waited for until its own limit of 9 s, although the store answered other calls 2 s later. A watch without an answer looks like one without changes, so its time limit alone decides how long an instance may not hear of anything. That limit came from no bound of the operators.

Now watches of configuration and discovery fit into the time that the operators allow after a disruption (stable_window_s), those of target weights into that and half of the time for loading them. After a failure watches are short until one is answered, and the pauses between calls leave room for a list.

--- a/catkintrack/instance/feeds.py
+++ b/catkintrack/instance/feeds.py
@@ -52,18 +52,16 @@
     encode_peer_message,
 )
 from .state import ConfigStamp, Feed, Instance
+from .watch_waits import choose_watch_wait_s, choose_weights_wait_s
 
 logger = logging.getLogger(__name__)
 
-WATCH_WAIT_S = 8.0
-HUB_WATCH_WAIT_S = 2.0
-FIRST_WATCH_WAIT_S = 0.05
 # Interval at which a feed that is left to the hub checks that the hub still watches.
 DELEGATED_CHECK_S = 0.2
 # Pause between watches of a joining instance, so that changes come in batches.
 JOIN_PAUSE_S = 1.0
 BACKOFF_S = 0.25
-BACKOFF_MAX_S = 1.0
+BACKOFF_MAX_S = 0.66
 # Time after a store failure within which lapsed entries are restored.
 LAPSE_RESTORE_S = 3.0
 STARTUP_S = 2.0
@@ -259,16 +257,14 @@
 
 
 def _choose_watch_wait_s(instance: Instance, feed: Feed) -> float:
-    """Return how long a watch may wait for changes, in seconds.
-
-    The first wait is short, to show soon whether the store answers.  A hub waits less
-    than others, because its peers get no changes while its watch hangs.
-    """
+    """Return how long a watch of a kind may wait for changes, in seconds."""
     now = time.monotonic()
-    if feed.last_success_at < 0:
-        return FIRST_WATCH_WAIT_S
+    bounds = instance.site.bounds
+    is_heard = feed.last_success_at > max(0.0, feed.last_failure_at)
+    if feed.kind == WEIGHTS_KIND:
+        return choose_weights_wait_s(bounds, is_heard)
     is_serving_peers = is_hub(instance, now) and not is_joining_fleet(instance, now)
-    return HUB_WATCH_WAIT_S if is_serving_peers else WATCH_WAIT_S
+    return choose_watch_wait_s(bounds, is_heard, is_serving_peers)
 
 
 def _queue_for_fleet(
--- /dev/null
+++ b/catkintrack/instance/watch_waits.py
@@ -0,0 +1,44 @@
+"""Decide how long a watch of the store may wait for changes.
+
+A watch that the store never answers looks like one without changes.  Only its time
+limit reveals it, so this limit bounds how late an instance hears of changes once the
+store, or the path to it, is back.
+"""
+
+from __future__ import annotations
+
+from catkintrack.fleet import Bounds
+from catkintrack.platform import WATCH_MARGIN_S
+
+# A pause after the failure and the list that follows it, in seconds.
+RELIST_RESERVE_S = 0.5
+# Wait of a watch that shows whether the store answers, in seconds.
+PROBE_WAIT_S = 0.05
+# Peers of a hub get no changes while its watch hangs, which is a second delay.
+HUB_WAIT_MAX_S = 2.0
+WAIT_MAX_S = 8.0
+
+
+def choose_watch_wait_s(bounds: Bounds, is_store_heard: bool, is_hub: bool) -> float:
+    """Return how long a watch of configuration or discovery may wait, in seconds.
+
+    An instance has to know all changes `stable_window_s` after the end of a disruption.
+    Until the store has answered, watches are short, since it may answer none of them.
+    """
+    if not is_store_heard:
+        return PROBE_WAIT_S
+    wait_s = bounds.stable_window_s - WATCH_MARGIN_S - RELIST_RESERVE_S
+    longest_s = HUB_WAIT_MAX_S if is_hub else WAIT_MAX_S
+    return max(PROBE_WAIT_S, min(longest_s, wait_s))
+
+
+def choose_weights_wait_s(bounds: Bounds, is_store_heard: bool) -> float:
+    """Return how long a watch of target weights may wait, in seconds.
+
+    Half of the time that replicas may use replaced weights is left for loading.
+    """
+    if not is_store_heard:
+        return PROBE_WAIT_S
+    wait_s = bounds.stable_window_s + bounds.weights_s / 2
+    wait_s -= WATCH_MARGIN_S + RELIST_RESERVE_S
+    return max(PROBE_WAIT_S, min(WAIT_MAX_S, wait_s))
--- a/catkintrack/platform/__init__.py
+++ b/catkintrack/platform/__init__.py
@@ -31,6 +31,7 @@
 )
 from .settings import decode_site, get_settings_path, load_site
 from .store import (
+    WATCH_MARGIN_S,
     ObjectEvent,
     ObjectEvents,
     ObjectList,
@@ -57,6 +58,7 @@
     "CONFIG_NAME",
     "READY_PATH",
     "UPSTREAM_KIND",
+    "WATCH_MARGIN_S",
     "WEIGHTS_KIND",
     "ResponseFields",
     "Dispatch",
