--- a/bin/make_days.py
+++ b/bin/make_days.py
@@ -60,6 +60,15 @@
     "srv_grey": 'share = 0.3, x = 0.4, for_s = 6.0, how = "hang", service = "@s0"',
     "srv_lying_health": 'share = 0.3, for_s = 6.0, service = "@s0"',
 }
+# Disruptions one after the other: a change comes just after an outage has ended.
+SILENT_S = 6.2
+# The rules' bounds begin 3 s after an outage.
+AFTERMATH_PAUSE_S = 3.1
+AFTERMATHS = {
+    "silent_store-then-scale_in": "scale_in",
+    "silent_store-then-release": "release",
+    "silent_store-then-config_change": "config_change",
+}
 
 
 def make_entry(name: str, at_s: float) -> str:
@@ -83,6 +92,16 @@
     return "\n".join(lines) + "\n"
 
 
+def make_aftermath(title: str, seed: int, name: str) -> str:
+    """Return a day on which planned work follows a silence of the store."""
+    fields = f'for_s = {SILENT_S}, how = "silent"'
+    outage = f'  {{ at = {FIRST_S:g}, kind = "platform_down", {fields} }},'
+    work = make_entry(name, FIRST_S + SILENT_S + AFTERMATH_PAUSE_S)
+    lines = ["[[day]]", f'name = "{title}"', 'slot = "trouble"', f"seed = {seed}"]
+    lines += ["plan = [", work, "]", "faults = [", outage, "]"]
+    return "\n".join(lines) + "\n"
+
+
 def write_days(directory: Path) -> int:
     """Write a file for each day and return their number."""
     rng = Random(SEED)
@@ -99,7 +118,10 @@
         for title, entries in days.items():
             text = make_day(title, rng.randrange(10**9), entries)
             (directory / f"{title}.toml").write_text(text)
-    return 2 * len(names)
+    for title, name in AFTERMATHS.items():
+        text = make_aftermath(title, rng.randrange(10**9), name)
+        (directory / f"{title}.toml").write_text(text)
+    return 2 * len(names) + len(AFTERMATHS)
 
 
 if __name__ == "__main__":
