Count the time for lapsed entries from the store's return

Found while looking for the same cause elsewhere: the limit of an unanswered watch also moved the time in which a missing entry counts as lapsed. It began anew with each missing entry for 3 s after a failed call, so a replica whose entry was removed without notice after an outage was used 2.5 s longer; 2 s are allowed. A watch from before the store's history also counted as an outage.

The time now begins with the store's first answer, and a lost history is no outage.

Evidence: test_replica_that_leaves_unannounced_after_an_outage_is_dropped_in_time failed before (outage of 3 s, entry removed 3 s after it: dropped 2.5 s later, due after 2.0); it passes now.

--- a/catkintrack/instance/feeds.py
+++ b/catkintrack/instance/feeds.py
@@ -37,6 +37,7 @@
 from .config_state import apply_configuration
 from .eras import run_within_era
 from .fleet_state import (
+    LAPSE_GRACE_S,
     apply_target_weights,
     apply_upstream,
     apply_upstreams,
@@ -62,8 +63,6 @@
 JOIN_PAUSE_S = 1.0
 BACKOFF_S = 0.25
 BACKOFF_MAX_S = 0.66
-# Time after a store failure within which lapsed entries are restored.
-LAPSE_RESTORE_S = 3.0
 STARTUP_S = 2.0
 # Assumed age of target weights that an instance finds within STARTUP_S of its start.
 STARTUP_WEIGHTS_AGE_S = 2.0
@@ -127,6 +126,8 @@
 def _record_success(feed: Feed, now: float) -> None:
     if feed.last_failure_at >= feed.last_success_at > 0:
         logger.info("store regained", extra={"kind": feed.kind})
+    if feed.regained_at is None:
+        feed.regained_at = now
     feed.last_success_at = now
 
 
@@ -148,6 +149,8 @@
         },
     )
     feed.last_failure_at = now
+    if not isinstance(error, HistoryGone):
+        feed.regained_at = None
 
 
 async def _list(
@@ -187,9 +190,15 @@
     )
 
 
-def _may_have_lapsed(feed: Feed, now: float) -> bool:
-    """Report whether missing entries may have lapsed only because of a store outage."""
-    return feed.last_failure_at > 0 and now - feed.last_failure_at < LAPSE_RESTORE_S
+def _find_lapse_grace_s(feed: Feed, now: float) -> float:
+    """Return for how many seconds a missing entry may still be restored.
+
+    An entry may lapse only because the store was away; the time to restore it begins
+    when the store is back, not when the entry is found missing.
+    """
+    if feed.regained_at is None:
+        return LAPSE_GRACE_S
+    return max(0.0, feed.regained_at + LAPSE_GRACE_S - now)
 
 
 def _apply_list(
@@ -198,8 +207,8 @@
     if feed.kind == UPSTREAM_KIND:
         specs = {row.name: row.spec for row in listing.objects}
         revisions = {row.name: row.revision for row in listing.objects}
-        may_have_lapsed = _may_have_lapsed(feed, now)
-        apply_upstreams(instance, specs, now, may_have_lapsed, revisions)
+        grace_s = _find_lapse_grace_s(feed, now)
+        apply_upstreams(instance, specs, now, grace_s > 0, revisions, grace_s)
         return
     for row in listing.objects:
         is_written = feed.kind == CONFIG_KIND and _follow_listed_config(
@@ -281,7 +290,7 @@
             feed.revision,
             {row.name: row.spec for row, is_deleted in rows if not is_deleted},
             tuple(row.name for row, is_deleted in rows if is_deleted),
-            _may_have_lapsed(feed, now),
+            _find_lapse_grace_s(feed, now) > 0,
             feed.era,
         )
     else:
@@ -337,7 +346,8 @@
     last_by_name = {event.object.name: event for event in changes.events}
     gone = [name for name, event in last_by_name.items() if event.is_deleted]
     if gone and feed.kind == UPSTREAM_KIND:
-        remove_upstreams(instance, gone, now, _may_have_lapsed(feed, now))
+        grace_s = _find_lapse_grace_s(feed, now)
+        remove_upstreams(instance, gone, now, grace_s > 0, grace_s)
     for event in last_by_name.values():
         if not event.is_deleted:
             _apply_object(instance, feed.kind, event.object, now, True)
--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -174,12 +174,16 @@
 
 
 def remove_upstreams(
-    instance: Instance, ids: Collection[str], now: float, is_lapse_likely: bool
+    instance: Instance,
+    ids: Collection[str],
+    now: float,
+    is_lapse_likely: bool,
+    lapse_grace_s: float = LAPSE_GRACE_S,
 ) -> None:
     """Remove upstreams whose discovery entries went missing together.
 
     With `is_lapse_likely` the entries may have lapsed in a store outage; the upstreams
-    then stay for LAPSE_GRACE_S, in which the entries may be restored.  If most replicas
+    then stay for `lapse_grace_s`, in which the entries may be restored.  If most replicas
     of a service are missing, an outage may have gone unnoticed; they then stay for as
     long as the operators' bound for leaving replicas allows.
     """
@@ -192,7 +196,7 @@
         if upstream is None:
             continue
         if is_lapse_likely:
-            grace_s = LAPSE_GRACE_S
+            grace_s = lapse_grace_s
         elif upstream.service in gone_services and not upstream.is_draining:
             grace_s = mass_grace_s
         else:
@@ -256,6 +260,7 @@
     now: float,
     is_lapse_likely: bool,
     revision_by_id: Mapping[str, int] | None = None,
+    lapse_grace_s: float = LAPSE_GRACE_S,
 ) -> None:
     """Apply a full list of discovery entries and remove the upstreams not in it.
 
@@ -263,8 +268,9 @@
     replicas that left are skipped until they were certainly written in that era.
     """
     gone = set(instance.spec_by_upstream) - set(spec_by_id)
-    is_restore_likely = is_lapse_likely or is_after_new_era(instance, now)
-    remove_upstreams(instance, gone, now, is_restore_likely)
+    if is_after_new_era(instance, now):
+        is_lapse_likely, lapse_grace_s = True, LAPSE_GRACE_S
+    remove_upstreams(instance, gone, now, is_lapse_likely, lapse_grace_s)
     for id in set(instance.departure_by_upstream) - set(spec_by_id):
         record_unlisted(instance, id)
     for id, spec in spec_by_id.items():
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -69,7 +69,8 @@
     `changed_revision` is that of this kind's last change.  While `is_delegated` other instances watch the
     kind instead.  `stale_since` is when a peer first reported a newer revision, or was last
     asked for it; None if no peer has a newer one.  `asked_at` is when the last call was
-    sent.
+    sent, `regained_at` when the store first answered after its last failure, None if it
+    has not yet.
     """
 
     kind: str
@@ -81,6 +82,7 @@
     stale_since: float | None = None
     era: int = 0
     asked_at: float = -1e9
+    regained_at: float | None = -1e9
 
 
 @dataclass(slots=True)
--- a/catkintrack/instance/tests/test_unanswered_watches.py
+++ b/catkintrack/instance/tests/test_unanswered_watches.py
@@ -19,15 +19,22 @@
 
 
 def run_discovery(store):
-    """Run the feed of discovery entries; return when each replica was known to leave."""
+    """Run the feed of discovery entries; return when each replica is out of use."""
     instance = make_instance()
     apply_configuration(instance, 5, make_config_spec(7), "store")
     known_at = {}
+    ever_listed = set()
 
     async def record_leaving(_kind):
         for upstream in instance.upstream_by_id.values():
             if upstream.is_draining:
                 known_at.setdefault(upstream.id, store.now)
+        for id, removal in instance.pending_removal_by_upstream.items():
+            known_at.setdefault(id, removal.due_at)
+        for _, id, _ in store.changes:
+            if id not in instance.spec_by_upstream and id in ever_listed:
+                known_at.setdefault(id, store.now)
+        ever_listed.update(instance.spec_by_upstream)
 
     with patched_store(store), suppress(EndOfRun):
         curio.run(feeds.run_feed, instance, UPSTREAM_KIND, record_leaving)
@@ -72,6 +79,24 @@
         )
         self.assertLessEqual(known_at.get("i1", store.ends_at), due_at)
 
+    @given(
+        start_s=st.floats(5.0, 20.0),
+        duration_s=st.floats(0.05, 12.0),
+        delay_s=st.floats(0.0, 4.0),
+    )
+    def test_replica_that_leaves_unannounced_after_an_outage_is_dropped_in_time(
+        self, start_s, duration_s, delay_s
+    ):
+        bounds = self.bounds
+        leaves_s = start_s + duration_s + bounds.stable_window_s + delay_s
+        store = SilentStore(
+            silences=((start_s, start_s + duration_s),),
+            changes=[(0.0, "i1", READY), (3.0, "i2", READY), (leaves_s, "i1", None)],
+        )
+        known_at = run_discovery(store)
+        due_at = leaves_s + bounds.drain_s
+        self.assertLessEqual(known_at.get("i1", store.ends_at), due_at)
+
 
 if __name__ == "__main__":
     unittest.main()
