Read the limits that replicas name; log and count them

No line, metric or dump told that a replica named a limit, so its excess could not be traced to an instance. The limit in force, its begin and end are logged, and requests sent under it are counted. Nothing is decided by it yet.

--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -10,6 +10,7 @@
 from catkintrack.weights import TargetWeights
 
 from .leaving import LeavingTable
+from .named_limits import NamedLimitTable
 from .prefills import Prefills
 from .prefix import BLOCK_TOKENS
 from .residency import Residency
@@ -162,6 +163,7 @@
     cache_store: CacheStoreIndex | None = None
     leaving: LeavingTable = field(default_factory=LeavingTable)
     rests: RestTable = field(default_factory=RestTable)
+    named_limits: NamedLimitTable = field(default_factory=NamedLimitTable)
 
     @property
     def waiting_count(self) -> int:
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -30,7 +30,7 @@
     parse_response_headers,
 )
 
-from .replica_signals import apply_signals, may_send
+from .replica_signals import apply_signals, may_send, record_limited_send
 from .state import Instance
 from .stream_events import EventSplitter
 
@@ -159,6 +159,7 @@
         progress.may_have_run = True
         progress.connected_attempts += 1
         sent_at = time.monotonic()
+        record_limited_send(instance, upstream)
         await exchange.send(make_upstream_request(call, dispatch))
         bounds = make_stream_bounds(call, exchange.max_body_bytes)
         head = await _read_unless_abandoned(bounds, callbacks, exchange.read_head)
--- a/catkintrack/instance/dump.py
+++ b/catkintrack/instance/dump.py
@@ -6,12 +6,19 @@
 from typing import Any
 
 from catkintrack.decisions.leaving import has_announced_leaving
+from catkintrack.decisions.named_limits import find_limit
+from catkintrack.fleet import Upstream
 
 from .peers import list_live_peers
 from .replica_signals import may_send
 from .state import Instance
 
 
+def _find_limit_per_s(instance: Instance, upstream: Upstream) -> float | None:
+    limit = find_limit(instance.decisions.named_limits, upstream)
+    return None if limit is None else limit.per_s
+
+
 def dump_instance(instance: Instance) -> dict[str, Any]:
     """Return the instance's view of its feeds, peers, lease, upstreams and limits."""
     now = time.monotonic()
@@ -50,6 +57,7 @@
                     instance.decisions.leaving, upstream
                 ),
                 "accepts_requests": may_send(instance, upstream, now),
+                "limit_per_s": _find_limit_per_s(instance, upstream),
                 "weights": [w.version for w in upstream.weights],
                 "in_flight": rows[id].in_flight if id in rows else None,
             }
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -25,6 +25,8 @@
     orders: Counter
     leaving_replicas: Counter
     rests: Counter
+    named_limits: Gauge
+    limited_requests: Counter
     store_errors: Counter
     failed_wait_seconds: Gauge
     waiting_calls: Gauge
@@ -56,6 +58,10 @@
             "leaving_replicas_total", "Replicas that said they leave, by service."
         ),
         rests=counter("rests_total", "Rests of replicas, by event: begun, over."),
+        named_limits=gauge("named_limits", "Replicas that name a limit."),
+        limited_requests=counter(
+            "limited_requests_total", "Requests sent to replicas that name a limit."
+        ),
         store_errors=counter("store_errors_total", "Failed calls, by kind."),
         failed_wait_seconds=gauge(
             "store_failed_wait_seconds", "Wait of the last failed call, by kind."
--- a/catkintrack/instance/replica_signals.py
+++ b/catkintrack/instance/replica_signals.py
@@ -1,4 +1,6 @@
-"""Apply what replicas say of themselves in their answers: that they leave or rest.
+"""Apply what replicas say of themselves in their answers.
+
+They may leave, rest, or name a limit for the requests that they get.
 
 What an instance learns here it does not tell its peers: each of them meets the replica
 itself, and a peer that is wrong can't take replicas out of use elsewhere.
@@ -9,6 +11,12 @@
 import logging
 
 from catkintrack.decisions.leaving import has_announced_leaving, record_leaving
+from catkintrack.decisions.named_limits import (
+    end_unnamed_limit,
+    find_limit,
+    is_usable_limit,
+    record_limit,
+)
 from catkintrack.decisions.rest import (
     Rest,
     begin_rest,
@@ -50,6 +58,7 @@
         return
     if fields.is_leaving:
         _apply_leaving(instance, upstream, now)
+    _apply_limit(instance, upstream, request_id, fields, sent_at, now)
     rest = end_answered_rest(instance.decisions.rests, upstream, sent_at)
     if rest is not None:
         update_signals(instance, upstream.id, now)
@@ -137,6 +146,54 @@
     )
 
 
+def _apply_limit(
+    instance: Instance,
+    upstream: Upstream,
+    request_id: bytes | None,
+    fields: ResponseFields,
+    sent_at: float,
+    now: float,
+) -> None:
+    """Apply the limit in an answer, or its absence in a signed answer to a call."""
+    table = instance.decisions.named_limits
+    per_s = fields.limit_per_s
+    if per_s is None:
+        is_evidence = request_id is not None and fields.is_signed
+        if is_evidence and end_unnamed_limit(table, upstream, sent_at) is not None:
+            _log_limit(instance, upstream, "upstream's limit is over", None)
+        return
+    if not is_usable_limit(per_s):
+        logger.warning(
+            "upstream names a limit that is no number; it gets none",
+            extra={"upstream": upstream.id},
+        )
+        return
+    if record_limit(table, upstream, per_s, sent_at, now):
+        _log_limit(instance, upstream, "upstream names a limit", per_s)
+
+
+def _log_limit(
+    instance: Instance, upstream: Upstream, message: str, per_s: float | None
+) -> None:
+    count = len(instance.decisions.named_limits.limit_by_upstream)
+    instance.metrics.named_limits.set({}, count)
+    logger.info(
+        message,
+        extra={
+            "upstream": upstream.id,
+            "service": upstream.service,
+            "incarnation": upstream.incarnation,
+            "limit_per_s": per_s,
+        },
+    )
+
+
+def record_limited_send(instance: Instance, upstream: Upstream) -> None:
+    """Count a request that is sent to a replica which names a limit."""
+    if find_limit(instance.decisions.named_limits, upstream) is not None:
+        instance.metrics.limited_requests.inc({"upstream": upstream.id})
+
+
 def _apply_rest(
     instance: Instance, upstream: Upstream, fields: ResponseFields, now: float
 ) -> None:
--- a/catkintrack/platform/names.py
+++ b/catkintrack/platform/names.py
@@ -16,6 +16,8 @@
 # The ID of the replica that answers.
 ANSWERING_UPSTREAM = b"x-instance-id"
 SERVER_LEAVING = b"server-leaving"
+# Requests a second that a replica takes from all instances together.
+SERVER_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 MODEL = b"x-model"
 # Prompt tokens and maximum output tokens of a request, separated by a comma.
--- a/catkintrack/platform/requests.py
+++ b/catkintrack/platform/requests.py
@@ -39,6 +39,7 @@
     ROUTER_HEADERS,
     SAVE_TO,
     SERVER_LEAVING,
+    SERVER_LIMIT,
     SERVER_LOAD,
     TOKEN_USAGE,
     WEIGHTS_VERSION,
@@ -90,7 +91,8 @@
 
     `load` is the numbers of running and waiting requests at the replica.  `upstream_id`
     names the replica that answered.  `is_leaving` is set if it accepts no new work.
-    `retry_after_s` is NaN if it is no number of seconds.
+    `retry_after_s` is NaN if it is no number of seconds.  `limit_per_s` is the number of
+    requests a second that the replica takes from all instances, NaN if it is no number.
     """
 
     status: int
@@ -104,6 +106,7 @@
     is_misdirected: bool = False
     is_leaving: bool = False
     retry_after_s: float | None = None
+    limit_per_s: float | None = None
 
 
 def parse_request_headers(request: Request) -> Result[RequestFields, DecodingError]:
@@ -197,7 +200,8 @@
         upstream_id=None if upstream_id is None else upstream_id.decode("latin-1"),
         is_misdirected=is_misdirected,
         is_leaving=find_header(headers, SERVER_LEAVING) == b"1",
-        retry_after_s=_parse_seconds(find_header(headers, RETRY_AFTER)),
+        retry_after_s=_parse_decimal(find_header(headers, RETRY_AFTER)),
+        limit_per_s=_parse_decimal(find_header(headers, SERVER_LIMIT)),
     )
 
 
@@ -208,7 +212,7 @@
     return int(parts[0]), int(parts[1])
 
 
-def _parse_seconds(value: bytes | None) -> float | None:
+def _parse_decimal(value: bytes | None) -> float | None:
     if value is None:
         return None
     return float(value) if DECIMAL_NUMBER.fullmatch(value.strip()) else math.nan
