Keep to the limits that replicas name, over all instances together

Callers saw nothing directly; a replica that had asked for at most 1.5 requests a second got 19 in 4 s, 14 are allowed, and another 27 of 19, while others had room.

Each instance now keeps to an equal share of a named limit by a bucket that begins empty and saves one request. No more instances have a share than may send at once (twice the limit and 5), chosen alike by all; those without one hear from the others when it is over. A limit ends by a signed answer to a request that was sent after the last answer naming it, or with the replica's life. A call placed before the limit was named needs a token when it is sent. Where all replicas name limits, what they take only after its deadline is refused at once.

--- a/catkintrack/decisions/named_limits.py
+++ b/catkintrack/decisions/named_limits.py
@@ -1,37 +1,60 @@
-"""Remember the limits that replicas name in their answers.
+"""Keep to the limits that replicas name in their answers.
 
 A replica in need names how many requests a second it takes from all instances together.
+Each instance keeps to an equal share by a token bucket of its own, without asking its
+peers.  Buckets begin empty and hold little: full ones could all be spent at once.  In a
+large fleet only some instances, chosen alike by all, have a share in a replica's limit.
 """
 
 from __future__ import annotations
 
 import math
+import zlib
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from catkintrack.fleet import Upstream
 
 # Far more than the replicas of a fleet that can be in need at once.
 MAX_REMEMBERED = 4096
+# A limit of zero is tried at this rate; otherwise its end would never be seen.
+MIN_LIMIT_PER_S = 0.1
+# Tokens that may be spent at once over all instances, as seconds of the limit and as a
+# number: half of what the users allow above the limit in each 4 s, and their 5 requests.
+BURST_S = 2.0
+BURST_REQUESTS = 5
+# Seconds of its share that an instance may save up, if that is more than one request.
+SAVED_S = 0.25
+# An instance without a share forgets a limit of which no peer with one has told so long.
+CONFIRMATION_TIMEOUT_S = 6.0
 
 
 @dataclass(slots=True)
 class NamedLimit:
     """Hold the limit that a replica's incarnation has named; times in seconds.
 
-    `begun_at` is when the first answer with it arrived, `named_at` the last one.
+    `named_at` is when the last answer with it arrived, `confirmed_at` when a peer with
+    a share last told of it.  `tokens` are as of `filled_at`; `reserved` ones belong to
+    requests that were placed and not sent yet.
     """
 
     incarnation: int
     per_s: float
-    begun_at: float
     named_at: float
+    share_per_s: float
+    filled_at: float
+    tokens: float = 0.0
+    reserved: int = 0
+    confirmed_at: float = -1e9
 
 
 @dataclass(slots=True)
 class NamedLimitTable:
-    """Hold the limits in force by replica."""
+    """Hold the limits in force by replica, and the names of the live instances."""
 
     limit_by_upstream: dict[str, NamedLimit] = field(default_factory=dict)
+    own_name: str = ""
+    live_names: tuple[str, ...] = ("",)
 
 
 def is_usable_limit(per_s: float) -> bool:
@@ -61,10 +84,13 @@
             is_later = sent_at >= known.named_at
             known.per_s = per_s if is_later else min(per_s, known.per_s)
             known.named_at = now
+            _set_share(table, upstream.id, known, now)
         return False
     limits = table.limit_by_upstream
     limits.pop(upstream.id, None)
-    limits[upstream.id] = NamedLimit(upstream.incarnation, per_s, now, now)
+    limit = NamedLimit(upstream.incarnation, per_s, now, 0.0, now)
+    limits[upstream.id] = limit
+    _set_share(table, upstream.id, limit, now)
     if len(limits) > MAX_REMEMBERED:
         del limits[next(iter(limits))]
     return True
@@ -83,3 +109,140 @@
     if upstream.incarnation == limit.incarnation and sent_at < limit.named_at:
         return None
     return table.limit_by_upstream.pop(upstream.id)
+
+
+def set_live_instances(
+    table: NamedLimitTable, own_name: str, live_names: Iterable[str], now: float
+) -> None:
+    """Divide the limits among the live instances, this one included."""
+    names = tuple(sorted({own_name, *live_names}))
+    if names == table.live_names and own_name == table.own_name:
+        return
+    table.own_name, table.live_names = own_name, names
+    for id, limit in table.limit_by_upstream.items():
+        _set_share(table, id, limit, now)
+
+
+def _set_share(table: NamedLimitTable, id: str, limit: NamedLimit, now: float) -> None:
+    _fill(limit, now)
+    limit.share_per_s = compute_share_per_s(
+        limit.per_s, id, table.own_name, table.live_names
+    )
+
+
+def compute_share_per_s(
+    limit_per_s: float, id: str, own_name: str, live_names: tuple[str, ...]
+) -> float:
+    """Return the share of an instance in a replica's limit, in requests a second.
+
+    No more instances have one than may each send a request at once.
+    """
+    per_s = max(MIN_LIMIT_PER_S, limit_per_s)
+    count = int(BURST_S * limit_per_s) + BURST_REQUESTS
+    if len(live_names) <= count:
+        return per_s / len(live_names)
+    ranked = sorted(live_names, key=lambda name: zlib.crc32(f"{id}/{name}".encode()))
+    return per_s / count if own_name in ranked[:count] else 0.0
+
+
+def _fill(limit: NamedLimit, now: float) -> None:
+    """Add the tokens of the time since the last call."""
+    saved = max(1.0, limit.share_per_s * SAVED_S)
+    gained = (now - limit.filled_at) * limit.share_per_s
+    limit.tokens = min(saved, limit.tokens + gained)
+    limit.filled_at = now
+
+
+def has_token(limit: NamedLimit | None, now: float) -> bool:
+    """Report whether a request may be placed on the replica."""
+    if limit is None:
+        return True
+    _fill(limit, now)
+    return limit.tokens >= 1.0
+
+
+def reserve_token(limit: NamedLimit | None, now: float) -> None:
+    """Take a token for a request that is placed, which must have found one."""
+    if limit is None:
+        return
+    _fill(limit, now)
+    limit.tokens = max(0.0, limit.tokens - 1.0)
+    # Those of requests that were never sent must not add up.
+    saved = max(1.0, limit.share_per_s)
+    limit.reserved = min(int(saved), limit.reserved + 1)
+
+
+def take_token(limit: NamedLimit | None, now: float) -> bool:
+    """Take the token of a request that is sent, or report that there is none.
+
+    A request that was placed before the replica named its limit has none reserved.
+    """
+    if limit is None:
+        return True
+    if limit.reserved > 0:
+        limit.reserved -= 1
+        return True
+    if not has_token(limit, now):
+        return False
+    limit.tokens -= 1.0
+    return True
+
+
+@dataclass(frozen=True, slots=True)
+class TokenSupply:
+    """Hold the tokens of some replicas together, and how many come in a second."""
+
+    tokens: float
+    per_s: float
+
+
+def find_supply(limits: Iterable[NamedLimit | None], now: float) -> TokenSupply | None:
+    """Return the supply of these replicas, or None unless each of them has a limit."""
+    tokens = per_s = 0.0
+    is_empty = True
+    for limit in limits:
+        if limit is None:
+            return None
+        is_empty = False
+        _fill(limit, now)
+        tokens += limit.tokens
+        per_s += limit.share_per_s
+    return None if is_empty else TokenSupply(tokens, per_s)
+
+
+def compute_wait_s(supply: TokenSupply, count: int) -> float:
+    """Return in how many seconds there are `count` tokens, infinity if never."""
+    missing = count - supply.tokens
+    if missing <= 0:
+        return 0.0
+    return missing / supply.per_s if supply.per_s > 0 else math.inf
+
+
+def list_own_limits(table: NamedLimitTable) -> tuple[str, ...]:
+    """Return the replicas with a limit in which this instance has a share."""
+    limits = table.limit_by_upstream.items()
+    return tuple(id for id, limit in limits if limit.share_per_s > 0)
+
+
+def confirm_limits(table: NamedLimitTable, ids: Iterable[str], now: float) -> None:
+    """Record that a peer with a share in them knows of these replicas' limits."""
+    for id in ids:
+        limit = table.limit_by_upstream.get(id)
+        if limit is not None:
+            limit.confirmed_at = now
+
+
+def forget_unconfirmed_limits(table: NamedLimitTable, now: float) -> list[str]:
+    """Forget the limits without an own share that no peer confirms; return their replicas.
+
+    Only those with a share send requests, whose answers tell when a limit is over.
+    """
+    ids = [
+        id
+        for id, limit in table.limit_by_upstream.items()
+        if limit.share_per_s <= 0
+        and now - max(limit.named_at, limit.confirmed_at) > CONFIRMATION_TIMEOUT_S
+    ]
+    for id in ids:
+        del table.limit_by_upstream[id]
+    return ids
--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -13,6 +13,7 @@
 from .ejection import is_ejected
 from .failure_detection import is_suspect
 from .load import estimate_running, estimate_wait_s
+from .named_limits import has_token
 from .prefills import find_pending
 from .prefix import find_affinity_depth
 from .residency import find_cached_depths
@@ -70,6 +71,8 @@
     """Report whether the request may be sent to the upstream, whatever its load."""
     if row.is_leaving or row.has_announced_leaving or is_held(row.rest, now):
         return False
+    if not has_token(row.limit, now):
+        return False
     if row.is_loading or row.name in request.excluded:
         return False
     if request.model not in row.models or now < row.loading_until:
--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 from enum import Enum
@@ -16,6 +17,7 @@
 
 from . import ejection, load
 from .fairness import charge_workspace, compute_cost, order_workspaces
+from .named_limits import TokenSupply, compute_wait_s, find_supply, reserve_token
 from .placement import POLICY_BY_NAME, WINDOWED_POLICIES, Placement
 from .prefills import (
     Prefill,
@@ -64,6 +66,7 @@
     DEADLINE = "deadline"
     RETRY_BUDGET = "retry_budget"
     RESTING = "resting"
+    LIMITED = "limited"
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,6 +216,7 @@
     decisions: list[Decision] = []
     decisions += refuse_expired(tables, now)
     decisions += refuse_while_resting(tables, now, rng)
+    decisions += refuse_beyond_limits(tables, now, rng)
     decisions += shed_late_requests(tables, now)
     decisions += dispatch_retries(tables, now, rng, policy)
     decisions += dispatch_waiting(tables, now, rng, policy)
@@ -260,6 +264,46 @@
     )
 
 
+def refuse_beyond_limits(tables: Tables, now: float, rng: Random) -> list[Refusal]:
+    """Refuse the queued requests that limited replicas take only after their deadline.
+
+    That concerns models of which all replicas have named a limit.
+    """
+    if not tables.named_limits.limit_by_upstream:
+        return []
+    queues = [row.waiting for row in tables.workspace_by_name.values()]
+    places = [
+        (request, queue) for queue in (tables.retries, *queues) for request in queue
+    ]
+    places.sort(key=lambda place: (not place[0].is_retry, place[0].target_at))
+    supply_by_model = {
+        model: _find_supply(tables, model, now)
+        for model in {request.model for request, _ in places}
+    }
+    count_by_model: Counter[str] = Counter()
+    refusals = []
+    for request, queue in places:
+        supply = supply_by_model[request.model]
+        if supply is None:
+            continue
+        count = count_by_model[request.model] + 1
+        wait_s = compute_wait_s(supply, count)
+        if now + wait_s <= request.deadline:
+            count_by_model[request.model] = count
+            continue
+        queue.remove(request)
+        # The caller comes back to another instance, which has a share of its own.
+        retry_after_s = min(wait_s, MIN_RETRY_AFTER_S) * (0.5 + rng.random() / 2)
+        refusals.append(Refusal(request, RefusalReason.LIMITED, retry_after_s))
+    return refusals
+
+
+def _find_supply(tables: Tables, model: str, now: float) -> TokenSupply | None:
+    rows = tables.upstream_by_name.values()
+    limits = (row.limit for row in rows if model in row.models and not _is_leaving(row))
+    return find_supply(limits, now)
+
+
 def _is_leaving(row: UpstreamRow) -> bool:
     return row.is_leaving or row.has_announced_leaving
 
@@ -419,6 +463,7 @@
     is_alone = load.is_prefill_idle(tables, row)
     load.record_dispatch(tables, row, request, placement.uncached_tokens, now)
     record_placed(row.rest, now)
+    reserve_token(row.limit, now)
     tables.running_by_id[request.id] = RunningRow(
         request,
         row.name,
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -10,7 +10,7 @@
 from catkintrack.weights import TargetWeights
 
 from .leaving import LeavingTable
-from .named_limits import NamedLimitTable
+from .named_limits import NamedLimit, NamedLimitTable
 from .prefills import Prefills
 from .prefix import BLOCK_TOKENS
 from .residency import Residency
@@ -35,8 +35,9 @@
     `bit_index` is its bit in the masks of `Residency`.  `queued_count` is the number
     of requests queued in this process for the replica.  `service_s` is the moving
     average of a request's duration there.  `is_leaving` is what discovery says,
-    `has_announced_leaving` and `rest` what the replica's answers say.  `small_prefill_tokens` sums the prefills
-    in progress that are too short to be announced to peers.
+    `has_announced_leaving`, `rest` and `limit` what the replica's answers say.
+    `small_prefill_tokens` sums the prefills in progress that are too short to be
+    announced to peers.
     """
 
     name: str
@@ -49,6 +50,7 @@
     is_leaving: bool = False
     has_announced_leaving: bool = False
     rest: Rest | None = None
+    limit: NamedLimit | None = None
     is_loading: bool = False
     loading_until: float = -1e9
     weights_version: int = 0
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -30,7 +30,7 @@
     parse_response_headers,
 )
 
-from .replica_signals import apply_signals, may_send, record_limited_send
+from .replica_signals import admit, apply_signals, may_send
 from .state import Instance
 from .stream_events import EventSplitter
 
@@ -150,16 +150,17 @@
     Raise ReplicaUnavailable, ReplicaRejected, UpstreamUnreachable,
     UpstreamExchangeError or, if `raises_server_errors`, ReplicaErrorResponse.
     """
-    _check_may_send(instance, upstream)
+    if not may_send(instance, upstream, time.monotonic()):
+        raise ReplicaUnavailable("the replica accepts nothing new")
     force_new = not call.route.is_retryable
     async with open_exchange(instance.pool, upstream.address, force_new) as exchange:
         # Another answer may have arrived while the connection was opened.
-        _check_may_send(instance, upstream)
+        if not admit(instance, upstream, time.monotonic()):
+            raise ReplicaUnavailable("the replica accepts nothing new")
         might_have_run = progress.may_have_run
         progress.may_have_run = True
         progress.connected_attempts += 1
         sent_at = time.monotonic()
-        record_limited_send(instance, upstream)
         await exchange.send(make_upstream_request(call, dispatch))
         bounds = make_stream_bounds(call, exchange.max_body_bytes)
         head = await _read_unless_abandoned(bounds, callbacks, exchange.read_head)
@@ -192,11 +193,6 @@
     await forward_response(progress, head, body, connection)
 
 
-def _check_may_send(instance: Instance, upstream: Upstream) -> None:
-    if not may_send(instance, upstream, time.monotonic()):
-        raise ReplicaUnavailable("the replica accepts nothing new")
-
-
 def _remaining_s(call: Call) -> float:
     return max(0.0, call.deadline_at - time.monotonic()) + DEADLINE_GRACE_S
 
--- a/catkintrack/instance/gossip.py
+++ b/catkintrack/instance/gossip.py
@@ -5,6 +5,7 @@
 import time
 from typing import Any
 
+from catkintrack.decisions.named_limits import list_own_limits
 from catkintrack.platform import CONFIG_KIND, UPSTREAM_KIND
 
 from .broadcasting import broadcast
@@ -90,6 +91,7 @@
         is_config_written=instance.is_config_written,
         superseded_configs=tuple(instance.config_history.superseded) if is_full else (),
         replaced_config=find_replaced_config(instance),
+        limited_upstreams=list_own_limits(instance.decisions.named_limits),
     )
 
 
--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -81,6 +81,7 @@
     handle_parts_served,
     handle_replica_lost,
 )
+from .replica_signals import handle_peer_limits
 from .state import Instance, Peer
 
 logger = logging.getLogger(__name__)
@@ -207,6 +208,7 @@
         get_or_add_peer(instance, row.instance, row.zone, row.host, row.port)
     observe_era(instance.store, gossip.era, gossip.instance)
     _apply_gossiped_state(instance, gossip, now)
+    handle_peer_limits(instance, gossip.limited_upstreams, now)
     await adopt_gossiped_quarantine(instance, gossip)
     await pull_newer(instance, peer, gossip, now)
 
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -49,6 +49,7 @@
     `superseded_configs` are those of StoredConfig, in full gossip only.
     `is_store_heard` says that the sender's own view of the store is current,
     `is_asking` that it has no live peers yet and requests their full state.
+    `limited_upstreams` are the replicas with a limit in which the sender has a share.
     `quarantined` holds the remaining and the whole seconds of each part's quarantine.
     """
 
@@ -78,6 +79,7 @@
     is_config_written: bool = False
     replaced_config: tuple[int, int] = (0, 0)
     superseded_configs: tuple[bytes, ...] = ()
+    limited_upstreams: tuple[str, ...] = ()
 
 
 class ZoneRelay(PeerMessage, frozen=True, tag="Relayed"):
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -63,7 +63,7 @@
 from .readiness import is_ready, open_readiness_server
 from .refusals import respond_to_bad_request
 from .reload import make_site_reload
-from .replica_signals import end_returned_rests
+from .replica_signals import end_returned_rests, share_limits
 from .state import Instance
 from .weights_rollout import run_weights_rollout
 
@@ -225,6 +225,7 @@
         end_returned_rests(instance, now)
         await probe_suspects(instance)
         live_peers = [p for p in list_live_peers(instance, now) if not p.is_leaving]
+        share_limits(instance, [peer.instance for peer in live_peers], now)
         known_count = max(1, len(instance.peer_by_address) + 1)
         instance.decisions.router_count = len(live_peers) + 1
         instance.limits.reporting_fraction = (len(live_peers) + 1) / known_count
--- a/catkintrack/instance/replica_signals.py
+++ b/catkintrack/instance/replica_signals.py
@@ -9,13 +9,22 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Iterable
 
 from catkintrack.decisions.leaving import has_announced_leaving, record_leaving
 from catkintrack.decisions.named_limits import (
+    compute_wait_s,
+    confirm_limits,
     end_unnamed_limit,
     find_limit,
+    find_supply,
+    forget_unconfirmed_limits,
+    has_token,
     is_usable_limit,
     record_limit,
+    reserve_token,
+    set_live_instances,
+    take_token,
 )
 from catkintrack.decisions.rest import (
     Rest,
@@ -74,18 +83,36 @@
     return not is_resting(find_rest(instance.decisions.rests, upstream), now)
 
 
+def admit(instance: Instance, upstream: Upstream, now: float) -> bool:
+    """Report whether a call may be sent to a replica now, and count it if so.
+
+    Both the replica's answers and its limit may have changed since the call was placed.
+    """
+    if not may_send(instance, upstream, now):
+        return False
+    limit = find_limit(instance.decisions.named_limits, upstream)
+    if not take_token(limit, now):
+        return False
+    if limit is not None:
+        instance.metrics.limited_requests.inc({"upstream": upstream.id})
+    return True
+
+
 def may_choose(instance: Instance, upstream: Upstream, now: float) -> bool:
     """Report whether a replica may be chosen for a call.
 
     After its rest it gets one first.
     """
     rest = find_rest(instance.decisions.rests, upstream)
-    return may_send(instance, upstream, now) and not is_held(rest, now)
+    limit = find_limit(instance.decisions.named_limits, upstream)
+    is_free = not is_held(rest, now) and has_token(limit, now)
+    return is_free and may_send(instance, upstream, now)
 
 
 def record_chosen(instance: Instance, upstream: Upstream, now: float) -> None:
     """Record that a replica was chosen for a call."""
     record_placed(find_rest(instance.decisions.rests, upstream), now)
+    reserve_token(find_limit(instance.decisions.named_limits, upstream), now)
 
 
 def find_return_s(
@@ -106,6 +133,33 @@
     return choose_return_s(returns_at, deadline_at, now, instance.rng)
 
 
+def find_limit_wait_s(instance: Instance, service: str, now: float) -> float | None:
+    """Return when a limit leaves room for a call, or None unless all replicas name one."""
+    tables = instance.decisions
+    limits = [
+        find_limit(tables.named_limits, upstream)
+        for upstream in instance.upstream_by_id.values()
+        if upstream.service == service
+        and not upstream.is_draining
+        and not has_announced_leaving(tables.leaving, upstream)
+    ]
+    supply = find_supply(limits, now)
+    return None if supply is None else compute_wait_s(supply, 1)
+
+
+def share_limits(instance: Instance, live_names: Iterable[str], now: float) -> None:
+    """Divide the limits among the live instances; forget those that are over."""
+    table = instance.decisions.named_limits
+    set_live_instances(table, instance.site.instance, live_names, now)
+    for id in forget_unconfirmed_limits(table, now):
+        update_signals(instance, id, now)
+
+
+def handle_peer_limits(instance: Instance, ids: Iterable[str], now: float) -> None:
+    """Record of which replicas' limits a peer with a share in them has told."""
+    confirm_limits(instance.decisions.named_limits, ids, now)
+
+
 def end_returned_rests(instance: Instance, now: float) -> None:
     """End the rests after which no answer came in the time for a first request."""
     rest_by_upstream = instance.decisions.rests.rest_by_upstream
@@ -160,6 +214,7 @@
     if per_s is None:
         is_evidence = request_id is not None and fields.is_signed
         if is_evidence and end_unnamed_limit(table, upstream, sent_at) is not None:
+            update_signals(instance, upstream.id, now)
             _log_limit(instance, upstream, "upstream's limit is over", None)
         return
     if not is_usable_limit(per_s):
@@ -169,6 +224,7 @@
         )
         return
     if record_limit(table, upstream, per_s, sent_at, now):
+        update_signals(instance, upstream.id, now)
         _log_limit(instance, upstream, "upstream names a limit", per_s)
 
 
@@ -188,12 +244,6 @@
     )
 
 
-def record_limited_send(instance: Instance, upstream: Upstream) -> None:
-    """Count a request that is sent to a replica which names a limit."""
-    if find_limit(instance.decisions.named_limits, upstream) is not None:
-        instance.metrics.limited_requests.inc({"upstream": upstream.id})
-
-
 def _apply_rest(
     instance: Instance, upstream: Upstream, fields: ResponseFields, now: float
 ) -> None:
@@ -253,3 +303,4 @@
     if row is not None:
         row.has_announced_leaving = has_announced_leaving(tables.leaving, upstream)
         row.rest = find_rest(tables.rests, upstream)
+        row.limit = find_limit(tables.named_limits, upstream)
--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -31,13 +31,15 @@
 )
 from .fleet_state import find_retry_budget
 from .refusals import NotServed, OutcomeUnknown
-from .replica_signals import find_return_s, may_choose, record_chosen
+from .replica_signals import find_limit_wait_s, find_return_s, may_choose, record_chosen
 from .state import Instance
 
 logger = logging.getLogger(__name__)
 
 MAX_TRIES = 4
 RETRY_AFTER_S = 0.2
+# Another instance, to which a caller comes back, has a share of the limits of its own.
+LIMIT_RETRY_MAX_S = 1.0
 # A retryable call is retried elsewhere if it has no complete response after this many
 # times the route's latency target.
 ATTEMPT_TIMEOUT_TARGETS = 2.0
@@ -94,6 +96,11 @@
     wait_s = find_return_s(instance, call.service, call.deadline_at, time.monotonic())
     if wait_s is not None:
         raise NotServed("all replicas rest", wait_s)
+    wait_s = find_limit_wait_s(instance, call.service, time.monotonic())
+    if wait_s:
+        raise NotServed(
+            "all replicas have reached their limits", min(wait_s, LIMIT_RETRY_MAX_S)
+        )
     raise NotServed(progress.reason or "no replica can take the call", RETRY_AFTER_S)
 
 
--- a/catkintrack/platform/tests/test_formats.py
+++ b/catkintrack/platform/tests/test_formats.py
@@ -1,5 +1,6 @@
 """Test decoding and encoding of settings, stored objects, reports and HTTP headers."""
 
+import math
 import unittest
 
 from returns.result import Failure, Success
@@ -229,6 +230,19 @@
                 fields = parse_response_headers(ResponseHead(status, headers))
                 self.assertEqual(fields.is_not_run, is_not_run)
 
+    def test_named_limit_is_parsed(self):
+        for value, expected in ((b"2.2", 2.2), (b"0", 0.0), (b" 7 ", 7.0)):
+            fields = parse_response_headers(
+                ResponseHead(200, ((b"server-limit", value),))
+            )
+            self.assertEqual(fields.limit_per_s, expected)
+        for value in (b"", b"many", b"nan", b"1e3"):
+            fields = parse_response_headers(
+                ResponseHead(200, ((b"server-limit", value),))
+            )
+            self.assertTrue(math.isnan(fields.limit_per_s))
+        self.assertIsNone(parse_response_headers(ResponseHead(200, ())).limit_per_s)
+
     def test_leaving_replica_and_its_id_are_parsed(self):
         for value, is_leaving in ((b"1", True), (b"0", False), (b"", False)):
             headers = ((b"server-leaving", value), (b"x-instance-id", b"i1"))
--- a/testkit/limited_fleet.py
+++ b/testkit/limited_fleet.py
@@ -9,7 +9,7 @@
 import heapq
 from collections import Counter, defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from catkintrack.decisions import (
@@ -19,10 +19,16 @@
     submit,
     tick,
 )
+from catkintrack.decisions.named_limits import list_own_limits
 from catkintrack.fleet import Upstream
 from catkintrack.instance.config_state import apply_configuration
 from catkintrack.instance.fleet_state import apply_upstream
-from catkintrack.instance.replica_signals import apply_signals, may_send
+from catkintrack.instance.replica_signals import (
+    admit,
+    apply_signals,
+    handle_peer_limits,
+    share_limits,
+)
 from catkintrack.instance.service_calls import choose_upstream
 from catkintrack.instance.state import Instance
 
@@ -32,6 +38,7 @@
 from .upstreams import make_response_fields
 
 TICK_S = 0.05
+GOSSIP_S = 0.5
 MAX_CONNECT_S = 0.03
 MAX_TRANSIT_S = 0.02
 MAX_RUN_S = 0.3
@@ -108,6 +115,7 @@
     for number in range(plan.instances):
         fleet.nodes.append(Node(number, _start_instance(fleet, number)))
         _at(fleet, fleet.rng.random() * TICK_S, lambda n=number: _run_ticks(fleet, n))
+        _at(fleet, fleet.rng.random() * GOSSIP_S, lambda n=number: _gossip(fleet, n))
     _at(fleet, 0.0, lambda: _arrive(fleet))
     for at_s in plan.restarts_s:
         _at(fleet, at_s, lambda: _restart(fleet))
@@ -128,6 +136,7 @@
     instance = make_instance()
     instance.rng = Random(f"{number}/{fleet.rng.random()}")
     instance.decisions.retry_budget = None
+    instance.site = replace(instance.site, instance=f"n{number}")
     instance.decisions.router_count = plan.instances
     apply_configuration(instance, 5, make_config_spec(7), "store")
     for replica in range(plan.replicas):
@@ -139,6 +148,18 @@
     return instance
 
 
+def _gossip(fleet: LimitedFleet, number: int) -> None:
+    """Let an instance tell its peers of the limits, and hear that they are alive."""
+    node = fleet.nodes[number]
+    names = [f"n{other.number}" for other in fleet.nodes]
+    share_limits(node.instance, names, fleet.now)
+    ids = list_own_limits(node.instance.decisions.named_limits)
+    for other in fleet.nodes:
+        if ids and other is not node:
+            handle_peer_limits(other.instance, ids, fleet.now)
+    _at(fleet, GOSSIP_S, lambda: _gossip(fleet, number))
+
+
 def _restart(fleet: LimitedFleet) -> None:
     node = fleet.rng.choice(fleet.nodes)
     node.life += 1
@@ -200,7 +221,7 @@
     def send() -> None:
         if node.life != life:
             return
-        if not may_send(node.instance, upstream, fleet.now):
+        if not admit(node.instance, upstream, fleet.now):
             record_end(node.instance.decisions, id, fleet.now)
             fleet.outcomes["not sent"] += 1
             return
