Send a refused caller back when one limited replica has room, not all together

Found by the new test over processes: with two limited replicas of one service a caller that came back after its Retry-After was refused again. Half a token at each of two replicas was taken for a whole one. The wait is now that of the first replica with a whole token.

--- a/catkintrack/decisions/named_limits.py
+++ b/catkintrack/decisions/named_limits.py
@@ -190,32 +190,42 @@
 
 @dataclass(frozen=True, slots=True)
 class TokenSupply:
-    """Hold the tokens of some replicas together, and how many come in a second."""
+    """Hold the tokens of some replicas together, and how many come in a second.
 
+    `whole` is the number of requests that can be placed now, and `next_s` the seconds
+    until a replica has another token.
+    """
+
+    whole: int
     tokens: float
     per_s: float
+    next_s: float
 
 
 def find_supply(limits: Iterable[NamedLimit | None], now: float) -> TokenSupply | None:
     """Return the supply of these replicas, or None unless each of them has a limit."""
-    tokens = per_s = 0.0
-    is_empty = True
-    for limit in limits:
-        if limit is None:
-            return None
-        is_empty = False
+    known = list(limits)
+    if not known or None in known:
+        return None
+    whole, tokens, per_s, next_s = 0, 0.0, 0.0, math.inf
+    for limit in known:
         _fill(limit, now)
+        missing = 1.0 - limit.tokens % 1.0
+        whole += int(limit.tokens)
         tokens += limit.tokens
         per_s += limit.share_per_s
-    return None if is_empty else TokenSupply(tokens, per_s)
+        if limit.share_per_s > 0:
+            next_s = min(next_s, missing / limit.share_per_s)
+    return TokenSupply(whole, tokens, per_s, next_s)
 
 
 def compute_wait_s(supply: TokenSupply, count: int) -> float:
     """Return in how many seconds there are `count` tokens, infinity if never."""
-    missing = count - supply.tokens
-    if missing <= 0:
+    if count <= supply.whole:
         return 0.0
-    return missing / supply.per_s if supply.per_s > 0 else math.inf
+    if supply.per_s <= 0:
+        return math.inf
+    return max(supply.next_s, (count - supply.tokens) / supply.per_s)
 
 
 def list_own_limits(table: NamedLimitTable) -> tuple[str, ...]:
--- a/catkintrack/decisions/tests/test_named_limits.py
+++ b/catkintrack/decisions/tests/test_named_limits.py
@@ -12,9 +12,11 @@
     CONFIRMATION_TIMEOUT_S,
     NamedLimitTable,
     compute_share_per_s,
+    compute_wait_s,
     confirm_limits,
     end_unnamed_limit,
     find_limit,
+    find_supply,
     forget_unconfirmed_limits,
     has_token,
     is_usable_limit,
@@ -81,6 +83,26 @@
         self.assertLessEqual(sent, 2)
 
 
+class SupplyTest(unittest.TestCase):
+    def test_fractions_of_tokens_at_two_replicas_make_no_request(self):
+        limits = [make_limited_table(per_s=2.0).limit_by_upstream["i1"] for _ in "12"]
+        supply = find_supply(limits, 10.6)
+        self.assertAlmostEqual(compute_wait_s(supply, 1), 0.4)
+        self.assertAlmostEqual(compute_wait_s(supply, 4), 1.4)
+        supply = find_supply(limits, 11.0)
+        self.assertEqual(compute_wait_s(supply, 2), 0.0)
+
+    def test_supply_is_unknown_without_replicas_or_without_a_limit(self):
+        limit = make_limited_table().limit_by_upstream["i1"]
+        self.assertIsNone(find_supply([], 11.0))
+        self.assertIsNone(find_supply([limit, None], 11.0))
+
+    def test_without_a_share_no_token_ever_comes(self):
+        limit = make_limited_table().limit_by_upstream["i1"]
+        limit.share_per_s = 0.0
+        self.assertEqual(compute_wait_s(find_supply([limit], 11.0), 2), math.inf)
+
+
 class EndTest(unittest.TestCase):
     def test_answer_overtaken_by_the_naming_one_does_not_end_the_limit(self):
         table = make_limited_table(now=10.0)
--- a/catkintrack/tests/test_replica_signals.py
+++ b/catkintrack/tests/test_replica_signals.py
@@ -5,6 +5,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from standins.replica import EVENTS_PER_STREAM
+from standins.replica_signals import count_most_arrivals
 from testkit.fleet import wait_until
 from testkit.instances import make_entry_spec
 from testkit.site import Site, count_events, open_site
@@ -15,6 +16,10 @@
 # Requests that an instance may send between half a second after a replica has asked it
 # for rest and the end of the time that it asked for.
 MAX_ARRIVALS_IN_REST = 2
+LIMIT_PER_S = 2.0
+# A limit binds this long after it was first named, in each span of the second length.
+STABLE_S = 3.0
+LIMIT_SPAN_S = 4.0
 
 
 class SignalTest(unittest.TestCase):
@@ -143,5 +148,47 @@
         self.assertEqual(self.count_requests("a0"), met)
 
 
+class LimitTest(SignalTest):
+    def load(self, seconds: float) -> list[int]:
+        """Send more calls than the limits allow; return their statuses."""
+        statuses = []
+        ends_at = time.monotonic() + seconds
+        with ThreadPoolExecutor(8) as pool:
+            while time.monotonic() < ends_at:
+                nodes = ("n0", "n1") * 4
+                calls = [
+                    pool.submit(self.site.call, node, "/lookup/1", method="GET")
+                    for node in nodes
+                ]
+                statuses += [call.result()[0] for call in calls]
+                time.sleep(0.05)
+        return statuses
+
+    def test_limited_replica_gets_its_limit_and_others_the_rest(self):
+        self.site.set_replica_faults("a0", limit_per_s=LIMIT_PER_S)
+        statuses = self.load(STABLE_S + LIMIT_SPAN_S + 2.0)
+        self.assertEqual(set(statuses), {200})
+        arrived_at = self.site.read_counts("a0")["limit"]["arrived_at"]
+        most = count_most_arrivals(arrived_at, STABLE_S, LIMIT_SPAN_S)
+        self.assertLessEqual(most, 1.5 * LIMIT_PER_S * LIMIT_SPAN_S + 5)
+        met = self.count_requests("a0")
+        self.site.set_replica_faults("a0", limit_per_s=None)
+        self.load(2.0)
+        self.assertGreater(self.count_requests("a0"), met + 5 * LIMIT_PER_S)
+
+    def test_calls_beyond_the_limits_of_all_are_refused_at_once(self):
+        for id in ("a0", "a1"):
+            self.site.set_replica_faults(id, limit_per_s=LIMIT_PER_S)
+        self.assertLessEqual(set(self.load(1.0)), {200, 503})
+        for _ in range(3):
+            self.site.call("n0", "/order/1")
+        started_at = time.monotonic()
+        status, headers, _ = self.site.call("n0", "/order/1")
+        self.assertEqual(status, 503)
+        self.assertLess(time.monotonic() - started_at, 0.3)
+        time.sleep(float(headers["retry-after"]))
+        self.assertEqual(self.site.call("n0", "/order/1")[0], 200)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -33,10 +33,14 @@
     serve_until_stopped,
 )
 from .replica_signals import (
-    LeavingConnection,
+    LEAVING_HEADER,
+    LimitState,
     RestState,
+    SignallingConnection,
     is_resting,
+    make_limit_headers,
     make_rest_headers,
+    record_arrival,
 )
 
 EVENTS_PER_STREAM = 12
@@ -77,6 +81,8 @@
     # whether the requests that meet it may have run.
     rest_s: float = 0.0
     rest_may_have_run: bool = False
+    # The requests a second that the replica takes from all instances, if it names any.
+    limit_per_s: float | None = None
     # The start of the replica's present life, in Unix milliseconds.
     born: int = 1000
 
@@ -101,6 +107,7 @@
     left_streams: int = 0
     requests_by_path: Counter = field(default_factory=Counter)
     rest: RestState = field(default_factory=RestState)
+    limit: LimitState = field(default_factory=LimitState)
 
 
 async def handle(replica: Replica, request: Request, connection: Connection) -> None:
@@ -110,6 +117,8 @@
         changes = read_json(request)
         if "rest_s" in changes:
             replica.rest = RestState()
+        if "limit_per_s" in changes:
+            replica.limit = LimitState()
         for name, value in changes.items():
             setattr(replica.faults, name, value)
         await respond_json(connection, 200, {})
@@ -121,7 +130,10 @@
     if replica.faults.is_silent:
         await curio.sleep(SILENT_DELAY_S)
     if replica.faults.is_leaving:
-        connection = LeavingConnection(connection)
+        connection = SignallingConnection(connection, (LEAVING_HEADER,))
+    if replica.faults.limit_per_s is not None:
+        headers = make_limit_headers(replica.limit, replica.faults.limit_per_s)
+        connection = SignallingConnection(connection, headers)
     if replica.faults.rest_s and is_resting(replica.rest, replica.faults.rest_s):
         is_not_run = not replica.faults.rest_may_have_run
         headers = make_rest_headers(replica.rest, is_not_run)
@@ -136,6 +148,7 @@
         events = {"boot_epoch": 1, "next": 0, "lost": False, "events": []}
         await respond_json(connection, 200, events)
     else:
+        record_arrival(replica.limit)
         await handle_request(replica, request, connection)
 
 
--- a/standins/replica_signals.py
+++ b/standins/replica_signals.py
@@ -1,14 +1,18 @@
-"""Add what a replica says of itself to its responses: that it leaves, that it rests."""
+"""Add what a replica says of itself to its responses.
+
+It may leave, rest, or name a limit for the requests that it gets.
+"""
 
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from catkintrack.http import Connection, Headers
 
 LEAVING_HEADER = (b"server-leaving", b"1")
+LIMIT_HEADER = b"server-limit"
 # From this long after the answer that asks for rest, no request may arrive.
 REST_NOTICE_S = 0.5
 
@@ -46,11 +50,45 @@
     return (*headers, (b"x-not-executed", b"1")) if is_not_run else headers
 
 
-class LeavingConnection:
-    """Wrap a connection and add the header of a leaving replica to each response."""
+@dataclass(slots=True)
+class LimitState:
+    """Hold when a replica first named its limit, and its later arrivals, in seconds."""
+
+    begun_at: float | None = None
+    arrived_at: list[float] = field(default_factory=list)
+
+
+def make_limit_headers(state: LimitState, limit_per_s: float) -> Headers:
+    """Return the headers of an answer that names the limit."""
+    if state.begun_at is None:
+        state.begun_at = time.monotonic()
+    return ((LIMIT_HEADER, b"%g" % limit_per_s),)
+
+
+def record_arrival(state: LimitState) -> None:
+    """Record a request that arrives after the limit was first named."""
+    if state.begun_at is not None:
+        state.arrived_at.append(time.monotonic() - state.begun_at)
+
+
+def count_most_arrivals(arrived_at: list[float], since_s: float, span_s: float) -> int:
+    """Return the most arrivals in a span that ends at `since_s` or later, in seconds."""
+    return max(
+        (
+            sum(end - span_s < at <= end for at in arrived_at)
+            for end in arrived_at
+            if end >= since_s
+        ),
+        default=0,
+    )
+
+
+class SignallingConnection:
+    """Wrap a connection and add headers to each response."""
 
-    def __init__(self, connection: Connection) -> None:
+    def __init__(self, connection: Connection, headers: Headers) -> None:
         self.connection = connection
+        self.headers = headers
 
     def __getattr__(self, name: str) -> Any:
         """Return an attribute of the wrapped connection."""
@@ -58,8 +96,8 @@
 
     async def start_response(self, status: int, headers: Headers) -> None:
         """Send the status line and headers."""
-        await self.connection.start_response(status, (*headers, LEAVING_HEADER))
+        await self.connection.start_response(status, (*headers, *self.headers))
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response."""
-        await self.connection.respond(status, (*headers, LEAVING_HEADER), body)
+        await self.connection.respond(status, (*headers, *self.headers), body)
