--- a/catkintrack/decisions/named_limits.py
+++ b/catkintrack/decisions/named_limits.py
@@ -15,6 +15,8 @@
 
 from catkintrack.fleet import Upstream
 
+from .rest import Rest, is_resting
+
 # Far more than the replicas of a fleet that can be in need at once.
 MAX_REMEMBERED = 4096
 # A limit of zero is tried at this rate; otherwise its end would never be seen.
@@ -192,40 +194,50 @@
 class TokenSupply:
     """Hold the tokens of some replicas together, and how many come in a second.
 
-    `whole` is the number of requests that can be placed now, and `next_s` the seconds
-    until a replica has another token.
+    `whole` is the number of requests that can be placed now, `next_s` the seconds until
+    one of the replicas has another token, `return_s` until one returns from its rest.
     """
 
     whole: int
     tokens: float
     per_s: float
     next_s: float
+    return_s: float
 
 
-def find_supply(limits: Iterable[NamedLimit | None], now: float) -> TokenSupply | None:
-    """Return the supply of these replicas, or None unless each of them has a limit."""
-    known = list(limits)
-    if not known or None in known:
-        return None
-    whole, tokens, per_s, next_s = 0, 0.0, 0.0, math.inf
-    for limit in known:
+def find_supply(
+    signals: Iterable[tuple[NamedLimit | None, Rest | None]], now: float
+) -> TokenSupply | None:
+    """Return the supply of replicas that have these limits and rests.
+
+    Return None if there are none, or if one of them neither rests nor has a limit.
+    """
+    whole, tokens, per_s, next_s, return_s = 0, 0.0, 0.0, math.inf, math.inf
+    is_empty = True
+    for limit, rest in signals:
+        is_empty = False
+        if rest is not None and is_resting(rest, now):
+            return_s = min(return_s, rest.returns_at - now)
+            continue
+        if limit is None:
+            return None
         _fill(limit, now)
-        missing = 1.0 - limit.tokens % 1.0
         whole += int(limit.tokens)
         tokens += limit.tokens
         per_s += limit.share_per_s
         if limit.share_per_s > 0:
-            next_s = min(next_s, missing / limit.share_per_s)
-    return TokenSupply(whole, tokens, per_s, next_s)
+            next_s = min(next_s, (1.0 - limit.tokens % 1.0) / limit.share_per_s)
+    return None if is_empty else TokenSupply(whole, tokens, per_s, next_s, return_s)
 
 
 def compute_wait_s(supply: TokenSupply, count: int) -> float:
-    """Return in how many seconds there are `count` tokens, infinity if never."""
+    """Return in how many seconds `count` requests can be placed, infinity if never."""
     if count <= supply.whole:
         return 0.0
     if supply.per_s <= 0:
-        return math.inf
-    return max(supply.next_s, (count - supply.tokens) / supply.per_s)
+        return supply.return_s
+    wait_s = max(supply.next_s, (count - supply.tokens) / supply.per_s)
+    return min(wait_s, supply.return_s)
 
 
 def list_own_limits(table: NamedLimitTable) -> tuple[str, ...]:
--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -267,7 +267,7 @@
 def refuse_beyond_limits(tables: Tables, now: float, rng: Random) -> list[Refusal]:
     """Refuse the queued requests that limited replicas take only after their deadline.
 
-    That concerns models of which all replicas have named a limit.
+    That concerns models of which each replica has named a limit or rests.
     """
     if not tables.named_limits.limit_by_upstream:
         return []
@@ -300,8 +300,8 @@
 
 def _find_supply(tables: Tables, model: str, now: float) -> TokenSupply | None:
     rows = tables.upstream_by_name.values()
-    limits = (row.limit for row in rows if model in row.models and not _is_leaving(row))
-    return find_supply(limits, now)
+    serving = (row for row in rows if model in row.models and not _is_leaving(row))
+    return find_supply(((row.limit, row.rest) for row in serving), now)
 
 
 def _is_leaving(row: UpstreamRow) -> bool:
--- a/catkintrack/decisions/tests/test_named_limits.py
+++ b/catkintrack/decisions/tests/test_named_limits.py
@@ -26,6 +26,7 @@
     set_live_instances,
     take_token,
 )
+from catkintrack.decisions.rest import Rest
 from testkit.decision_tables import make_request, make_tables
 from testkit.upstreams import make_upstream
 
@@ -86,21 +87,30 @@
 class SupplyTest(unittest.TestCase):
     def test_fractions_of_tokens_at_two_replicas_make_no_request(self):
         limits = [make_limited_table(per_s=2.0).limit_by_upstream["i1"] for _ in "12"]
-        supply = find_supply(limits, 10.6)
+        supply = find_supply([(limit, None) for limit in limits], 10.6)
         self.assertAlmostEqual(compute_wait_s(supply, 1), 0.4)
         self.assertAlmostEqual(compute_wait_s(supply, 4), 1.4)
-        supply = find_supply(limits, 11.0)
+        supply = find_supply([(limit, None) for limit in limits], 11.0)
         self.assertEqual(compute_wait_s(supply, 2), 0.0)
 
     def test_supply_is_unknown_without_replicas_or_without_a_limit(self):
         limit = make_limited_table().limit_by_upstream["i1"]
         self.assertIsNone(find_supply([], 11.0))
-        self.assertIsNone(find_supply([limit, None], 11.0))
+        self.assertIsNone(find_supply([(limit, None), (None, None)], 11.0))
 
     def test_without_a_share_no_token_ever_comes(self):
         limit = make_limited_table().limit_by_upstream["i1"]
         limit.share_per_s = 0.0
-        self.assertEqual(compute_wait_s(find_supply([limit], 11.0), 2), math.inf)
+        self.assertEqual(
+            compute_wait_s(find_supply([(limit, None)], 11.0), 2), math.inf
+        )
+
+    def test_request_waits_for_the_first_token_or_the_end_of_a_rest(self):
+        limit = make_limited_table(per_s=0.2).limit_by_upstream["i1"]
+        for return_s, expected_s in ((2.0, 2.0), (60.0, 10.0)):
+            rest = Rest(1000, 10.0 + return_s, 10.0 + return_s)
+            supply = find_supply([(limit, None), (None, rest)], 10.0)
+            self.assertAlmostEqual(compute_wait_s(supply, 1), expected_s)
 
 
 class EndTest(unittest.TestCase):
--- a/catkintrack/instance/replica_signals.py
+++ b/catkintrack/instance/replica_signals.py
@@ -134,16 +134,19 @@
 
 
 def find_limit_wait_s(instance: Instance, service: str, now: float) -> float | None:
-    """Return when a limit leaves room for a call, or None unless all replicas name one."""
+    """Return when a limit leaves room for a call.
+
+    Return None unless each replica of the service names a limit or rests.
+    """
     tables = instance.decisions
-    limits = [
-        find_limit(tables.named_limits, upstream)
+    signals = [
+        (find_limit(tables.named_limits, upstream), find_rest(tables.rests, upstream))
         for upstream in instance.upstream_by_id.values()
         if upstream.service == service
         and not upstream.is_draining
         and not has_announced_leaving(tables.leaving, upstream)
     ]
-    supply = find_supply(limits, now)
+    supply = find_supply(signals, now)
     return None if supply is None else compute_wait_s(supply, 1)
 
 
