Let the store's stand-in write entries again after a second drill

The stand-in compared the state before a drill with the copy. A second drill before the rewrite took the state without the lost entry as what its writer wanted, so the entry was never written again. It now remembers what operators and replicas wrote last.

--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -89,6 +89,7 @@
     """
 
     object_by_key: dict[tuple[str, str], dict[str, Any]] = field(default_factory=dict)
+    outside_by_key: dict[tuple[str, str], Any] = field(default_factory=dict)
     changes: list[Change] = field(default_factory=list)
     compacted_revision: int = 0
     era: int = 1
@@ -160,7 +161,6 @@
         store.is_away = True
         await curio.sleep(drill.away_s)
         store.is_away = False
-    before = store.object_by_key
     store.changes = [change for change in store.changes if change.at <= copied_at]
     store.revision = max((change.revision for change in store.changes), default=1)
     store.compacted_revision = min(store.compacted_revision, store.revision)
@@ -175,33 +175,26 @@
     store.era += 1
     async with store.changed:
         await store.changed.notify_all()
-    copy = dict(store.object_by_key)
-    await curio.spawn(
-        write_again, store, store.era, before, copy, drill.rewrite_after_s, daemon=True
-    )
+    await curio.spawn(write_again, store, store.era, drill.rewrite_after_s, daemon=True)
 
 
-async def write_again(
-    store: Store,
-    era: int,
-    before: dict[tuple[str, str], dict[str, Any]],
-    copy: dict[tuple[str, str], dict[str, Any]],
-    delay_s: float,
-) -> None:
-    """Write again what operators and replicas wrote since the copy, unless too late.
+async def write_again(store: Store, era: int, delay_s: float) -> None:
+    """Write again what operators and replicas have written, unless too late.
 
-    An entry that was removed since is removed again.
+    An entry that was removed since the copy is removed again.
     """
     await curio.sleep(delay_s)
-    for key in sorted(before.keys() | copy.keys()):
-        row = before.get(key)
-        is_same = row == copy.get(key) or store.object_by_key.get(key) != copy.get(key)
-        if store.era != era or key[0] not in OUTSIDE_KINDS or is_same:
-            continue
-        if row is not None:
-            await write_object(store, *key, row["spec"])
-            continue
-        await record_change(store, key[0], store.object_by_key.pop(key), True)
+    listed = {key for key in store.object_by_key if key[0] in OUTSIDE_KINDS}
+    for key in sorted(listed | store.outside_by_key.keys()):
+        row = store.object_by_key.get(key)
+        spec = store.outside_by_key.get(key)
+        if store.era != era:
+            return
+        if key not in store.outside_by_key:
+            store.object_by_key.pop(key)
+            await record_change(store, key[0], row, True)
+        elif row is None or row["spec"] != spec:
+            await write_object(store, *key, spec)
 
 
 async def read_objects(
@@ -278,6 +271,7 @@
     """Delete an object; 404 if it does not exist."""
     store.count_by_call["delete"] += 1
     found = store.object_by_key.pop((kind, name), None)
+    store.outside_by_key.pop((kind, name), None)
     if found is None:
         return 404, {}
     await record_change(store, kind, found, True)
@@ -289,6 +283,8 @@
     metadata = {"name": name, "revision": store.revision + 1, "finalizers": []}
     row = {"metadata": metadata, "spec": spec, "status": None}
     store.object_by_key[(kind, name)] = row
+    if kind in OUTSIDE_KINDS:
+        store.outside_by_key[kind, name] = spec
     await record_change(store, kind, row, False)
     return row
 
--- a/standins/tests/test_object_store.py
+++ b/standins/tests/test_object_store.py
@@ -86,6 +86,13 @@
         self.assertEqual(again["spec"]["version"], 2)
         self.assertGreater(again["metadata"]["revision"], copy["metadata"]["revision"])
 
+    def test_entry_lost_before_a_second_drill_is_written_again_after_it(self):
+        time.sleep(0.6)
+        self.site.write_object("servers", "i1", {"state": "ready"})
+        self.drill(rewrite_after_s=0.6)
+        self.drill(rewrite_after_s=0.0)
+        wait_until(lambda: self.call("/-/objects/servers/i1")[0] == 200, 2.0)
+
     def test_era_header_can_be_missing_or_unreadable(self):
         call_json(self.port, "/faults", {"era_text": ""})
         self.assertIsNone(self.call("/-/objects/config")[1])
