Measure recovery after a restart in starts of an interpreter

The bound of 3 s measured the machine: beside busy loops the process alone took 3.0 to 3.6 s to start, and served 0.3 s later. The start of an interpreter with the same imports is now measured at the same time, and recovery may take six of them (half a second each on an idle machine, so the same 3 s there).

--- a/catkintrack/tests/test_restarts.py
+++ b/catkintrack/tests/test_restarts.py
@@ -1,17 +1,31 @@
 """Restart some or all routers and agents, with the platform up or down."""
 
+import subprocess
+import sys
 import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 from catkintrack.router.agent_links import RESERVE_TIMEOUT_S
 from testkit.caller import call_chat, call_http
 from testkit.cases import FleetTestCase, make_chat
 from testkit.fleet import wait_until
 
-MAX_RECOVERY_S = 3.0
+# Recovery in multiples of the start of an interpreter with the router's imports, which
+# is measured at the same time: both take longer on a busy machine.  A start takes half a
+# second on an idle one.
+MAX_RECOVERY_STARTS = 6.0
 MAX_DETECTION_S = 3.0
 
 
+def measure_start_s():
+    """Return the seconds that an interpreter takes to start with the router's imports."""
+    started = time.monotonic()
+    command = [sys.executable, "-c", "import catkintrack.router.process"]
+    subprocess.run(command, check=True)
+    return time.monotonic() - started
+
+
 class RestartTest(FleetTestCase):
     def wait_until_served(self, node):
         """Wait until an instance serves a call and return the seconds that took."""
@@ -25,16 +39,23 @@
         wait_until(is_served, 20, f"n{node} serves a call")
         return time.monotonic() - started
 
+    def assert_served_soon(self, *nodes, starts=MAX_RECOVERY_STARTS):
+        """Check that instances that were just started serve calls soon."""
+        with ThreadPoolExecutor(1) as pool:
+            start = pool.submit(measure_start_s)
+            recovery_s = [self.wait_until_served(node) for node in nodes]
+            self.assertLess(max(recovery_s), starts * start.result())
+
     def test_killed_router_serves_again(self):
         self.nodes[0].router.kill()
         self.nodes[0].router.start()
-        self.assertLess(self.wait_until_served(0), MAX_RECOVERY_S)
+        self.assert_served_soon(0)
 
     def test_killed_router_serves_while_the_platform_is_down(self):
         self.fleet.set_platform_faults(is_down=True)
         self.nodes[0].router.kill()
         self.nodes[0].router.start()
-        self.assertLess(self.wait_until_served(0), MAX_RECOVERY_S)
+        self.assert_served_soon(0)
 
     def test_killed_instance_serves_while_the_platform_is_down(self):
         self.fleet.set_platform_faults(is_down=True)
@@ -43,7 +64,7 @@
         self.nodes[0].agent.kill()
         self.nodes[0].agent.start()
         self.nodes[0].router.start()
-        self.assertLess(self.wait_until_served(0), 2 * MAX_RECOVERY_S)
+        self.assert_served_soon(0, starts=2 * MAX_RECOVERY_STARTS)
 
     def test_restarted_instance_waits_for_no_tokens_while_the_platform_is_down(self):
         """Its agent can't join the limits again, and its router must ask another."""
@@ -77,8 +98,7 @@
         for node in self.nodes:
             node.agent.start()
             node.router.start()
-        for number in range(len(self.nodes)):
-            self.assertLess(self.wait_until_served(number), 2 * MAX_RECOVERY_S)
+        self.assert_served_soon(*range(len(self.nodes)), starts=2 * MAX_RECOVERY_STARTS)
         for node in self.nodes:
             metrics = call_http(node.router_ops_port, "GET", "/metrics").body.decode()
             # The workspace stays far below its rate, so no refusal during the restart
