Break the drain again where the router uses it, in the seeded fault

The seeded fault stop_at_once was no longer caught (12 of 13): since the router's main module imports the process late, the process kept the function that the fault replaces elsewhere. The promise's test fails again with the fault.

--- a/testkit/seeded.py
+++ b/testkit/seeded.py
@@ -137,9 +137,7 @@
     async def drain(_server: Any) -> None:
         """Do nothing."""
 
-    importlib.import_module("catkintrack.router.process")
-    _replace("catkintrack.http.server", "drain_server", drain)
-    _replace("catkintrack.http", "drain_server", drain)
+    _replace("catkintrack.router.process", "drain_server", drain)
 
 
 def _follow_any_head() -> None:
