Hold a configuration that may be the copy's back until it is written again

Decided with the users: no timer makes such a configuration take effect. Until now it did after 6 s, which is a guess about how soon operators write again; a withdrawn key or an older route could come back by itself.

The timer is gone; a metric tells that one is held back, beside the log line.

--- a/catkintrack/instance/anti_entropy.py
+++ b/catkintrack/instance/anti_entropy.py
@@ -34,7 +34,7 @@
 ) -> None:
     """Request the configuration or discovery entries if a peer has newer ones."""
     held = instance.held_config
-    is_same = held.spec is not None and held.stamp == tuple(gossip.replaced_config)
+    is_same = held.stamp != ConfigStamp() and held.stamp == gossip.replaced_config
     held.is_copied = held.is_copied or is_same
     if (gossip.config_era, gossip.config_revision) == instance.config_stamp:
         history, spec = instance.config_history, instance.config_spec
--- a/catkintrack/instance/config_state.py
+++ b/catkintrack/instance/config_state.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from dataclasses import replace
 from typing import Any
 
@@ -11,7 +10,7 @@
 
 from catkintrack.decisions.cache_store import CacheStoreIndex
 from catkintrack.decisions.transfers import TransferRates
-from catkintrack.platform import CONFIG_KIND, decode_configuration
+from catkintrack.platform import decode_configuration
 
 from .config_history import is_superseded, record_superseded
 from .config_order import (
@@ -25,8 +24,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Operators write the newest configuration again within this time after a drill.
-HELD_CONFIG_S = 6.0
 # Latency of a KV cache transfer before its first byte.
 TRANSFER_SETUP_S = 0.002
 
@@ -69,7 +66,10 @@
         is_superseded(history, spec),
         replaced or ConfigStamp(),
     )
-    if not _judge_and_record_config(instance, offered):
+    is_newer = _judge_and_record_config(instance, offered)
+    is_held_back = instance.held_config.stamp > instance.config_stamp
+    instance.metrics.config_held_back.set({}, int(is_held_back))
+    if not is_newer:
         return False
     if instance.config is not None:
         record_superseded(history, instance.config_spec, spec)
@@ -105,9 +105,7 @@
     held_back = instance.held_config.stamp
     judgement = judge_configuration(known, offered, held_back)
     if judgement is Judgement.HOLD_BACK:
-        instance.held_config = HeldConfig(
-            offered.stamp, offered.spec, time.monotonic(), offered.is_superseded
-        )
+        instance.held_config = HeldConfig(offered.stamp, offered.is_superseded)
         logger.warning(
             "older configuration held back",
             extra={
@@ -123,7 +121,7 @@
         instance.is_config_written = offered.is_written
     elif offered.stamp.era < known.stamp.era:
         # The one in force so far comes from an older copy.
-        instance.held_config = HeldConfig(known.stamp, known.spec, is_copied=True)
+        instance.held_config = HeldConfig(known.stamp, is_copied=True)
         instance.is_config_written = offered.is_written
     elif offered.stamp.era == known.stamp.era:
         instance.is_config_written = True
@@ -133,24 +131,6 @@
     return judgement is Judgement.APPLY
 
 
-def apply_held_config(instance: Instance, now: float) -> None:
-    """Apply a held configuration that operators leave in place for HELD_CONFIG_S.
-
-    They write the newest one again sooner.  One that certainly comes from an older copy
-    stays out of force until then, and while the store can't be read nothing is known.
-    """
-    held = instance.held_config
-    feed = instance.feed_by_kind.get(CONFIG_KIND)
-    is_due = held.spec is not None and now - held.at > HELD_CONFIG_S
-    if not is_due or held.is_copied or held.stamp.era != instance.store.era:
-        return
-    if feed is None or feed.last_success_at <= feed.last_failure_at:
-        return
-    spec, held.spec = held.spec, None
-    era, revision = held.stamp
-    apply_configuration(instance, revision, spec, "store, unchanged", era, True)
-
-
 def _update_server_limits(instance: Instance) -> None:
     """Set the HTTP server's limits to those of the configuration."""
     if instance.server is None or instance.config is None:
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -32,6 +32,7 @@
     waiting_calls: Gauge
     quarantined_parts: Gauge
     config_revision: Gauge
+    config_held_back: Gauge
     store_era: Gauge
     peers: Gauge
 
@@ -69,6 +70,9 @@
         quarantined_parts=gauge("quarantined_parts", "Parts that crash replicas."),
         waiting_calls=gauge("waiting_calls", "Model calls that wait."),
         config_revision=gauge("config_revision", "Configuration in force."),
+        config_held_back=gauge(
+            "config_held_back", "1 while the store has an older one than is in force."
+        ),
         store_era=gauge("store_era", "Highest era of the store seen."),
         peers=gauge("peers_heard", "Peers heard of late."),
     )
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -47,7 +47,6 @@
 from .cache_store_feed import run_cache_store_feed
 from .calls import handle_call
 from .clocks import read_boot_clock
-from .config_state import apply_held_config
 from .dump import dump_instance
 from .eras import follow_eras
 from .feeds import WATCHED_KINDS, run_feed
@@ -214,23 +213,26 @@
 
 
 async def _run_housekeeping(instance: Instance) -> None:
-    """Drop lapsed upstreams, probe silent ones, count live peers; until cancelled."""
     while True:
         await curio.sleep(HOUSEKEEPING_INTERVAL_S)
-        now = time.monotonic()
-        limit_after_own_pause(instance, read_boot_clock(), now)
-        remove_lapsed_upstreams(instance, now)
-        apply_held_config(instance, now)
-        await store_parts_of_new_era(instance)
-        end_returned_rests(instance, now)
-        await probe_suspects(instance)
-        live_peers = [p for p in list_live_peers(instance, now) if not p.is_leaving]
-        share_limits(instance, [peer.instance for peer in live_peers], now)
-        known_count = max(1, len(instance.peer_by_address) + 1)
-        instance.decisions.router_count = len(live_peers) + 1
-        instance.limits.reporting_fraction = (len(live_peers) + 1) / known_count
-        instance.limits.known_instances = known_count
-        instance.limits.report_delay_s = estimate_report_delay_s(instance)
+        await keep_house(instance)
+
+
+async def keep_house(instance: Instance) -> None:
+    """Drop lapsed upstreams, probe silent ones, count live peers."""
+    now = time.monotonic()
+    limit_after_own_pause(instance, read_boot_clock(), now)
+    remove_lapsed_upstreams(instance, now)
+    await store_parts_of_new_era(instance)
+    end_returned_rests(instance, now)
+    await probe_suspects(instance)
+    live_peers = [p for p in list_live_peers(instance, now) if not p.is_leaving]
+    share_limits(instance, [peer.instance for peer in live_peers], now)
+    known_count = max(1, len(instance.peer_by_address) + 1)
+    instance.decisions.router_count = len(live_peers) + 1
+    instance.limits.reporting_fraction = (len(live_peers) + 1) / known_count
+    instance.limits.known_instances = known_count
+    instance.limits.report_delay_s = estimate_report_delay_s(instance)
 
 
 async def _stop(instance: Instance, server: Server) -> None:
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -37,15 +37,13 @@
 
 @dataclass(slots=True)
 class HeldConfig:
-    """Hold where an older configuration was found, and when; it is not in force.
+    """Hold where an older configuration was found, which is not in force.
 
     `is_copied` says that it was certainly in force before the present one, so that it
     comes from an older copy of the store.
     """
 
     stamp: ConfigStamp = ConfigStamp()
-    spec: Any = None
-    at: float = -1e9
     is_copied: bool = False
 
 
