Play silent stores and named limits in the stand-ins and the soak

The stand-in of the store could close connections and answer 503, but not fall silent, which is how the unheard leaving escaped the soak. The soak lets replicas name limits and checks the users' bound while no instance is disrupted.

--- a/catkintrack/tests/test_instance_changes.py
+++ b/catkintrack/tests/test_instance_changes.py
@@ -11,6 +11,11 @@
 # The extra time allowed to an instance that the store refuses.
 MAX_STORE_SKEW_S = 5.0
 MAX_WEIGHTS_ROLLOUT_S = 6.0
+# Longer than any watch waits, so that the next one is sent into the silence.
+SILENCE_S = 10.0
+# The users' bounds: from this long after an outage, a leaving is heard in the second.
+STABLE_WINDOW_S = 3.0
+MAX_DRAIN_S = 2.0
 
 
 class WeightsTest(SiteTest):
@@ -105,6 +110,19 @@
         after = sum(self.site.read_counts("a0")["runs_by_request"].values())
         self.assertEqual(before, after)
 
+    def test_leaving_is_heard_in_time_after_the_store_was_silent(self):
+        dumps = [node.dump for node in self.site.node_by_name.values()]
+        self.site.set_store_faults(is_silent=True)
+        time.sleep(SILENCE_S)
+        self.site.set_store_faults(is_silent=False)
+        time.sleep(STABLE_WINDOW_S)
+        self.site.write_entry("m0", "models", state="draining")
+        wait_until(
+            lambda: all(dump()["upstreams"]["m0"]["is_draining"] for dump in dumps),
+            MAX_DRAIN_S,
+            "all instances know that m0 leaves",
+        )
+
     def test_malformed_discovery_entries_are_ignored(self):
         for number, spec in enumerate(({}, {"service": 5}, "text", None)):
             self.site.write_object("servers", f"x{number}", spec)
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -33,6 +33,7 @@
 
 OBJECTS_PATH = "/-/objects/"
 LATENCY_S = 0.002
+SILENT_DELAY_S = 3600.0
 ERA_HEADER = b"store-era"
 # Kinds that operators and replicas write, and write again after a drill.
 OUTSIDE_KINDS = frozenset({"config", "servers", "versions"})
@@ -42,6 +43,7 @@
 class Faults:
     """Hold the injected faults of one port.
 
+    Calls that come while it `is_silent` never get an answer; those that wait already do.
     The next `lost_answers` writes are applied, but get no response.  The next
     `late_answers` responses are complete, but sent `late_s` later.  `era_text` replaces
     the era in the header; if it is empty, the header is missing.
@@ -49,6 +51,7 @@
 
     is_down: bool = False
     is_busy: bool = False
+    is_silent: bool = False
     lost_answers: int = 0
     late_answers: int = 0
     late_s: float = 0.0
@@ -113,6 +116,8 @@
         return
     if faults.is_down or store.is_away:
         await drop_connection(connection)
+    if faults.is_silent:
+        await curio.sleep(SILENT_DELAY_S)
     if faults.is_busy:
         await respond_json(connection, 503, {}, make_era_headers(store, faults))
         return
--- a/testkit/site_soak.py
+++ b/testkit/site_soak.py
@@ -136,7 +136,7 @@
         violations.append(f"{leaked} headers of callers reached replicas")
     for id, row in zip(ids, rows, strict=True):
         violations += _check_orders(id, row["orders"])
-    violations += _check_processes(soak) + _check_crashes(soak)
+    violations += _check_processes(soak) + _check_crashes(soak) + _check_limits(soak)
     if not any(outcome.status == 200 for outcome in soak.outcomes):
         violations.append("nothing was served")
     return violations
@@ -234,6 +234,17 @@
     return violations
 
 
+def _check_limits(soak: SoakRun) -> list[str]:
+    """Check the limits that replicas named while no instance was disrupted."""
+    state = soak.state
+    return [
+        f"{id} got {most} requests in a span of its limit, {allowed:g} allowed"
+        for began_at, ended_at, id, most, allowed in state.limits
+        if most > allowed
+        and not any(a < ended_at and b > began_at for a, b in state.restarted)
+    ]
+
+
 def _check_crashes(soak: SoakRun) -> list[str]:
     """Check that few prompts reach replicas that crash on them, once that is known.
 
--- a/testkit/soak_faults.py
+++ b/testkit/soak_faults.py
@@ -10,11 +10,16 @@
 from random import Random
 
 from standins.replica import EVENTS_PER_STREAM
+from standins.replica_signals import count_most_arrivals
 
 from .fleet import call_json
 from .instances import make_config_spec
 from .site import KEY, Site
 
+# A limit binds this long after it was first named, in each span of the second length.
+LIMIT_STABLE_S = 3.0
+LIMIT_SPAN_S = 4.0
+LIMIT_EXTRA = 5
 CRASHING_PARTS = ("d0", "d1", "d2")
 
 
@@ -25,7 +30,9 @@
     `unplanned` holds the spans of faults that are not planned work. A lock of
     `lock_by_node` is held while an instance's process is stopped or restarted,
     `app_lock` while a plain replica is replaced. `left_apps` holds replicas that left,
-    `ended` instances that ended by themselves.
+    `ended` instances that ended by themselves.  `limits` are the limits that
+    replicas have named: from when to when, by which one, the most requests that it got in
+    a span and how many were allowed; `restarted` when instances were disrupted.
     """
 
     site: Site
@@ -42,6 +49,8 @@
     crashed_at: list[float] = field(default_factory=list)
     log_bytes_by_node: dict[str, int] = field(default_factory=dict)
     ended: list[str] = field(default_factory=list)
+    limits: list[tuple[float, float, str, int, float]] = field(default_factory=list)
+    restarted: list[tuple[float, float]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         """Create the lock of each instance."""
@@ -79,6 +88,7 @@
             is_early = size == state.log_bytes_by_node.get(name)
             if status != -signal.SIGHUP or not is_early:
                 state.ended.append(f"{name} ended by itself with status {status}")
+            state.restarted.append((time.monotonic(), time.monotonic()))
             start_instance(state, name)
         finally:
             state.lock_by_node[name].release()
@@ -130,9 +140,9 @@
 
 
 def lose_store(state: SoakState, rng: Random) -> None:
-    """Make the store refuse all instances or one for up to a few seconds."""
+    """Make the store refuse or ignore all instances or one for up to a few seconds."""
     node = rng.choice([None, *sorted(state.site.node_by_name)])
-    fault = rng.choice(("is_down", "is_busy"))
+    fault = rng.choice(("is_down", "is_busy", "is_silent"))
     state.site.set_store_faults(node, **{fault: True})
     time.sleep(rng.uniform(0.2, 3.0))
     state.site.set_store_faults(node, **{fault: False})
@@ -194,6 +204,26 @@
     state.site.set_replica_faults(id, rest_s=0.0)
 
 
+def let_replica_name_limit(state: SoakState, rng: Random) -> None:
+    """Let a replica name a limit, and check that it is kept.
+
+    Only instances that were not disrupted meanwhile are bound by it.
+    """
+    id = rng.choice([*state.models, *state.apps])
+    limit_per_s = rng.choice((0.5, 2.0, 5.0))
+    began_at = time.monotonic()
+    state.site.set_replica_faults(id, limit_per_s=limit_per_s)
+    time.sleep(LIMIT_STABLE_S + rng.uniform(0.5, 3.0))
+    # A replica that crashed meanwhile has none to read.
+    counts = state.site.read_counts(id)
+    state.site.set_replica_faults(id, limit_per_s=None)
+    if counts is not None:
+        arrived_at = counts["limit"]["arrived_at"]
+        most = count_most_arrivals(arrived_at, LIMIT_STABLE_S, LIMIT_SPAN_S)
+        allowed = 1.5 * limit_per_s * LIMIT_SPAN_S + LIMIT_EXTRA
+        state.limits.append((began_at, time.monotonic(), id, most, allowed))
+
+
 def announce_leaving(state: SoakState, rng: Random) -> None:
     """Let a plain replica say in its answers that it leaves, then replace it."""
     with state.app_lock:
@@ -250,6 +280,7 @@
     hurt_app,
     end_with_connections,
     let_replica_rest,
+    let_replica_name_limit,
     announce_leaving,
     silence_model,
 )
@@ -263,6 +294,8 @@
     finally:
         if fault in UNPLANNED:
             state.unplanned.append((began_at, time.monotonic()))
+        if fault in (kill, stop, freeze):
+            state.restarted.append((began_at, time.monotonic()))
 
 
 def inject_until(
@@ -292,7 +325,7 @@
 def clear_faults(state: SoakState) -> None:
     """Clear all faults, then publish a new weights version and configuration."""
     site = state.site
-    site.set_store_faults(is_down=False, is_busy=False, lost_answers=0)
+    site.set_store_faults(is_down=False, is_busy=False, is_silent=False, lost_answers=0)
     for id in (*state.models, *state.apps):
         site.set_replica_faults(
             id,
@@ -305,6 +338,7 @@
             close_delimited=0,
             reset_answers=0,
             rest_s=0.0,
+            limit_per_s=None,
         )
     name_weights(state, Random(0))
     change_config(state, Random(0))
