Keep watches from turning short bounds into a load on the store

Found in review: a stable_window_s below 1.5 s made each watch wait 0.05 s, which is some twenty calls a second for each kind. Watches now wait half a second at least.

--- a/catkintrack/instance/tests/test_unanswered_watches.py
+++ b/catkintrack/instance/tests/test_unanswered_watches.py
@@ -2,6 +2,7 @@
 
 import unittest
 from contextlib import suppress
+from dataclasses import replace
 
 import curio
 from hypothesis import given
@@ -9,6 +10,10 @@
 
 from catkintrack.instance import feeds
 from catkintrack.instance.config_state import apply_configuration
+from catkintrack.instance.watch_waits import (
+    choose_watch_wait_s,
+    choose_weights_wait_s,
+)
 from catkintrack.platform import UPSTREAM_KIND
 from testkit.instances import make_config_spec, make_entry_spec
 from testkit.silent_store import EndOfRun, SilentStore, patched_store
@@ -98,5 +103,21 @@
         self.assertLessEqual(known_at.get("i1", store.ends_at), due_at)
 
 
+class WatchWaitTest(unittest.TestCase):
+    def test_waits_follow_the_bounds_within_limits(self):
+        bounds = make_instance().site.bounds
+        for stable_s, waits in (
+            (3.0, (1.5, 1.5)),
+            (5.0, (3.5, 2.0)),
+            (0.0, (0.5, 0.5)),
+            (60.0, (8.0, 2.0)),
+        ):
+            row = replace(bounds, stable_window_s=stable_s)
+            found = tuple(choose_watch_wait_s(row, True, hub) for hub in (False, True))
+            self.assertEqual(found, waits)
+            self.assertEqual(choose_watch_wait_s(row, False, False), 0.05)
+            self.assertLessEqual(choose_weights_wait_s(row, True), 8.0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/catkintrack/instance/watch_waits.py
+++ b/catkintrack/instance/watch_waits.py
@@ -17,6 +17,8 @@
 # Peers of a hub get no changes while its watch hangs, which is a second delay.
 HUB_WAIT_MAX_S = 2.0
 WAIT_MAX_S = 8.0
+# Short bounds must not turn watches into a load on the store.
+WAIT_MIN_S = 0.5
 
 
 def choose_watch_wait_s(bounds: Bounds, is_store_heard: bool, is_hub: bool) -> float:
@@ -29,7 +31,7 @@
         return PROBE_WAIT_S
     wait_s = bounds.stable_window_s - WATCH_MARGIN_S - RELIST_RESERVE_S
     longest_s = HUB_WAIT_MAX_S if is_hub else WAIT_MAX_S
-    return max(PROBE_WAIT_S, min(longest_s, wait_s))
+    return max(WAIT_MIN_S, min(longest_s, wait_s))
 
 
 def choose_weights_wait_s(bounds: Bounds, is_store_heard: bool) -> float:
@@ -41,4 +43,4 @@
         return PROBE_WAIT_S
     wait_s = bounds.stable_window_s + bounds.weights_s / 2
     wait_s -= WATCH_MARGIN_S + RELIST_RESERVE_S
-    return max(PROBE_WAIT_S, min(WAIT_MAX_S, wait_s))
+    return max(WAIT_MIN_S, min(WAIT_MAX_S, wait_s))
