Forget the limits of replicas that are gone, and keep their count true

Found in review: the limit of a replica that never came back stayed in the table and in the metric for good. It is forgotten after a minute.

--- a/catkintrack/decisions/named_limits.py
+++ b/catkintrack/decisions/named_limits.py
@@ -10,7 +10,7 @@
 
 import math
 import zlib
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
 from catkintrack.fleet import Upstream
@@ -29,6 +29,8 @@
 SAVED_S = 0.25
 # An instance without a share forgets a limit of which no peer with one has told so long.
 CONFIRMATION_TIMEOUT_S = 6.0
+# Far more than the time in which a lapsed entry is written again.
+GONE_MEMORY_S = 60.0
 
 
 @dataclass(slots=True)
@@ -254,6 +256,15 @@
             limit.confirmed_at = now
 
 
+def forget_limits_of_gone(
+    table: NamedLimitTable, known_ids: Container[str], now: float
+) -> None:
+    """Forget the limits of replicas that are gone, unless they may come back soon."""
+    for id, limit in list(table.limit_by_upstream.items()):
+        if id not in known_ids and now - limit.named_at > GONE_MEMORY_S:
+            del table.limit_by_upstream[id]
+
+
 def forget_unconfirmed_limits(table: NamedLimitTable, now: float) -> list[str]:
     """Forget the limits without an own share that no peer confirms; return their replicas.
 
--- a/catkintrack/decisions/tests/test_named_limits.py
+++ b/catkintrack/decisions/tests/test_named_limits.py
@@ -17,6 +17,7 @@
     end_unnamed_limit,
     find_limit,
     find_supply,
+    forget_limits_of_gone,
     forget_unconfirmed_limits,
     has_token,
     is_usable_limit,
@@ -144,6 +145,12 @@
         late = 12.1 + CONFIRMATION_TIMEOUT_S
         self.assertEqual(forget_unconfirmed_limits(table, late), ["i1"])
 
+    def test_limit_of_a_replica_that_is_gone_is_forgotten_later(self):
+        table = make_limited_table(now=10.0)
+        for known, now, count in (((), 69.9, 1), (("i1",), 200.0, 1), ((), 200.0, 0)):
+            forget_limits_of_gone(table, known, now)
+            self.assertEqual(len(table.limit_by_upstream), count)
+
     def test_limits_that_are_no_numbers_are_none(self):
         for value in (math.nan, math.inf, -1.0):
             self.assertFalse(is_usable_limit(value))
--- a/catkintrack/instance/replica_signals.py
+++ b/catkintrack/instance/replica_signals.py
@@ -18,6 +18,7 @@
     end_unnamed_limit,
     find_limit,
     find_supply,
+    forget_limits_of_gone,
     forget_unconfirmed_limits,
     has_token,
     is_usable_limit,
@@ -154,8 +155,10 @@
     """Divide the limits among the live instances; forget those that are over."""
     table = instance.decisions.named_limits
     set_live_instances(table, instance.site.instance, live_names, now)
+    forget_limits_of_gone(table, instance.upstream_by_id, now)
     for id in forget_unconfirmed_limits(table, now):
         update_signals(instance, id, now)
+    instance.metrics.named_limits.set({}, len(table.limit_by_upstream))
 
 
 def handle_peer_limits(instance: Instance, ids: Iterable[str], now: float) -> None:
@@ -218,7 +221,7 @@
         is_evidence = request_id is not None and fields.is_signed
         if is_evidence and end_unnamed_limit(table, upstream, sent_at) is not None:
             update_signals(instance, upstream.id, now)
-            _log_limit(instance, upstream, "upstream's limit is over", None)
+            _log_limit(upstream, "upstream's limit is over", None)
         return
     if not is_usable_limit(per_s):
         logger.warning(
@@ -228,14 +231,10 @@
         return
     if record_limit(table, upstream, per_s, sent_at, now):
         update_signals(instance, upstream.id, now)
-        _log_limit(instance, upstream, "upstream names a limit", per_s)
+        _log_limit(upstream, "upstream names a limit", per_s)
 
 
-def _log_limit(
-    instance: Instance, upstream: Upstream, message: str, per_s: float | None
-) -> None:
-    count = len(instance.decisions.named_limits.limit_by_upstream)
-    instance.metrics.named_limits.set({}, count)
+def _log_limit(upstream: Upstream, message: str, per_s: float | None) -> None:
     logger.info(
         message,
         extra={
