Let no process take a released lease that it, or its predecessor, held lately

Where replicas don't check fencing tokens this breaks the rule that holders take no turns within the lease.

A released lease is now taken by a process only when its own start, and the end of the time in which it could last act as holder, are a full lease time ago. Others take it at once, as before.

test_process_that_has_just_started_does_not_take_a_released_lease and test_last_holder_but_one_does_not_take_a_released_lease_at_once guard it.

--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -116,7 +116,12 @@
         rng=Random(name),
         metrics=make_instance_metrics(),
         limits=limits,
-        lease=Lease(site.instance, incarnation, site.bounds.lease_s),
+        lease=Lease(
+            site.instance,
+            incarnation,
+            site.bounds.lease_s,
+            started_at=read_boot_clock(),
+        ),
     )
     follow_eras(instance)
     instance.decisions.zone = site.zone
--- a/catkintrack/leases/lease.py
+++ b/catkintrack/leases/lease.py
@@ -65,6 +65,8 @@
     lease, to when its last accepted write was sent.  `refused_fencing` is this
     process's last fencing token that was refused, 0 if none.  `highest_fencing` is the
     highest token seen in any era, `fencing_step` what the next one is above it.
+    `started_at` is when this process started, `held_until` the end of the time in which
+    it could last act as the holder.
     """
 
     owner: str
@@ -79,6 +81,8 @@
     era: int = 0
     highest_fencing: int = 0
     fencing_step: int = 1
+    started_at: float = -1e9
+    held_until: float = -1e9
 
 
 def begin_lease_era(lease: Lease, era: int, now: float) -> bool:
@@ -113,8 +117,11 @@
         return LeaseAction.RENEW if _is_renewal_due(lease, now) else LeaseAction.NONE
     rank_delay_s = rank * CANDIDATE_STAGGER_S
     if lease.record.revision and not lease.record.holder:
-        # The lease was released, so there is no expiry to wait for.
-        is_due = now - lease.first_seen_at >= rank_delay_s
+        # The lease was released, so there is no expiry to wait for.  But this process, or
+        # the one before it, may have held it lately, and holders must not take turns.
+        rested_from = max(lease.started_at, lease.held_until)
+        is_due = now - rested_from >= lease.duration_s
+        is_due = is_due and now - lease.first_seen_at >= rank_delay_s
         return (
             LeaseAction.TAKE
             if is_due and now - lease.last_attempt_at > rank_delay_s
@@ -180,6 +187,7 @@
     lease.record = record
     lease.first_seen_at = sent_at
     lease.renewed_at = sent_at
+    lease.held_until = sent_at + lease.duration_s - STOP_MARGIN_S
 
 
 def record_renewal(lease: Lease, revision: int, sent_at: float, era: int = 0) -> None:
--- a/catkintrack/leases/tests/test_lease.py
+++ b/catkintrack/leases/tests/test_lease.py
@@ -131,6 +131,21 @@
         self.assertIs(choose_action(lease, 1, 100.0), LeaseAction.NONE)
         self.assertIs(choose_action(lease, 1, 100.3), LeaseAction.TAKE)
 
+    def test_process_that_has_just_started_does_not_take_a_released_lease(self):
+        """Guards against two holders that take turns by planned stops in a row."""
+        lease = Lease("a", 2, DURATION_S, started_at=99.0)
+        observe_record(lease, LeaseRecord("", 0, 4, 9), 100.0)
+        self.assertIs(choose_action(lease, 0, 101.9), LeaseAction.NONE)
+        self.assertIs(choose_action(lease, 0, 102.1), LeaseAction.TAKE)
+
+    def test_last_holder_but_one_does_not_take_a_released_lease_at_once(self):
+        lease = Lease("a", 1, DURATION_S)
+        record_acquisition(lease, LeaseRecord("a", 1, 3, 2), 100.0)
+        observe_record(lease, LeaseRecord("b", 1, 4, 8), 103.5)
+        observe_record(lease, LeaseRecord("", 0, 4, 9), 104.0)
+        self.assertIs(choose_action(lease, 0, 105.4), LeaseAction.NONE)
+        self.assertIs(choose_action(lease, 0, 105.6), LeaseAction.TAKE)
+
     def test_refused_fencing_token_ends_the_lease(self):
         lease = Lease("a", 1, DURATION_S)
         record_acquisition(lease, LeaseRecord("a", 1, 5, 2), 100.0)
--- a/testkit/era_model.py
+++ b/testkit/era_model.py
@@ -27,7 +27,11 @@
 from catkintrack.instance import feeds, lease_keeper, mesh, peers
 from catkintrack.instance.fleet_state import remove_lapsed_upstreams
 from catkintrack.instance.gossip import send_gossip
-from catkintrack.instance.lease_keeper import holds_lease, run_lease_keeper
+from catkintrack.instance.lease_keeper import (
+    holds_lease,
+    release_lease,
+    run_lease_keeper,
+)
 from catkintrack.instance.peers import get_or_add_peer
 from catkintrack.instance.state import ConfigStamp, Instance
 from catkintrack.leases import mark_fencing_refused
@@ -359,6 +363,7 @@
         instance.rng = Random(f"{name}/{self.rng.random()}")
         instance.lease.owner = name
         instance.lease.incarnation = instance.incarnation
+        instance.lease.started_at = self.now
         if node is None:
             node = self.node_by_name[name] = Node(name, instance)
         self.node_by_client.pop(id(node.instance.store), None)
@@ -488,6 +493,22 @@
 
         self.schedule(0.5 + 2.0 * self.rng.random(), start)
 
+    def stop_node(self, node: Node) -> None:
+        """Stop an instance as planned: it hands its lease over, ends and starts again."""
+        life = node.life
+        instance = node.instance
+        if instance.is_stopping:
+            return
+        instance.is_stopping = True
+        self.counts["hand-overs"] += instance.lease.renewed_at is not None
+        self.run_task(node, life, release_lease(instance))
+
+        def start() -> None:
+            if node.life == life:
+                self.start_node(node.name)
+
+        self.schedule(0.3 + 1.5 * self.rng.random(), start)
+
     def go_away(self, until: float) -> None:
         """Let the store be away for a while, without a loss."""
         if self.store.is_away:
@@ -535,7 +556,7 @@
         nodes = [self.node_by_name[name] for name in sorted(self.node_by_name)]
         act = rng.choice(
             ["config", "config", "target", "replica", "drill", "drill"]
-            + ["cut half", "cut peers", "pause", "restart", "store away"]
+            + ["cut half", "cut peers", "pause", "restart", "stop", "store away"]
         )
         until = min(self.now + 0.5 + 4.0 * rng.random(), self.trouble_until)
         self.counts[act] += 1
@@ -558,6 +579,9 @@
                 rng.choice(nodes).paused_until = until
             case "store away":
                 self.go_away(until)
+            case "stop":
+                holder = [n for n in nodes if holds_lease(n.instance)]
+                self.stop_node(rng.choice(holder or nodes))
             case "restart":
                 self.start_node(rng.choice(nodes).name)
         self.schedule(0.2 + 1.6 * rng.random(), self.make_trouble)
