--- a/bin/make_days.py
+++ b/bin/make_days.py
@@ -87,6 +87,11 @@
     """Return a day with these disruptions, each at its time in seconds."""
     plan = [make_entry(kind, at_s) for kind, at_s in entries if kind in PLANNED]
     faults = [make_entry(kind, at_s) for kind, at_s in entries if kind in FAULTS]
+    return format_day(name, seed, plan, faults)
+
+
+def format_day(name: str, seed: int, plan: list[str], faults: list[str]) -> str:
+    """Return a day with these entries."""
     lines = ["[[day]]", f'name = "{name}"', 'slot = "trouble"', f"seed = {seed}"]
     lines += ["plan = [", *plan, "]", "faults = [", *faults, "]"]
     return "\n".join(lines) + "\n"
@@ -97,9 +102,7 @@
     fields = f'for_s = {SILENT_S}, how = "silent"'
     outage = f'  {{ at = {FIRST_S:g}, kind = "platform_down", {fields} }},'
     work = make_entry(name, FIRST_S + SILENT_S + AFTERMATH_PAUSE_S)
-    lines = ["[[day]]", f'name = "{title}"', 'slot = "trouble"', f"seed = {seed}"]
-    lines += ["plan = [", work, "]", "faults = [", outage, "]"]
-    return "\n".join(lines) + "\n"
+    return format_day(title, seed, [work], [outage])
 
 
 def write_days(directory: Path) -> int:
--- a/catkintrack/decisions/tests/test_named_limits.py
+++ b/catkintrack/decisions/tests/test_named_limits.py
@@ -29,10 +29,10 @@
 )
 from catkintrack.decisions.rest import Rest
 from testkit.decision_tables import make_request, make_tables
+from testkit.limit_rule import SPAN_S, compute_allowed
 from testkit.upstreams import make_upstream
 
 NAMES = tuple(f"n{number}" for number in range(200))
-WINDOW_S = 4.0
 
 
 def make_limited_table(per_s=2.0, names=("n0", "n1"), now=10.0):
@@ -50,8 +50,8 @@
         shares = [compute_share_per_s(per_s, "i1", name, names) for name in names]
         self.assertAlmostEqual(sum(shares), max(per_s, 0.1))
         bursts = sum(max(1.0, 0.25 * share) for share in shares if share)
-        allowed = 1.5 * per_s * WINDOW_S + 5
-        self.assertLessEqual(bursts + WINDOW_S * per_s, allowed + 1e-6)
+        allowed = compute_allowed(per_s)
+        self.assertLessEqual(bursts + SPAN_S * per_s, allowed + 1e-6)
 
     def test_large_fleet_shares_limits_of_several_replicas_differently(self):
         holders = [
--- a/catkintrack/tests/test_replica_signals.py
+++ b/catkintrack/tests/test_replica_signals.py
@@ -5,9 +5,14 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from standins.replica import EVENTS_PER_STREAM
-from standins.replica_signals import count_most_arrivals
 from testkit.fleet import wait_until
 from testkit.instances import make_entry_spec
+from testkit.limit_rule import (
+    SPAN_S,
+    STABLE_S,
+    compute_allowed,
+    count_most_arrivals,
+)
 from testkit.site import Site, count_events, open_site
 
 # More requests than it takes until each replica has had one.
@@ -17,9 +22,6 @@
 # for rest and the end of the time that it asked for.
 MAX_ARRIVALS_IN_REST = 2
 LIMIT_PER_S = 2.0
-# A limit binds this long after it was first named, in each span of the second length.
-STABLE_S = 3.0
-LIMIT_SPAN_S = 4.0
 
 
 class SignalTest(unittest.TestCase):
@@ -166,11 +168,11 @@
 
     def test_limited_replica_gets_its_limit_and_others_the_rest(self):
         self.site.set_replica_faults("a0", limit_per_s=LIMIT_PER_S)
-        statuses = self.load(STABLE_S + LIMIT_SPAN_S + 2.0)
+        statuses = self.load(STABLE_S + SPAN_S + 2.0)
         self.assertEqual(set(statuses), {200})
         arrived_at = self.site.read_counts("a0")["limit"]["arrived_at"]
-        most = count_most_arrivals(arrived_at, STABLE_S, LIMIT_SPAN_S)
-        self.assertLessEqual(most, 1.5 * LIMIT_PER_S * LIMIT_SPAN_S + 5)
+        most = count_most_arrivals(arrived_at)
+        self.assertLessEqual(most, compute_allowed(LIMIT_PER_S))
         met = self.count_requests("a0")
         self.site.set_replica_faults("a0", limit_per_s=None)
         self.load(2.0)
--- a/standins/replica_signals.py
+++ b/standins/replica_signals.py
@@ -71,18 +71,6 @@
         state.arrived_at.append(time.monotonic() - state.begun_at)
 
 
-def count_most_arrivals(arrived_at: list[float], since_s: float, span_s: float) -> int:
-    """Return the most arrivals in a span that ends at `since_s` or later, in seconds."""
-    return max(
-        (
-            sum(end - span_s < at <= end for at in arrived_at)
-            for end in arrived_at
-            if end >= since_s
-        ),
-        default=0,
-    )
-
-
 class SignallingConnection:
     """Wrap a connection and add headers to each response."""
 
--- a/testkit/limited_fleet.py
+++ b/testkit/limited_fleet.py
@@ -34,6 +34,7 @@
 
 from .decision_tables import make_request
 from .instances import make_config_spec, make_entry_spec
+from .limit_rule import NOTICE_S, SPAN_S, STABLE_S, compute_allowed
 from .states import make_instance
 from .upstreams import make_response_fields
 
@@ -45,14 +46,6 @@
 SLOW_RUN_SHARE = 0.05
 SLOW_RUN_S = 2.0
 CALL_TIMEOUT_S = 2.5
-# The users' rule: in any span of WINDOW_S that ends STABLE_S or more after the first
-# answer with a limit, a replica gets at most LIMIT_SHARE of what it allows and
-# EXTRA_REQUESTS more from instances that have passed on such an answer NOTICE_S before.
-WINDOW_S = 4.0
-STABLE_S = 3.0
-NOTICE_S = 0.5
-LIMIT_SHARE = 1.5
-EXTRA_REQUESTS = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -279,7 +272,7 @@
 def find_excesses(fleet: LimitedFleet) -> list[str]:
     """Return the spans in which a replica got more than its limit allows."""
     plan = fleet.plan
-    allowed = LIMIT_SHARE * plan.limit_per_s * WINDOW_S + EXTRA_REQUESTS
+    allowed = compute_allowed(plan.limit_per_s)
     faults = []
     for number in range(plan.limited):
         id = f"r{number}"
@@ -290,7 +283,7 @@
                 continue
             if at >= 100.0 + plan.ends_s:
                 break
-            counted = [c for c in counted if c > at - WINDOW_S] + [at]
+            counted = [c for c in counted if c > at - SPAN_S] + [at]
             is_bound = at >= 100.0 + plan.begins_s + STABLE_S
             if is_bound and len(counted) > allowed:
                 faults.append(
--- a/testkit/soak_faults.py
+++ b/testkit/soak_faults.py
@@ -10,16 +10,12 @@
 from random import Random
 
 from standins.replica import EVENTS_PER_STREAM
-from standins.replica_signals import count_most_arrivals
 
 from .fleet import call_json
 from .instances import make_config_spec
+from .limit_rule import STABLE_S, compute_allowed, count_most_arrivals
 from .site import KEY, Site
 
-# A limit binds this long after it was first named, in each span of the second length.
-LIMIT_STABLE_S = 3.0
-LIMIT_SPAN_S = 4.0
-LIMIT_EXTRA = 5
 CRASHING_PARTS = ("d0", "d1", "d2")
 
 
@@ -213,14 +209,13 @@
     limit_per_s = rng.choice((0.5, 2.0, 5.0))
     began_at = time.monotonic()
     state.site.set_replica_faults(id, limit_per_s=limit_per_s)
-    time.sleep(LIMIT_STABLE_S + rng.uniform(0.5, 3.0))
+    time.sleep(STABLE_S + rng.uniform(0.5, 3.0))
     # A replica that crashed meanwhile has none to read.
     counts = state.site.read_counts(id)
     state.site.set_replica_faults(id, limit_per_s=None)
     if counts is not None:
-        arrived_at = counts["limit"]["arrived_at"]
-        most = count_most_arrivals(arrived_at, LIMIT_STABLE_S, LIMIT_SPAN_S)
-        allowed = 1.5 * limit_per_s * LIMIT_SPAN_S + LIMIT_EXTRA
+        most = count_most_arrivals(counts["limit"]["arrived_at"])
+        allowed = compute_allowed(limit_per_s)
         state.limits.append((began_at, time.monotonic(), id, most, allowed))
 
 
