Start a process while its settings files are being rewritten

Cause: status 2 is the exit for invalid settings. The file is rewritten in place; between its truncation and the write it is empty, and a process that reads it in that moment names a missing field and ends.

Why it works: a start loads invalid settings again for a second, far longer than a rewrite takes. A file that stays invalid still ends the process with status 2.

--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -33,10 +33,12 @@
 from catkintrack.platform import StoreClient, get_settings_path, load_site
 from catkintrack.pooling import PooledLimits
 from catkintrack.processes import (
+    EXIT_BAD_SETTINGS,
     DroppingHandler,
     RateLimitFilter,
     catch_signals,
     configure_logging,
+    load_after_rewrite,
     log_suppressed_lines,
     open_ops_server,
     wait_for_stop_signal,
@@ -68,7 +70,6 @@
 
 logger = logging.getLogger(__name__)
 
-EXIT_BAD_SETTINGS = 2
 # Replaces the longer default in decisions/tables.py, which routers use. A fraction of
 # the shortest target for a first token: requests beyond this prefill backlog queue in
 # the instance, where more urgent ones can overtake them.
@@ -260,7 +261,8 @@
     """Run an instance with the settings file that the platform wrote."""
     # A write to a closed connection fails with an error instead of ending the process.
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
-    match load_site(get_settings_path()):
+    path = get_settings_path()
+    match load_after_rewrite(lambda: load_site(path)):
         case Success(site):
             logs = configure_logging("INFO", "instance", site.instance, sys.stdout)
             curio.run(run_instance, site, logs)
--- a/catkintrack/processes/__init__.py
+++ b/catkintrack/processes/__init__.py
@@ -18,14 +18,17 @@
     watch_files,
 )
 from .signals import catch_signals, wait_for_stop_signal
+from .startup import EXIT_BAD_SETTINGS, load_after_rewrite
 
 __all__ = [
+    "EXIT_BAD_SETTINGS",
     "PauseDetector",
     "RateLimitFilter",
     "DroppingHandler",
     "make_metric_factories",
     "Reload",
     "catch_signals",
+    "load_after_rewrite",
     "log_changes",
     "log_invalid_settings",
     "make_safe_reload",
