Divide a named limit also among silent and stopping instances

Cause: the shares were divided among the peers heard within 1.5 s that do not stop. An instance that is slow or badly connected, or stops, still sends its own share, and the others have divided it among themselves. Class of fault: liveness, a guess, was used to bound what others may do.

Ruled out: the buckets themselves, the same plan without the silences passes.

Why it works: a peer counts until it has been silent for 15 s, or has announced its stop and then fallen silent for 1.5 s. The price is the share of an instance that died, which nobody uses for 15 s unless it starts again.

--- a/catkintrack/instance/peers.py
+++ b/catkintrack/instance/peers.py
@@ -51,6 +51,22 @@
     return peer.incarnation != 0 and now - peer.heard_at < PEER_TIMEOUT_S
 
 
+def list_limit_sharers(instance: Instance, now: float) -> list[Peer]:
+    """Return the peers that may send requests to replicas now.
+
+    A silent peer may be slow or badly connected and go on serving; a stopping one
+    serves until it ends.
+    """
+    return [
+        peer
+        for peer in instance.peer_by_address.values()
+        if is_peer_live(peer, now)
+        or peer.incarnation != 0
+        and not peer.is_leaving
+        and now - peer.heard_at < PEER_REMOVAL_S
+    ]
+
+
 def find_rank(instance: Instance, now: float) -> int:
     """Return this instance's rank among the live instances that are not leaving.
 
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -58,7 +58,7 @@
 from .mesh import estimate_report_delay_s, run_mesh
 from .metrics import make_instance_metrics
 from .pauses import limit_after_own_pause
-from .peers import list_live_peers
+from .peers import list_limit_sharers, list_live_peers
 from .probing import probe_suspects
 from .quarantining import load_quarantine, store_parts_of_new_era
 from .readiness import is_ready, open_readiness_server
@@ -232,8 +232,9 @@
     await store_parts_of_new_era(instance)
     end_returned_rests(instance, now)
     await probe_suspects(instance)
+    sharers = list_limit_sharers(instance, now)
+    share_limits(instance, [peer.instance for peer in sharers], now)
     live_peers = [p for p in list_live_peers(instance, now) if not p.is_leaving]
-    share_limits(instance, [peer.instance for peer in live_peers], now)
     known_count = max(1, len(instance.peer_by_address) + 1)
     instance.decisions.router_count = len(live_peers) + 1
     instance.limits.reporting_fraction = (len(live_peers) + 1) / known_count
--- a/catkintrack/instance/tests/test_limited_replicas.py
+++ b/catkintrack/instance/tests/test_limited_replicas.py
@@ -53,6 +53,12 @@
         for _ in self.simulate_kept(plan):
             pass
 
+    def test_limit_is_kept_while_instances_do_not_hear_each_other(self):
+        for limit_per_s in (1.5, 2.3, 6.0):
+            plan = LimitedPlan(limit_per_s=limit_per_s, silences_s=(9.0, 14.0, 19.0))
+            for _ in self.simulate_kept(plan):
+                pass
+
     def test_replica_gets_its_share_of_calls_again_after_its_limit(self):
         for instances in (8, 40):
             plan = LimitedPlan(
--- a/catkintrack/instance/tests/test_peers.py
+++ b/catkintrack/instance/tests/test_peers.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from catkintrack.instance.peers import choose_receivers, find_rank, get_or_add_peer
+from catkintrack.instance.peers import (
+    choose_receivers,
+    find_rank,
+    get_or_add_peer,
+    list_limit_sharers,
+)
 from testkit.states import make_instance
 
 NOW = 1000.0
@@ -61,3 +66,22 @@
         self.assertIsNone(
             get_or_add_peer(self.instance, "x", "z", mesh.host, mesh.port)
         )
+
+
+class LimitSharerTest(unittest.TestCase):
+    def list_names(self, **states):
+        instance = make_instance()
+        for name, (heard_s_ago, is_leaving) in states.items():
+            add_peer(instance, name, "z1", heard_s_ago, is_leaving)
+        get_or_add_peer(instance, "seed", "z1", "127.0.0.1", 8999)
+        return {peer.instance for peer in list_limit_sharers(instance, NOW)}
+
+    def test_silent_peer_keeps_its_share_for_a_while(self):
+        found = self.list_names(
+            live=(0.1, False), silent=(5.0, False), gone=(20.0, False)
+        )
+        self.assertEqual(found, {"live", "silent"})
+
+    def test_stopping_peer_keeps_its_share_until_it_ends(self):
+        found = self.list_names(stopping=(0.1, True), ended=(2.0, True))
+        self.assertEqual(found, {"stopping"})
--- a/testkit/limited_fleet.py
+++ b/testkit/limited_fleet.py
@@ -23,6 +23,7 @@
 from catkintrack.fleet import Upstream
 from catkintrack.instance.config_state import apply_configuration
 from catkintrack.instance.fleet_state import apply_upstream
+from catkintrack.instance.peers import get_or_add_peer, list_limit_sharers
 from catkintrack.instance.replica_signals import (
     admit,
     apply_signals,
@@ -54,7 +55,8 @@
 
     The first `limited` replicas name `limit_per_s` from `begins_s` to `ends_s`.  At each
     of `restarts_s` an instance starts again.  `skew` is the share of the callers that
-    come to the first instance.
+    come to the first instance.  From each of `silences_s` on, the instances hear nothing
+    of each other for `silence_s`, and go on serving.
     """
 
     instances: int = 8
@@ -68,6 +70,8 @@
     service: str = "models"
     skew: float = 0.0
     restarts_s: tuple[float, ...] = ()
+    silences_s: tuple[float, ...] = ()
+    silence_s: float = 3.0
 
 
 @dataclass(slots=True)
@@ -138,21 +142,36 @@
             service=plan.service, models=models, address=f"127.0.0.1:{9000 + replica}"
         )
         apply_upstream(instance, f"r{replica}", spec, fleet.now)
+    for other in range(plan.instances):
+        if other != number:
+            _hear(fleet, instance, other)
     return instance
 
 
 def _gossip(fleet: LimitedFleet, number: int) -> None:
-    """Let an instance tell its peers of the limits, and hear that they are alive."""
+    """Let an instance tell its peers that it is alive, and of the limits."""
     node = fleet.nodes[number]
-    names = [f"n{other.number}" for other in fleet.nodes]
-    share_limits(node.instance, names, fleet.now)
+    sharers = list_limit_sharers(node.instance, fleet.now)
+    share_limits(node.instance, [peer.instance for peer in sharers], fleet.now)
     ids = list_own_limits(node.instance.decisions.named_limits)
     for other in fleet.nodes:
-        if ids and other is not node:
+        if other is not node and not _is_silent(fleet):
+            _hear(fleet, other.instance, number)
             handle_peer_limits(other.instance, ids, fleet.now)
     _at(fleet, GOSSIP_S, lambda: _gossip(fleet, number))
 
 
+def _is_silent(fleet: LimitedFleet) -> bool:
+    plan, since_s = fleet.plan, fleet.now - 100.0
+    return any(at <= since_s < at + plan.silence_s for at in plan.silences_s)
+
+
+def _hear(fleet: LimitedFleet, instance: Instance, number: int) -> None:
+    """Let an instance hear of another one."""
+    peer = get_or_add_peer(instance, f"n{number}", "z1", "127.0.0.1", 10_000 + number)
+    peer.incarnation, peer.heard_at = 1, fleet.now
+
+
 def _restart(fleet: LimitedFleet) -> None:
     node = fleet.rng.choice(fleet.nodes)
     node.life += 1
