Load settings again that changed while a process started

Where else: router, agent and instance, all three.

The agent starts as the router does.

Why it works: the state is read before the files are, so a change at any time after that differs from it.

--- a/catkintrack/agent/process.py
+++ b/catkintrack/agent/process.py
@@ -4,8 +4,6 @@
 
 import logging
 import time
-from collections.abc import Sequence
-from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -27,6 +25,7 @@
 from catkintrack.objects import PlatformClient
 from catkintrack.processes import (
     PauseDetector,
+    SettingsFiles,
     catch_signals,
     make_settings_reload,
     open_ops_server,
@@ -124,15 +123,15 @@
     return handlers_by_type
 
 
-async def run_agent(settings: Settings, paths: Sequence[Path]) -> None:
+async def run_agent(settings: Settings, files: SettingsFiles) -> None:
     """Run an agent until a stop signal, then shut down gracefully.
 
-    The settings files in `paths` are loaded again when they change.
+    The settings `files` are loaded again when they change.
     """
     with catch_signals() as signals, open_context() as context:
         agent = make_agent(settings, context)
         reload = make_settings_reload(
-            paths, settings, lambda changed: apply_settings(agent, changed)
+            files.paths, settings, lambda changed: apply_settings(agent, changed)
         )
         authenticator = bind_authenticator(context)
         _bind_links(agent)
@@ -148,7 +147,7 @@
             (maintain_ledger, agent),
             (rebalance_shares, agent),
             (expire_router_sessions, agent),
-            (watch_files, paths, reload),
+            (watch_files, files, reload),
         ]
         for task in tasks:
             function_and_arguments = task if isinstance(task, tuple) else (task,)
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -36,10 +36,12 @@
     EXIT_BAD_SETTINGS,
     DroppingHandler,
     RateLimitFilter,
+    SettingsFiles,
     catch_signals,
     configure_logging,
     load_after_rewrite,
     log_suppressed_lines,
+    observe_files,
     open_ops_server,
     wait_for_stop_signal,
     watch_files,
@@ -148,16 +150,15 @@
 Logs = tuple[RateLimitFilter, DroppingHandler]
 
 
-async def run_instance(site: Site, logs: Logs) -> None:
+async def run_instance(site: Site, logs: Logs, files: SettingsFiles) -> None:
     """Run an instance until a stop signal, then drain its calls."""
     with catch_signals() as signals, open_context() as context:
         instance = make_instance(site, context)
         logger.info("instance started", extra={"incarnation": instance.incarnation})
         async with _open_servers(instance) as server:
             await _spawn_tasks(instance)
-            path = get_settings_path()
-            reload = make_site_reload(instance, path)
-            await curio.spawn(watch_files, [path], reload, daemon=True)
+            reload = make_site_reload(instance, files.paths[0])
+            await curio.spawn(watch_files, files, reload, daemon=True)
             await curio.spawn(_log_suppressed_lines, logs, daemon=True)
             await wait_for_stop_signal(signals, reload)
             await _stop(instance, server)
@@ -266,10 +267,11 @@
     # A write to a closed connection fails with an error instead of ending the process.
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
     path = get_settings_path()
+    files = observe_files([path])
     match load_after_rewrite(lambda: load_site(path)):
         case Success(site):
             logs = configure_logging("INFO", "instance", site.instance, sys.stdout)
-            curio.run(run_instance, site, logs)
+            curio.run(run_instance, site, logs, files)
         case Failure(error):
             print(f"{error.subject}: {error.reason}", file=sys.stderr)
             raise SystemExit(EXIT_BAD_SETTINGS)
--- a/catkintrack/processes/__init__.py
+++ b/catkintrack/processes/__init__.py
@@ -11,10 +11,12 @@
 from .pauses import PauseDetector
 from .reload import (
     Reload,
+    SettingsFiles,
     log_changes,
     log_invalid_settings,
     make_safe_reload,
     make_settings_reload,
+    observe_files,
     watch_files,
 )
 from .signals import catch_signals, wait_for_stop_signal
@@ -27,12 +29,14 @@
     "DroppingHandler",
     "make_metric_factories",
     "Reload",
+    "SettingsFiles",
     "catch_signals",
     "load_after_rewrite",
     "log_changes",
     "log_invalid_settings",
     "make_safe_reload",
     "make_settings_reload",
+    "observe_files",
     "watch_files",
     "configure_logging",
     "log_suppressed_lines",
--- a/catkintrack/processes/reload.py
+++ b/catkintrack/processes/reload.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from pathlib import Path
 
 import curio
@@ -38,12 +39,25 @@
     return reload_safely
 
 
-async def watch_files(paths: Sequence[Path], reload: Reload) -> None:
-    """Reload when one of the files has changed, until cancelled."""
-    state = read_file_state(paths)
+@dataclass(frozen=True, slots=True)
+class SettingsFiles:
+    """Hold a process's settings files, and what identified them before it read them."""
+
+    paths: tuple[Path, ...]
+    state: FileState
+
+
+def observe_files(paths: Sequence[Path]) -> SettingsFiles:
+    """Return the files as they are now, before they are loaded."""
+    return SettingsFiles(tuple(paths), read_file_state(paths))
+
+
+async def watch_files(files: SettingsFiles, reload: Reload) -> None:
+    """Reload when one of the files has changed since its state, until cancelled."""
+    state = files.state
     while True:
         await curio.sleep(FILE_CHECK_INTERVAL_S)
-        current = read_file_state(paths)
+        current = read_file_state(files.paths)
         if current != state:
             state = current
             reload()
--- a/catkintrack/processes/startup.py
+++ b/catkintrack/processes/startup.py
@@ -4,7 +4,7 @@
 
 import sys
 import time
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import TypeVar
 
@@ -14,6 +14,7 @@
 from catkintrack.settings import Settings, SettingsError, load_settings
 
 from .logs import configure_logging
+from .reload import SettingsFiles, observe_files
 
 EXIT_BAD_SETTINGS = 2
 # A rewrite of a settings file in place takes far less than all attempts together.
@@ -61,10 +62,10 @@
 def run_process(
     files: str,
     name: str,
-    run: Callable[[Settings, Sequence[Path]], Awaitable[None]],
+    run: Callable[[Settings, SettingsFiles], Awaitable[None]],
 ) -> None:
     """Load the settings, configure logging and run the process until it ends."""
-    paths = split_paths(files)
-    settings = _get_or_exit(load_after_rewrite(lambda: load_settings(paths)))
+    observed = observe_files(split_paths(files))
+    settings = _get_or_exit(load_after_rewrite(lambda: load_settings(observed.paths)))
     configure_logging(settings.logging.level, name, settings.instance.id)
-    curio.run(run, settings, paths)
+    curio.run(run, settings, observed)
--- a/catkintrack/router/process.py
+++ b/catkintrack/router/process.py
@@ -4,8 +4,6 @@
 
 import logging
 import time
-from collections.abc import Sequence
-from pathlib import Path
 from random import Random
 
 import curio
@@ -26,6 +24,7 @@
 from catkintrack.links import open_context
 from catkintrack.processes import (
     PauseDetector,
+    SettingsFiles,
     catch_signals,
     make_settings_reload,
     open_ops_server,
@@ -65,17 +64,17 @@
     )
 
 
-async def run_router(settings: Settings, paths: Sequence[Path]) -> None:
+async def run_router(settings: Settings, files: SettingsFiles) -> None:
     """Run a router until a stop signal, then drain its open calls.
 
-    The settings files in `paths` are loaded again when they change.
+    The settings `files` are loaded again when they change.
     """
     with catch_signals() as signals, open_context() as context:
         router = make_router(settings, context)
         reload = make_settings_reload(
-            paths, settings, lambda changed: apply_settings(router, changed)
+            files.paths, settings, lambda changed: apply_settings(router, changed)
         )
-        await curio.spawn(watch_files, paths, reload, daemon=True)
+        await curio.spawn(watch_files, files, reload, daemon=True)
         logger.info("router started", extra={"incarnation": router.incarnation})
         await curio.spawn(run_agent_links, router, daemon=True)
         await curio.spawn(run_ticks, router.call_queue, daemon=True)
