Answer a claimed call only when its record is stored

What callers saw: a call with an idempotency key is answered with 200, and the same call repeated at once at another instance gets 409 ("the call runs, or ended without a known outcome") instead of the stored response.

Cause: the router sent the outcome to its agent and answered the caller, without waiting until the platform had stored it, though its comment said that it is recorded before. Class of fault: a message that was sent taken for a record that is stored. Ruled out: a second run (the test counts one), a claim that is lost (later repetitions find it).

Why it works: the agent answers once the outcome is stored, and the router waits for that, 2 s at most: when the platform can't be reached, the caller still gets its response, and a repetition 409, which is true. The number of the request comes last in the message, so an older agent ignores it. Where else: reservations and claims are already answered; what is settled of a limit may come late. Instances on the users' platform keep no claims.

--- a/catkintrack/agent/routers.py
+++ b/catkintrack/agent/routers.py
@@ -15,6 +15,7 @@
     CacheEvents,
     ClaimAnswer,
     ClaimFinish,
+    ClaimFinished,
     ClaimRequest,
     ConfigChanges,
     ConfigSnapshot,
@@ -203,9 +204,9 @@
 
 
 async def handle_claim_finish(
-    agent: Agent, _session: RouterSession, envelope: Envelope
+    agent: Agent, session: RouterSession, envelope: Envelope
 ) -> None:
-    """Record the outcome of a claimed call in the platform."""
+    """Record the outcome of a claimed call in the platform, and answer when it is."""
     body: ClaimFinish = envelope.body
 
     async def record_outcome() -> None:
@@ -216,6 +217,9 @@
             logger.warning(
                 "recording a claim's outcome failed", extra={"claim": body.name}
             )
+        if body.request:
+            answer = ClaimFinished(body.request, is_recorded)
+            await send_to_router(agent, session, answer)
 
     await curio.spawn(record_outcome, daemon=True)
 
--- a/catkintrack/links/messages.py
+++ b/catkintrack/links/messages.py
@@ -152,12 +152,23 @@
 
 
 class ClaimFinish(Message):
-    """Report a claimed call's response to be stored, or that the call did not run."""
+    """Report a claimed call's response to be stored, or that the call did not run.
+
+    A sender that waits for the answer gives the number of its `request`.
+    """
 
     name: str
     owner: str
     has_run: bool
     response: bytes
+    request: int = 0
+
+
+class ClaimFinished(Message):
+    """Answer a claim's outcome with whether it is known to be stored."""
+
+    request: int
+    is_recorded: bool
 
 
 class PrefillNews(Message):
@@ -311,6 +322,7 @@
     | ClaimRequest
     | ClaimAnswer
     | ClaimFinish
+    | ClaimFinished
     | PrefillNews
     | PrefillEnd
     | Heartbeat
--- a/catkintrack/router/agent_links.py
+++ b/catkintrack/router/agent_links.py
@@ -32,6 +32,7 @@
     CacheEvents,
     ClaimAnswer,
     ClaimFinish,
+    ClaimFinished,
     ClaimRequest,
     ConfigChanges,
     ConfigSnapshot,
@@ -68,6 +69,8 @@
 # until the ledger has converged, an agent may decide after this timeout.
 RESERVE_TIMEOUT_S = 1.0
 CLAIM_TIMEOUT_S = 8.0
+# How long a caller's response may wait until its record is stored.
+RECORD_TIMEOUT_S = 2.0
 LIMITS_RETRY_AFTER_S = 1.0
 
 
@@ -329,7 +332,7 @@
 async def handle_reply(
     router: Router,
     agent: AgentLink,
-    body: ReserveAnswer | ClaimAnswer,
+    body: ReserveAnswer | ClaimAnswer | ClaimFinished,
     now: float,
 ) -> None:
     """Pass a reply to the request that waits for it; ignore a late one."""
@@ -353,6 +356,7 @@
     PrefillEnd: handle_remote_prefill_end,
     ReserveAnswer: handle_reply,
     ClaimAnswer: handle_reply,
+    ClaimFinished: handle_reply,
 }
 
 
@@ -427,7 +431,14 @@
 async def send_claim_outcome(
     router: Router, name: str, owner: str, has_run: bool, response: bytes
 ) -> None:
-    """Send the outcome of a claimed call and its response to an agent to store."""
-    body = ClaimFinish(name, owner, has_run, response)
+    """Let an agent store the outcome of a claimed call and its response.
+
+    Return when it is stored, or after a time limit: the response is right without it.
+    """
     for agent in list_live_agents(router, time.monotonic())[:1]:
-        await send_to_agent(router, agent, body)
+        await _send_request(
+            router,
+            agent,
+            lambda request_id: ClaimFinish(name, owner, has_run, response, request_id),
+            RECORD_TIMEOUT_S,
+        )
--- a/catkintrack/tests/test_at_most_once.py
+++ b/catkintrack/tests/test_at_most_once.py
@@ -40,6 +40,15 @@
         self.assertEqual(again.body, first.body)
         self.assertEqual(again.headers["idempotency-replayed"], "true")
 
+    def test_repeated_call_finds_the_response_after_a_slow_record(self):
+        """Guards against a response that is sent before its record is stored."""
+        self.fleet.set_platform_faults(latency_s=0.3)
+        first = self.post(0, "k1")
+        self.fleet.set_platform_faults(latency_s=0.002)
+        again = self.post(1, "k1")
+        self.assertEqual((first.status, again.status), (200, 200))
+        self.assertEqual(again.body, first.body)
+
     def test_idempotency_key_reused_for_another_call_is_a_conflict(self):
         self.assertEqual(self.post(0, "k1").status, 200)
         other = self.post(1, "k1", b'{"deposit": 999}')
