--- a/catkintrack/tests/test_store_drills.py
+++ b/catkintrack/tests/test_store_drills.py
@@ -146,7 +146,8 @@
         before = self.count_calls("a0")
         back_at = time.monotonic()
         while time.monotonic() < back_at + ENTRY_RESTORE_S:
-            self.assertEqual(site.call("n0", "/order/1")[0], 200)
+            status, _, body = site.call("n0", "/order/1")
+            self.assertEqual(status, 200, body)
         self.assertEqual(self.count_calls("a0"), before)
         self.assertEqual(self.read_eras(), {2})
         for node in ("n0", "n1"):
