Take no calls later than 2.9 s after the stop signal

Cause: calls were taken for 2.5 s after the lease was released, and the drain reads for 0.5 s more: 3.05 to 3.6 s. What is sent later than 3 s after the signal is owed a whole answer.

Why it works: the time counts from the signal, not from the steps before. The load balancer removes an instance after two failed checks, 2 s; it is still served for 0.4 s after.

--- a/catkintrack/http/__init__.py
+++ b/catkintrack/http/__init__.py
@@ -29,6 +29,7 @@
     strip_hop_by_hop_headers,
 )
 from .server import (
+    DRAIN_READ_S,
     RESET_ON_CLOSE,
     BadRequestHandler,
     Connection,
@@ -47,6 +48,7 @@
 )
 
 __all__ = [
+    "DRAIN_READ_S",
     "Address",
     "BadRequest",
     "BadRequestHandler",
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -19,6 +19,7 @@
 from catkintrack.decisions.shedding import LateQueue
 from catkintrack.fleet import Site
 from catkintrack.http import (
+    DRAIN_READ_S,
     ClientLimits,
     Connection,
     Pool,
@@ -83,9 +84,10 @@
 LOG_SUMMARY_INTERVAL_S = 1.0
 # Fraction of the operators' slack over a limit that a bucket holds after a restart.
 RESTART_SLACK_SHARE = 0.5
-# The load balancer checks readiness each second and removes an instance after two
-# failed checks.
-BALANCER_REMOVAL_S = 2.5
+# From the stop signal until no more calls are taken.  The load balancer checks readiness
+# each second and removes an instance after two failed checks; calls that are sent
+# later than 3 s after the signal are all to be served within the grace period.
+ACCEPTING_S = 2.9
 # Replicas respond to outstanding orders within this time.
 ORDER_RESPONSE_S = 0.05
 RELEASE_TIMEOUT_S = 0.5
@@ -256,7 +258,8 @@
     await curio.ignore_after(RELEASE_TIMEOUT_S, release_lease, instance)
     instance.full_gossip_at = -1e9
     await send_gossip(instance)
-    await curio.sleep(BALANCER_REMOVAL_S)
+    accepting_s = ACCEPTING_S - DRAIN_READ_S - (time.monotonic() - started_at)
+    await curio.sleep(max(0.0, accepting_s))
     remaining_s = instance.site.bounds.grace_s - STOP_MARGIN_S
     remaining_s -= time.monotonic() - started_at
     await curio.ignore_after(max(0.1, remaining_s), drain_server, server)
--- a/testkit/limit_fleet.py
+++ b/testkit/limit_fleet.py
@@ -39,7 +39,8 @@
     `demand_factor` is the demand as a multiple of the rate, after `calm_s` seconds of
     `calm_factor`.  The instances in `killed` start again at `killed_at`, when all
     together may use `restart_level`.  At each of `stops_at` the next instance stops as
-    planned; stopped and killed ones are away for `away_s`.  With `skew` above 0 some instances get more calls than others.
+    planned; stopped and killed ones are away for `away_s`.  With `skew` above 0 some
+    instances get more calls than others.
     """
 
     instances: int
@@ -71,11 +72,17 @@
     """Hold the instances' limits and what was asked and granted.
 
     `heard_at` is when each instance last heard each other one.  Calls come to neither
-    the `closed` nor the `away` ones, `stopping` ones have announced it.
+    the `closed` nor the `away` ones, `stopping` ones have announced it.  `events` are
+    the actions to come, by their times.
     """
 
     load: FleetLoad
     rng: Random
+    make_limits: Callable[[int], PooledLimits]
+    now: float = 0.0
+    events: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
+    event_count: int = 0
+    weights: list[float] = field(default_factory=list)
     limits: list[PooledLimits] = field(default_factory=list)
     asked: list[Grant] = field(default_factory=list)
     grants: list[Grant] = field(default_factory=list)
@@ -90,121 +97,75 @@
     load: FleetLoad, seed: int, make_limits: Callable[[int], PooledLimits]
 ) -> LimitFleet:
     """Return the fleet after `duration_s` of calls and gossip."""
-    rng = Random(seed)
-    fleet = LimitFleet(load, rng, [make_limits(n) for n in range(load.instances)])
-    fleet.incarnations = [1] * load.instances
-    fleet.heard_at = [
-        {other: 0.0 for other in range(load.instances) if other != number}
-        for number in range(load.instances)
-    ]
-    for number, limits in enumerate(fleet.limits):
-        take(limits, WORKSPACE, load.limit, 0.0, 0.0)
-        _deliver(fleet, number, 1, 0.0, 0.0, 0.0)
-    weights = [rng.paretovariate(1.2) ** load.skew for _ in fleet.limits]
-    due: list[tuple[float, int, str, int, int, float, float]] = []
-    order = iter(range(10**9))
-
-    def schedule(
-        at: float, kind: str, number: int, *, incarnation=0, total=0.0, level=0.0
-    ):
-        heapq.heappush(due, (at, next(order), kind, number, incarnation, total, level))
-
+    fleet = _make_fleet(load, Random(seed), make_limits)
     for number in range(load.instances):
-        schedule(rng.random() * load.gossip_interval_s, "send", number)
+        delay_s = fleet.rng.random() * load.gossip_interval_s
+        _at(fleet, delay_s, lambda n=number: _send(fleet, n))
         if load.stops_at:
-            schedule(rng.random() * HOUSEKEEPING_S, "house", number)
+            delay_s = fleet.rng.random() * HOUSEKEEPING_S
+            _at(fleet, delay_s, lambda n=number: _keep_house(fleet, n))
     for number in load.killed:
-        schedule(load.killed_at, "kill", number)
+        _at(fleet, load.killed_at, lambda n=number: _end(fleet, n))
     for number, at in enumerate(load.stops_at):
-        schedule(at, "stop", number % load.instances)
-    schedule(0.0, "call", 0)
-    while due[0][0] < load.duration_s:
-        now, _, kind, number, incarnation, total, level = heapq.heappop(due)
-        if kind == "call":
-            target = rng.choices(range(load.instances), weights)[0]
-            while target in fleet.closed or target in fleet.away:
-                target = rng.randrange(load.instances)
-            _call(fleet, target, now)
-            factor = load.calm_factor if now < load.calm_s else load.demand_factor
-            pause_s = rng.expovariate(factor * load.rate / load.mean_cost)
-            schedule(now + pause_s, "call", 0)
-        elif kind == "send":
-            bucket = fleet.limits[number].bucket_by_workspace.get(WORKSPACE)
-            is_sent = bucket is not None and number not in fleet.away
-            if is_sent and rng.random() >= load.loss:
-                schedule(
-                    now + load.delay_s,
-                    "receive",
-                    number,
-                    incarnation=fleet.incarnations[number],
-                    total=bucket.local_total,
-                    level=bucket.level,
-                )
-            schedule(now + load.gossip_interval_s, "send", number)
-        elif kind == "house":
-            _count_reporting(fleet, number, now)
-            schedule(now + HOUSEKEEPING_S, "house", number)
-        elif kind == "stop":
-            fleet.stopping.add(number)
-            schedule(now + STOP_CALLS_S, "close", number)
-            schedule(now + STOP_S, "kill", number)
-        elif kind == "close":
-            fleet.closed.add(number)
-        elif kind == "kill" and load.away_s:
-            fleet.away.add(number)
-            schedule(now + load.away_s, "start", number)
-        elif kind in ("kill", "start"):
-            _start_again(fleet, number, make_limits, now)
-        else:
-            _deliver(fleet, number, incarnation, total, level, now)
+        _at(fleet, at, lambda n=number % load.instances: _stop(fleet, n))
+    _at(fleet, 0.0, lambda: _arrive(fleet))
+    while fleet.events[0][0] < load.duration_s:
+        fleet.now, _, action = heapq.heappop(fleet.events)
+        action()
     return fleet
 
 
-def _start_again(
-    fleet: LimitFleet,
-    number: int,
-    make_limits: Callable[[int], PooledLimits],
-    now: float,
-) -> None:
-    for states in (fleet.stopping, fleet.closed, fleet.away):
-        states.discard(number)
-    incarnation = fleet.incarnations[number] = round(now * 1e3)
-    limits = fleet.limits[number] = make_limits(number)
-    limits.initial_level = fleet.load.restart_level
-    limits.known_instances = fleet.load.instances
-    limits.incarnation = incarnation
-    limits.started_at = now
+def _make_fleet(
+    load: FleetLoad, rng: Random, make_limits: Callable[[int], PooledLimits]
+) -> LimitFleet:
+    """Return a fleet in which all instances have heard of each other."""
+    numbers = range(load.instances)
+    fleet = LimitFleet(load, rng, make_limits, limits=[make_limits(n) for n in numbers])
+    fleet.incarnations = [1] * load.instances
+    fleet.heard_at = [{other: 0.0 for other in numbers if other != n} for n in numbers]
+    for number, limits in enumerate(fleet.limits):
+        take(limits, WORKSPACE, load.limit, 0.0, 0.0)
+        _deliver(fleet, number, 1, 0.0, 0.0)
+    fleet.weights = [rng.paretovariate(1.2) ** load.skew for _ in numbers]
+    return fleet
 
 
-def _count_reporting(fleet: LimitFleet, number: int, now: float) -> None:
-    """Update which part of the fleet an instance hears."""
-    peers = [
-        PeerReports(now - heard_at, other in fleet.stopping)
-        for other, heard_at in fleet.heard_at[number].items()
-        if now - heard_at < REMOVAL_S
-    ]
-    reporting, known = find_reporting(peers)
-    fleet.limits[number].reporting_fraction = reporting / known
-    fleet.limits[number].known_instances = known
+def _at(fleet: LimitFleet, delay_s: float, action: Callable[[], None]) -> None:
+    fleet.event_count += 1
+    heapq.heappush(fleet.events, (fleet.now + delay_s, fleet.event_count, action))
 
 
-def _call(fleet: LimitFleet, target: int, now: float) -> None:
-    load = fleet.load
-    cost = load.mean_cost * (0.5 + fleet.rng.random())
+def _arrive(fleet: LimitFleet) -> None:
+    """Let a call arrive at an instance, and the next one later."""
+    load, rng, now = fleet.load, fleet.rng, fleet.now
+    target = rng.choices(range(load.instances), fleet.weights)[0]
+    while target in fleet.closed or target in fleet.away:
+        target = rng.randrange(load.instances)
+    cost = load.mean_cost * (0.5 + rng.random())
     fleet.asked.append((now, cost))
     if take(fleet.limits[target], WORKSPACE, load.limit, cost, now) is None:
         fleet.grants.append((now, cost))
+    factor = load.calm_factor if now < load.calm_s else load.demand_factor
+    pause_s = rng.expovariate(factor * load.rate / load.mean_cost)
+    _at(fleet, pause_s, lambda: _arrive(fleet))
+
+
+def _send(fleet: LimitFleet, number: int) -> None:
+    """Let an instance report its usage, and again after the interval."""
+    load = fleet.load
+    bucket = fleet.limits[number].bucket_by_workspace.get(WORKSPACE)
+    is_sent = bucket is not None and number not in fleet.away
+    if is_sent and fleet.rng.random() >= load.loss:
+        report = (fleet.incarnations[number], bucket.local_total, bucket.level)
+        _at(fleet, load.delay_s, lambda: _deliver(fleet, number, *report))
+    _at(fleet, load.gossip_interval_s, lambda: _send(fleet, number))
 
 
 def _deliver(
-    fleet: LimitFleet,
-    number: int,
-    incarnation: int,
-    total: float,
-    level: float,
-    now: float,
+    fleet: LimitFleet, number: int, incarnation: int, total: float, level: float
 ) -> None:
     """Record an instance's usage at all others; those that started later adopt its level."""
+    now = fleet.now
     for other, limits in enumerate(fleet.limits):
         if other == number or other in fleet.away:
             continue
@@ -214,6 +175,46 @@
         record_peer_usage(limits, f"n{number}", incarnation, WORKSPACE, total, now)
 
 
+def _stop(fleet: LimitFleet, number: int) -> None:
+    """Let an instance announce its stop, then get no more calls, then end."""
+    fleet.stopping.add(number)
+    _at(fleet, STOP_CALLS_S, lambda: fleet.closed.add(number))
+    _at(fleet, STOP_S, lambda: _end(fleet, number))
+
+
+def _end(fleet: LimitFleet, number: int) -> None:
+    """End an instance, which starts again, at once or after a time away."""
+    if not fleet.load.away_s:
+        _start(fleet, number)
+        return
+    fleet.away.add(number)
+    _at(fleet, fleet.load.away_s, lambda: _start(fleet, number))
+
+
+def _start(fleet: LimitFleet, number: int) -> None:
+    for states in (fleet.stopping, fleet.closed, fleet.away):
+        states.discard(number)
+    incarnation = fleet.incarnations[number] = round(fleet.now * 1e3)
+    limits = fleet.limits[number] = fleet.make_limits(number)
+    limits.initial_level = fleet.load.restart_level
+    limits.known_instances = fleet.load.instances
+    limits.incarnation = incarnation
+    limits.started_at = fleet.now
+
+
+def _keep_house(fleet: LimitFleet, number: int) -> None:
+    """Update which part of the fleet an instance hears, and again after the interval."""
+    peers = [
+        PeerReports(fleet.now - heard_at, other in fleet.stopping)
+        for other, heard_at in fleet.heard_at[number].items()
+        if fleet.now - heard_at < REMOVAL_S
+    ]
+    reporting, known = find_reporting(peers)
+    fleet.limits[number].reporting_fraction = reporting / known
+    fleet.limits[number].known_instances = known
+    _at(fleet, HOUSEKEEPING_S, lambda: _keep_house(fleet, number))
+
+
 def grant_centrally(load: FleetLoad, asked: Iterable[Grant]) -> list[Grant]:
     """Return what one central bucket grants of the same calls."""
     limits = PooledLimits(math.inf, 0.0)
@@ -235,15 +236,3 @@
             used -= window.popleft()[1]
         most = max(most, used)
     return most
-
-
-def find_least_in_window(
-    grants: Iterable[Grant], window_s: float, since: float, until: float
-) -> float:
-    """Return the fewest tokens that were granted in any window between two times."""
-    rows = list(grants)
-    starts = [since] + [at for at, _ in rows if since < at <= until - window_s]
-    return min(
-        sum(cost for at, cost in rows if start < at <= start + window_s)
-        for start in starts
-    )
