Sort queued requests only of models whose replicas are all limited

Each tick sorted all queued requests while any replica names a limit, though only those of models of which each replica names one or rests can be refused. No change of behaviour: the order among the requests that count is the same.

--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -275,19 +275,20 @@
     places = [
         (request, queue) for queue in (tables.retries, *queues) for request in queue
     ]
-    places.sort(key=lambda place: (not place[0].is_retry, place[0].target_at))
-    supply_by_model = {
+    supplies = {
         model: _find_supply(tables, model, now)
         for model in {request.model for request, _ in places}
     }
+    supply_by_model = {
+        m: supply for m, supply in supplies.items() if supply is not None
+    }
+    places = [place for place in places if place[0].model in supply_by_model]
+    places.sort(key=lambda place: (not place[0].is_retry, place[0].target_at))
     count_by_model: Counter[str] = Counter()
     refusals = []
     for request, queue in places:
-        supply = supply_by_model[request.model]
-        if supply is None:
-            continue
         count = count_by_model[request.model] + 1
-        wait_s = compute_wait_s(supply, count)
+        wait_s = compute_wait_s(supply_by_model[request.model], count)
         if now + wait_s <= request.deadline:
             count_by_model[request.model] = count
             continue
