Name the instances that share a limit for what they are; list staying replicas once

Since silent and stopping instances keep their shares, the names are no longer those of the live instances. The function that only passed peers' limits on is gone, and the replicas of a service that do not leave are listed in one place instead of two. No change of behaviour.

--- a/catkintrack/decisions/named_limits.py
+++ b/catkintrack/decisions/named_limits.py
@@ -54,11 +54,11 @@
 
 @dataclass(slots=True)
 class NamedLimitTable:
-    """Hold the limits in force by replica, and the names of the live instances."""
+    """Hold the limits in force by replica, and the instances that share them."""
 
     limit_by_upstream: dict[str, NamedLimit] = field(default_factory=dict)
     own_name: str = ""
-    live_names: tuple[str, ...] = ("",)
+    sharer_names: tuple[str, ...] = ("",)
 
 
 def is_usable_limit(per_s: float) -> bool:
@@ -115,14 +115,14 @@
     return table.limit_by_upstream.pop(upstream.id)
 
 
-def set_live_instances(
-    table: NamedLimitTable, own_name: str, live_names: Iterable[str], now: float
+def set_sharers(
+    table: NamedLimitTable, own_name: str, sharer_names: Iterable[str], now: float
 ) -> None:
-    """Divide the limits among the live instances, this one included."""
-    names = tuple(sorted({own_name, *live_names}))
-    if names == table.live_names and own_name == table.own_name:
+    """Divide the limits among the instances that share them, this one included."""
+    names = tuple(sorted({own_name, *sharer_names}))
+    if names == table.sharer_names and own_name == table.own_name:
         return
-    table.own_name, table.live_names = own_name, names
+    table.own_name, table.sharer_names = own_name, names
     for id, limit in table.limit_by_upstream.items():
         _set_share(table, id, limit, now)
 
@@ -130,12 +130,12 @@
 def _set_share(table: NamedLimitTable, id: str, limit: NamedLimit, now: float) -> None:
     _fill(limit, now)
     limit.share_per_s = compute_share_per_s(
-        limit.per_s, id, table.own_name, table.live_names
+        limit.per_s, id, table.own_name, table.sharer_names
     )
 
 
 def compute_share_per_s(
-    limit_per_s: float, id: str, own_name: str, live_names: tuple[str, ...]
+    limit_per_s: float, id: str, own_name: str, sharer_names: tuple[str, ...]
 ) -> float:
     """Return the share of an instance in a replica's limit, in requests a second.
 
@@ -143,9 +143,9 @@
     """
     per_s = max(MIN_LIMIT_PER_S, limit_per_s)
     count = int(BURST_S * limit_per_s) + BURST_REQUESTS
-    if len(live_names) <= count:
-        return per_s / len(live_names)
-    ranked = sorted(live_names, key=lambda name: zlib.crc32(f"{id}/{name}".encode()))
+    if len(sharer_names) <= count:
+        return per_s / len(sharer_names)
+    ranked = sorted(sharer_names, key=lambda name: zlib.crc32(f"{id}/{name}".encode()))
     return per_s / count if own_name in ranked[:count] else 0.0
 
 
--- a/catkintrack/decisions/tests/test_named_limits.py
+++ b/catkintrack/decisions/tests/test_named_limits.py
@@ -24,7 +24,7 @@
     list_own_limits,
     record_limit,
     reserve_token,
-    set_live_instances,
+    set_sharers,
     take_token,
 )
 from catkintrack.decisions.rest import Rest
@@ -38,7 +38,7 @@
 def make_limited_table(per_s=2.0, names=("n0", "n1"), now=10.0):
     """Return the table of the first instance, which has been told of a limit of i1."""
     table = NamedLimitTable()
-    set_live_instances(table, names[0], names, now)
+    set_sharers(table, names[0], names, now)
     record_limit(table, make_upstream(), per_s, now - 1.0, now)
     return table
 
--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -13,6 +13,7 @@
     clear_stored_blocks,
     remove_stored_blocks,
 )
+from catkintrack.decisions.named_limits import confirm_limits
 from catkintrack.decisions.scheduler import (
     record_remote_prefill,
     record_remote_prefill_end,
@@ -81,7 +82,6 @@
     handle_parts_served,
     handle_replica_lost,
 )
-from .replica_signals import handle_peer_limits
 from .state import Instance, Peer
 
 logger = logging.getLogger(__name__)
@@ -208,7 +208,7 @@
         get_or_add_peer(instance, row.instance, row.zone, row.host, row.port)
     observe_era(instance.store, gossip.era, gossip.instance)
     _apply_gossiped_state(instance, gossip, now)
-    handle_peer_limits(instance, gossip.limited_upstreams, now)
+    confirm_limits(instance.decisions.named_limits, gossip.limited_upstreams, now)
     await adopt_gossiped_quarantine(instance, gossip)
     await pull_newer(instance, peer, gossip, now)
 
--- a/catkintrack/instance/replica_signals.py
+++ b/catkintrack/instance/replica_signals.py
@@ -14,7 +14,6 @@
 from catkintrack.decisions.leaving import has_announced_leaving, record_leaving
 from catkintrack.decisions.named_limits import (
     compute_wait_s,
-    confirm_limits,
     end_unnamed_limit,
     find_limit,
     find_supply,
@@ -24,7 +23,7 @@
     is_usable_limit,
     record_limit,
     reserve_token,
-    set_live_instances,
+    set_sharers,
     take_token,
 )
 from catkintrack.decisions.rest import (
@@ -120,13 +119,9 @@
     instance: Instance, service: str, deadline_at: float, now: float
 ) -> float | None:
     """Return when a refused caller should come back, or None unless all replicas rest."""
-    leaving = instance.decisions.leaving
     rests = [
         find_rest(instance.decisions.rests, upstream)
-        for upstream in instance.upstream_by_id.values()
-        if upstream.service == service
-        and not upstream.is_draining
-        and not has_announced_leaving(leaving, upstream)
+        for upstream in _list_staying(instance, service)
     ]
     returns_at = find_earliest_return(rests, now)
     if returns_at is None:
@@ -142,30 +137,34 @@
     tables = instance.decisions
     signals = [
         (find_limit(tables.named_limits, upstream), find_rest(tables.rests, upstream))
+        for upstream in _list_staying(instance, service)
+    ]
+    supply = find_supply(signals, now)
+    return None if supply is None else compute_wait_s(supply, 1)
+
+
+def _list_staying(instance: Instance, service: str) -> list[Upstream]:
+    """Return the replicas of a service that do not leave."""
+    leaving = instance.decisions.leaving
+    return [
+        upstream
         for upstream in instance.upstream_by_id.values()
         if upstream.service == service
         and not upstream.is_draining
-        and not has_announced_leaving(tables.leaving, upstream)
+        and not has_announced_leaving(leaving, upstream)
     ]
-    supply = find_supply(signals, now)
-    return None if supply is None else compute_wait_s(supply, 1)
 
 
-def share_limits(instance: Instance, live_names: Iterable[str], now: float) -> None:
-    """Divide the limits among the live instances; forget those that are over."""
+def share_limits(instance: Instance, sharer_names: Iterable[str], now: float) -> None:
+    """Divide the limits among the sharing instances; forget those that are over."""
     table = instance.decisions.named_limits
-    set_live_instances(table, instance.site.instance, live_names, now)
+    set_sharers(table, instance.site.instance, sharer_names, now)
     forget_limits_of_gone(table, instance.upstream_by_id, now)
     for id in forget_unconfirmed_limits(table, now):
         update_signals(instance, id, now)
     instance.metrics.named_limits.set({}, len(table.limit_by_upstream))
 
 
-def handle_peer_limits(instance: Instance, ids: Iterable[str], now: float) -> None:
-    """Record of which replicas' limits a peer with a share in them has told."""
-    confirm_limits(instance.decisions.named_limits, ids, now)
-
-
 def end_returned_rests(instance: Instance, now: float) -> None:
     """End the rests after which no answer came in the time for a first request."""
     rest_by_upstream = instance.decisions.rests.rest_by_upstream
--- a/testkit/limited_fleet.py
+++ b/testkit/limited_fleet.py
@@ -19,7 +19,7 @@
     submit,
     tick,
 )
-from catkintrack.decisions.named_limits import list_own_limits
+from catkintrack.decisions.named_limits import confirm_limits, list_own_limits
 from catkintrack.fleet import Upstream
 from catkintrack.instance.config_state import apply_configuration
 from catkintrack.instance.fleet_state import apply_upstream
@@ -27,7 +27,6 @@
 from catkintrack.instance.replica_signals import (
     admit,
     apply_signals,
-    handle_peer_limits,
     share_limits,
 )
 from catkintrack.instance.service_calls import choose_upstream
@@ -157,7 +156,7 @@
     for other in fleet.nodes:
         if other is not node and not _is_silent(fleet):
             _hear(fleet, other.instance, number)
-            handle_peer_limits(other.instance, ids, fleet.now)
+            confirm_limits(other.instance.decisions.named_limits, ids, fleet.now)
     _at(fleet, GOSSIP_S, lambda: _gossip(fleet, number))
 
 
