Ask one place whether a peer is heard when its reports are counted

The count of reporting instances had a time limit of its own beside that of live peers, with the same value. It takes the answer now.

--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -61,7 +61,7 @@
 from .mesh import estimate_report_delay_s, run_mesh
 from .metrics import make_instance_metrics
 from .pauses import limit_after_own_pause
-from .peers import list_limit_sharers, list_live_peers
+from .peers import is_peer_live, list_limit_sharers, list_live_peers
 from .probing import probe_suspects
 from .quarantining import load_quarantine, store_parts_of_new_era
 from .readiness import is_ready, open_readiness_server
@@ -240,7 +240,7 @@
     live_peers = [p for p in list_live_peers(instance, now) if not p.is_leaving]
     instance.decisions.router_count = len(live_peers) + 1
     reporting_count, known_count = find_reporting(
-        PeerReports(now - peer.heard_at, peer.is_leaving)
+        PeerReports(is_peer_live(peer, now), peer.is_leaving)
         for peer in instance.peer_by_address.values()
     )
     instance.limits.reporting_fraction = reporting_count / known_count
--- a/catkintrack/pooling/reporting.py
+++ b/catkintrack/pooling/reporting.py
@@ -5,26 +5,22 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-# A peer that has been silent for so long, in seconds, may use a limit unnoticed.
-REPORT_TIMEOUT_S = 1.5
-
 
 @dataclass(frozen=True, slots=True)
 class PeerReports:
-    """Hold how long a peer has been silent, and whether it has announced its stop."""
+    """Hold whether a peer is heard, and whether it has announced its stop."""
 
-    silent_s: float
+    is_heard: bool
     is_stopping: bool
 
 
 def find_reporting(peers: Iterable[PeerReports]) -> tuple[int, int]:
     """Return the reporting instances and all that may use a limit, both with this one.
 
-    A stopping peer reports until it ends, and uses nothing afterwards.
+    A stopping peer reports until it ends, and uses nothing afterwards.  A silent one
+    that has announced nothing may use a limit unnoticed.
     """
     rows = list(peers)
-    reporting = [row for row in rows if row.silent_s < REPORT_TIMEOUT_S]
-    ended = [
-        row for row in rows if row.is_stopping and row.silent_s >= REPORT_TIMEOUT_S
-    ]
-    return len(reporting) + 1, len(rows) - len(ended) + 1
+    reporting = sum(row.is_heard for row in rows)
+    ended = sum(row.is_stopping and not row.is_heard for row in rows)
+    return reporting + 1, len(rows) - ended + 1
--- a/catkintrack/pooling/tests/test_reporting.py
+++ b/catkintrack/pooling/tests/test_reporting.py
@@ -4,10 +4,10 @@
 
 from catkintrack.pooling import PeerReports, find_reporting
 
-REPORTING = PeerReports(0.3, False)
-SILENT = PeerReports(4.0, False)
-STOPPING = PeerReports(0.3, True)
-ENDED = PeerReports(4.0, True)
+REPORTING = PeerReports(True, False)
+SILENT = PeerReports(False, False)
+STOPPING = PeerReports(True, True)
+ENDED = PeerReports(False, True)
 
 
 class ReportingTest(unittest.TestCase):
--- a/testkit/limit_fleet.py
+++ b/testkit/limit_fleet.py
@@ -13,6 +13,7 @@
 from random import Random
 
 from catkintrack.fleet import RateLimit
+from catkintrack.instance.peers import PEER_TIMEOUT_S
 from catkintrack.pooling import (
     PeerReports,
     PooledLimits,
@@ -205,7 +206,7 @@
 def _keep_house(fleet: LimitFleet, number: int) -> None:
     """Update which part of the fleet an instance hears, and again after the interval."""
     peers = [
-        PeerReports(fleet.now - heard_at, other in fleet.stopping)
+        PeerReports(fleet.now - heard_at < PEER_TIMEOUT_S, other in fleet.stopping)
         for other, heard_at in fleet.heard_at[number].items()
         if fleet.now - heard_at < REMOVAL_S
     ]
