Let the grace of lapsed entries say whether they may have lapsed

A flag and a time travelled together through lists and changes of discovery entries, and the flag was always that the time is not zero. Peers' messages keep their flag. No change of behaviour: the tests pass the time where they passed the flag, their assertions are the same.

--- a/catkintrack/instance/anti_entropy.py
+++ b/catkintrack/instance/anti_entropy.py
@@ -12,7 +12,12 @@
 from .config_history import merge_superseded
 from .config_state import apply_configuration
 from .feeds import is_current, make_stored_config, make_stored_upstreams
-from .fleet_state import apply_upstream, apply_upstreams, remove_upstreams
+from .fleet_state import (
+    LAPSE_GRACE_S,
+    apply_upstream,
+    apply_upstreams,
+    remove_upstreams,
+)
 from .gossip import STORE_STALENESS_S
 from .messages import (
     GossipMessage,
@@ -128,7 +133,7 @@
         return
     if (message.era, message.revision) > (feed.era, feed.changed_revision):
         _record_peer_update(feed, message.era, message.revision)
-        apply_upstreams(instance, message.spec_by_id, now, False)
+        apply_upstreams(instance, message.spec_by_id, now)
 
 
 async def handle_upstream_changes(
@@ -146,7 +151,8 @@
     is_next = message.since <= feed.changed_revision < message.revision
     if message.era != feed.era or not is_next:
         return
-    remove_upstreams(instance, message.gone, now, message.may_have_lapsed)
+    lapse_grace_s = LAPSE_GRACE_S if message.may_have_lapsed else 0.0
+    remove_upstreams(instance, message.gone, now, lapse_grace_s)
     for id, spec in message.spec_by_id.items():
         apply_upstream(instance, id, spec, now)
     _record_peer_update(feed, message.era, message.revision)
--- a/catkintrack/instance/feeds.py
+++ b/catkintrack/instance/feeds.py
@@ -208,7 +208,7 @@
         specs = {row.name: row.spec for row in listing.objects}
         revisions = {row.name: row.revision for row in listing.objects}
         grace_s = _find_lapse_grace_s(feed, now)
-        apply_upstreams(instance, specs, now, grace_s > 0, revisions, grace_s)
+        apply_upstreams(instance, specs, now, grace_s, revisions)
         return
     for row in listing.objects:
         is_written = feed.kind == CONFIG_KIND and _follow_listed_config(
@@ -347,7 +347,7 @@
     gone = [name for name, event in last_by_name.items() if event.is_deleted]
     if gone and feed.kind == UPSTREAM_KIND:
         grace_s = _find_lapse_grace_s(feed, now)
-        remove_upstreams(instance, gone, now, grace_s > 0, grace_s)
+        remove_upstreams(instance, gone, now, grace_s)
     for event in last_by_name.values():
         if not event.is_deleted:
             _apply_object(instance, feed.kind, event.object, now, True)
--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -177,13 +177,12 @@
     instance: Instance,
     ids: Collection[str],
     now: float,
-    is_lapse_likely: bool,
-    lapse_grace_s: float = LAPSE_GRACE_S,
+    lapse_grace_s: float = 0.0,
 ) -> None:
     """Remove upstreams whose discovery entries went missing together.
 
-    With `is_lapse_likely` the entries may have lapsed in a store outage; the upstreams
-    then stay for `lapse_grace_s`, in which the entries may be restored.  If most replicas
+    If the entries may have lapsed in a store outage, the upstreams stay for
+    `lapse_grace_s`, in which the entries may be restored.  If most replicas
     of a service are missing, an outage may have gone unnoticed; they then stay for as
     long as the operators' bound for leaving replicas allows.
     """
@@ -195,7 +194,7 @@
         upstream = instance.upstream_by_id.get(id)
         if upstream is None:
             continue
-        if is_lapse_likely:
+        if lapse_grace_s > 0:
             grace_s = lapse_grace_s
         elif upstream.service in gone_services and not upstream.is_draining:
             grace_s = mass_grace_s
@@ -258,9 +257,8 @@
     instance: Instance,
     spec_by_id: Mapping[str, Any],
     now: float,
-    is_lapse_likely: bool,
+    lapse_grace_s: float = 0.0,
     revision_by_id: Mapping[str, int] | None = None,
-    lapse_grace_s: float = LAPSE_GRACE_S,
 ) -> None:
     """Apply a full list of discovery entries and remove the upstreams not in it.
 
@@ -269,8 +267,8 @@
     """
     gone = set(instance.spec_by_upstream) - set(spec_by_id)
     if is_after_new_era(instance, now):
-        is_lapse_likely, lapse_grace_s = True, LAPSE_GRACE_S
-    remove_upstreams(instance, gone, now, is_lapse_likely, lapse_grace_s)
+        lapse_grace_s = LAPSE_GRACE_S
+    remove_upstreams(instance, gone, now, lapse_grace_s)
     for id in set(instance.departure_by_upstream) - set(spec_by_id):
         record_unlisted(instance, id)
     for id, spec in spec_by_id.items():
--- a/catkintrack/instance/tests/test_fleet_state.py
+++ b/catkintrack/instance/tests/test_fleet_state.py
@@ -7,6 +7,7 @@
 from catkintrack.instance.calls import make_call
 from catkintrack.instance.config_state import apply_configuration
 from catkintrack.instance.fleet_state import (
+    LAPSE_GRACE_S,
     apply_replica_weights,
     apply_target_weights,
     apply_upstream,
@@ -115,20 +116,20 @@
         self.assertEqual(set(self.instance.upstream_by_id), {"i1"})
 
     def test_removed_entry_drops_the_replica_at_once(self):
-        remove_upstreams(self.instance, ["i1"], 2.0, False)
+        remove_upstreams(self.instance, ["i1"], 2.0)
         self.assertEqual(self.instance.upstream_by_id, {})
         self.assertEqual(self.instance.decisions.upstream_by_name, {})
 
     def test_lapsed_entry_restored_in_time_keeps_the_replica(self):
-        apply_upstreams(self.instance, {}, 2.0, True)
+        apply_upstreams(self.instance, {}, 2.0, LAPSE_GRACE_S)
         remove_lapsed_upstreams(self.instance, 3.0)
         self.assertIn("i1", self.instance.upstream_by_id)
-        apply_upstreams(self.instance, {"i1": make_entry_spec()}, 3.5, True)
+        apply_upstreams(self.instance, {"i1": make_entry_spec()}, 3.5, LAPSE_GRACE_S)
         remove_lapsed_upstreams(self.instance, 9.0)
         self.assertIn("i1", self.instance.upstream_by_id)
 
     def test_lapsed_entry_not_restored_drops_the_replica(self):
-        apply_upstreams(self.instance, {}, 2.0, True)
+        apply_upstreams(self.instance, {}, 2.0, LAPSE_GRACE_S)
         remove_lapsed_upstreams(self.instance, 4.6)
         self.assertNotIn("i1", self.instance.upstream_by_id)
 
--- a/catkintrack/instance/tests/test_replica_answers.py
+++ b/catkintrack/instance/tests/test_replica_answers.py
@@ -211,7 +211,7 @@
 
     def test_removed_and_restored_entry_does_not_undo_it(self):
         self.answer(is_leaving=True)
-        remove_upstreams(self.instance, ["i1"], time.monotonic(), False)
+        remove_upstreams(self.instance, ["i1"], time.monotonic())
         self.put("i1")
         self.assertFalse(self.may_send())
         self.assertEqual(self.place(), "i2")
--- a/catkintrack/instance/tests/test_upstream_life_cycle.py
+++ b/catkintrack/instance/tests/test_upstream_life_cycle.py
@@ -62,7 +62,7 @@
         apply_upstream(self.instance, "i1", spec, now)
 
     def drop(self) -> None:
-        remove_upstreams(self.instance, ["i1"], 2.0, False)
+        remove_upstreams(self.instance, ["i1"], 2.0)
         remove_lapsed_upstreams(self.instance, 2.0 + LAPSE_GRACE_S)
         self.assertNotIn("i1", self.instance.upstream_by_id)
 
@@ -77,7 +77,7 @@
         self.assert_usable()
 
     def test_lapsed_entry_that_returns_after_the_grace_period(self):
-        apply_upstreams(self.instance, {}, 2.0, True)
+        apply_upstreams(self.instance, {}, 2.0, LAPSE_GRACE_S)
         remove_lapsed_upstreams(self.instance, 2.0 + LAPSE_GRACE_S)
         self.put(9.0)
         self.assert_usable()
@@ -100,12 +100,10 @@
         self.assert_usable()
 
     def test_listed_again(self):
-        apply_upstreams(self.instance, {}, 2.0, True)
+        apply_upstreams(self.instance, {}, 2.0, LAPSE_GRACE_S)
         remove_lapsed_upstreams(self.instance, 2.0 + LAPSE_GRACE_S)
         models = [{"name": "m1", "version": 2, "adapters": []}]
-        apply_upstreams(
-            self.instance, {"i1": make_entry_spec(models=models)}, 9.0, False
-        )
+        apply_upstreams(self.instance, {"i1": make_entry_spec(models=models)}, 9.0)
         self.assert_usable()
 
     def test_returned_through_a_hub(self):
@@ -167,30 +165,30 @@
         self.specs = {
             f"i{n}": make_entry_spec(address=f"127.0.0.1:{8080 + n}") for n in range(6)
         }
-        apply_upstreams(self.instance, self.specs, 1.0, False)
+        apply_upstreams(self.instance, self.specs, 1.0)
 
     def test_list_without_most_replicas_keeps_them_for_a_while(self):
-        apply_upstreams(self.instance, {"i0": self.specs["i0"]}, 2.0, False)
+        apply_upstreams(self.instance, {"i0": self.specs["i0"]}, 2.0)
         self.assertEqual(len(self.instance.upstream_by_id), 6)
-        apply_upstreams(self.instance, self.specs, 3.4, False)
+        apply_upstreams(self.instance, self.specs, 3.4)
         remove_lapsed_upstreams(self.instance, 9.0)
         self.assertEqual(len(self.instance.upstream_by_id), 6)
 
     def test_replicas_that_stay_away_leave_within_the_bound_for_leaving_ones(self):
-        apply_upstreams(self.instance, {}, 2.0, False)
+        apply_upstreams(self.instance, {}, 2.0)
         bound_s = self.instance.site.bounds.drain_s
         remove_lapsed_upstreams(self.instance, 2.0 + bound_s)
         self.assertEqual(self.instance.upstream_by_id, {})
 
     def test_few_missing_replicas_leave_at_once(self):
         remaining = {id: self.specs[id] for id in ("i0", "i1", "i2", "i3")}
-        apply_upstreams(self.instance, remaining, 2.0, False)
+        apply_upstreams(self.instance, remaining, 2.0)
         self.assertEqual(set(self.instance.upstream_by_id), set(remaining))
 
     def test_draining_replicas_leave_at_once(self):
         for id, spec in self.specs.items():
             apply_upstream(self.instance, id, spec | {"state": "draining"}, 1.5)
-        apply_upstreams(self.instance, {}, 2.0, False)
+        apply_upstreams(self.instance, {}, 2.0)
         self.assertEqual(self.instance.upstream_by_id, {})
 
 
--- a/testkit/signal_fleet.py
+++ b/testkit/signal_fleet.py
@@ -236,7 +236,7 @@
     instance = fleet.nodes[number].instance
     known = instance.upstream_by_id.get(id)
     if spec is None:
-        remove_upstreams(instance, [id], fleet.now, False)
+        remove_upstreams(instance, [id], fleet.now)
     elif known is None or known.incarnation <= spec["born"]:
         # The store's revisions keep entries of an earlier life from coming later.
         apply_upstream(instance, id, spec, fleet.now)
