Run the events of the simulated fleets by one piece of code

Three fleets in virtual time each held the same queue of events and the same loop. Two simulations with another order at the end or another call stay as they are.

--- a/testkit/limit_fleet.py
+++ b/testkit/limit_fleet.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -23,6 +22,8 @@
     take,
 )
 
+from .virtual_time import Action, run_until, schedule_in
+
 Grant = tuple[float, float]
 WORKSPACE = "w1"
 HOUSEKEEPING_S = 0.25
@@ -81,7 +82,7 @@
     rng: Random
     make_limits: Callable[[int], PooledLimits]
     now: float = 0.0
-    events: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
+    events: list[tuple[float, int, Action]] = field(default_factory=list)
     event_count: int = 0
     weights: list[float] = field(default_factory=list)
     limits: list[PooledLimits] = field(default_factory=list)
@@ -101,18 +102,16 @@
     fleet = _make_fleet(load, Random(seed), make_limits)
     for number in range(load.instances):
         delay_s = fleet.rng.random() * load.gossip_interval_s
-        _at(fleet, delay_s, lambda n=number: _send(fleet, n))
+        schedule_in(fleet, delay_s, lambda n=number: _send(fleet, n))
         if load.stops_at:
             delay_s = fleet.rng.random() * HOUSEKEEPING_S
-            _at(fleet, delay_s, lambda n=number: _keep_house(fleet, n))
+            schedule_in(fleet, delay_s, lambda n=number: _keep_house(fleet, n))
     for number in load.killed:
-        _at(fleet, load.killed_at, lambda n=number: _end(fleet, n))
+        schedule_in(fleet, load.killed_at, lambda n=number: _end(fleet, n))
     for number, at in enumerate(load.stops_at):
-        _at(fleet, at, lambda n=number % load.instances: _stop(fleet, n))
-    _at(fleet, 0.0, lambda: _arrive(fleet))
-    while fleet.events[0][0] < load.duration_s:
-        fleet.now, _, action = heapq.heappop(fleet.events)
-        action()
+        schedule_in(fleet, at, lambda n=number % load.instances: _stop(fleet, n))
+    schedule_in(fleet, 0.0, lambda: _arrive(fleet))
+    run_until(fleet, load.duration_s)
     return fleet
 
 
@@ -131,11 +130,6 @@
     return fleet
 
 
-def _at(fleet: LimitFleet, delay_s: float, action: Callable[[], None]) -> None:
-    fleet.event_count += 1
-    heapq.heappush(fleet.events, (fleet.now + delay_s, fleet.event_count, action))
-
-
 def _arrive(fleet: LimitFleet) -> None:
     """Let a call arrive at an instance, and the next one later."""
     load, rng, now = fleet.load, fleet.rng, fleet.now
@@ -148,7 +142,7 @@
         fleet.grants.append((now, cost))
     factor = load.calm_factor if now < load.calm_s else load.demand_factor
     pause_s = rng.expovariate(factor * load.rate / load.mean_cost)
-    _at(fleet, pause_s, lambda: _arrive(fleet))
+    schedule_in(fleet, pause_s, lambda: _arrive(fleet))
 
 
 def _send(fleet: LimitFleet, number: int) -> None:
@@ -158,8 +152,8 @@
     is_sent = bucket is not None and number not in fleet.away
     if is_sent and fleet.rng.random() >= load.loss:
         report = (fleet.incarnations[number], bucket.local_total, bucket.level)
-        _at(fleet, load.delay_s, lambda: _deliver(fleet, number, *report))
-    _at(fleet, load.gossip_interval_s, lambda: _send(fleet, number))
+        schedule_in(fleet, load.delay_s, lambda: _deliver(fleet, number, *report))
+    schedule_in(fleet, load.gossip_interval_s, lambda: _send(fleet, number))
 
 
 def _deliver(
@@ -179,8 +173,8 @@
 def _stop(fleet: LimitFleet, number: int) -> None:
     """Let an instance announce its stop, then get no more calls, then end."""
     fleet.stopping.add(number)
-    _at(fleet, STOP_CALLS_S, lambda: fleet.closed.add(number))
-    _at(fleet, STOP_S, lambda: _end(fleet, number))
+    schedule_in(fleet, STOP_CALLS_S, lambda: fleet.closed.add(number))
+    schedule_in(fleet, STOP_S, lambda: _end(fleet, number))
 
 
 def _end(fleet: LimitFleet, number: int) -> None:
@@ -189,7 +183,7 @@
         _start(fleet, number)
         return
     fleet.away.add(number)
-    _at(fleet, fleet.load.away_s, lambda: _start(fleet, number))
+    schedule_in(fleet, fleet.load.away_s, lambda: _start(fleet, number))
 
 
 def _start(fleet: LimitFleet, number: int) -> None:
@@ -213,7 +207,7 @@
     reporting, known = find_reporting(peers)
     fleet.limits[number].reporting_fraction = reporting / known
     fleet.limits[number].known_instances = known
-    _at(fleet, HOUSEKEEPING_S, lambda: _keep_house(fleet, number))
+    schedule_in(fleet, HOUSEKEEPING_S, lambda: _keep_house(fleet, number))
 
 
 def grant_centrally(load: FleetLoad, asked: Iterable[Grant]) -> list[Grant]:
--- a/testkit/limited_fleet.py
+++ b/testkit/limited_fleet.py
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-import heapq
 from collections import Counter, defaultdict
-from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from random import Random
 
@@ -37,6 +35,7 @@
 from .limit_rule import NOTICE_S, SPAN_S, STABLE_S, compute_allowed
 from .states import make_instance
 from .upstreams import make_response_fields
+from .virtual_time import Action, run_until, schedule_in
 
 TICK_S = 0.05
 GOSSIP_S = 0.5
@@ -94,7 +93,7 @@
     plan: LimitedPlan
     rng: Random
     now: float = 100.0
-    events: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
+    events: list[tuple[float, int, Action]] = field(default_factory=list)
     event_count: int = 0
     nodes: list[Node] = field(default_factory=list)
     arrivals_by_replica: dict[str, list[tuple[float, tuple]]] = field(
@@ -110,23 +109,20 @@
     fleet = LimitedFleet(plan, Random(seed))
     for number in range(plan.instances):
         fleet.nodes.append(Node(number, _start_instance(fleet, number)))
-        _at(fleet, fleet.rng.random() * TICK_S, lambda n=number: _run_ticks(fleet, n))
-        _at(fleet, fleet.rng.random() * GOSSIP_S, lambda n=number: _gossip(fleet, n))
-    _at(fleet, 0.0, lambda: _arrive(fleet))
+        schedule_in(
+            fleet, fleet.rng.random() * TICK_S, lambda n=number: _run_ticks(fleet, n)
+        )
+        schedule_in(
+            fleet, fleet.rng.random() * GOSSIP_S, lambda n=number: _gossip(fleet, n)
+        )
+    schedule_in(fleet, 0.0, lambda: _arrive(fleet))
     for at_s in plan.restarts_s:
-        _at(fleet, at_s, lambda: _restart(fleet))
+        schedule_in(fleet, at_s, lambda: _restart(fleet))
     end = fleet.now + plan.duration_s
-    while fleet.events and fleet.events[0][0] < end:
-        fleet.now, _, action = heapq.heappop(fleet.events)
-        action()
+    run_until(fleet, end)
     return fleet
 
 
-def _at(fleet: LimitedFleet, delay_s: float, action: Callable[[], None]) -> None:
-    fleet.event_count += 1
-    heapq.heappush(fleet.events, (fleet.now + delay_s, fleet.event_count, action))
-
-
 def _start_instance(fleet: LimitedFleet, number: int) -> Instance:
     plan = fleet.plan
     instance = make_instance()
@@ -157,7 +153,7 @@
         if other is not node and not _is_silent(fleet):
             _hear(fleet, other.instance, number)
             confirm_limits(other.instance.decisions.named_limits, ids, fleet.now)
-    _at(fleet, GOSSIP_S, lambda: _gossip(fleet, number))
+    schedule_in(fleet, GOSSIP_S, lambda: _gossip(fleet, number))
 
 
 def _is_silent(fleet: LimitedFleet) -> bool:
@@ -180,7 +176,7 @@
 
 def _run_ticks(fleet: LimitedFleet, number: int) -> None:
     _tick(fleet, fleet.nodes[number])
-    _at(fleet, TICK_S, lambda: _run_ticks(fleet, number))
+    schedule_in(fleet, TICK_S, lambda: _run_ticks(fleet, number))
 
 
 def _arrive(fleet: LimitedFleet) -> None:
@@ -204,7 +200,7 @@
             fleet.outcomes["refused"] += 1
         else:
             _connect(fleet, node, request.id, upstream)
-    _at(fleet, rng.expovariate(plan.calls_per_s), lambda: _arrive(fleet))
+    schedule_in(fleet, rng.expovariate(plan.calls_per_s), lambda: _arrive(fleet))
 
 
 def _refuse(fleet: LimitedFleet, node: Node, id: str, retry_after_s: float) -> None:
@@ -238,9 +234,11 @@
             return
         sent_at = fleet.now
         transit_s = fleet.rng.random() * MAX_TRANSIT_S
-        _at(fleet, transit_s, lambda: _reach(fleet, node, life, id, upstream, sent_at))
+        schedule_in(
+            fleet, transit_s, lambda: _reach(fleet, node, life, id, upstream, sent_at)
+        )
 
-    _at(fleet, fleet.rng.random() * MAX_CONNECT_S, send)
+    schedule_in(fleet, fleet.rng.random() * MAX_CONNECT_S, send)
 
 
 def _find_named_limit(fleet: LimitedFleet, id: str) -> float | None:
@@ -268,7 +266,7 @@
     def begin() -> None:
         limit = _find_named_limit(fleet, upstream.id)
         transit_s = rng.random() * MAX_TRANSIT_S
-        _at(fleet, transit_s, lambda: answer(limit))
+        schedule_in(fleet, transit_s, lambda: answer(limit))
 
     def answer(limit: float | None) -> None:
         if node.life != life:
@@ -284,7 +282,7 @@
             record_end(tables, id, fleet.now)
         fleet.outcomes["served"] += 1
 
-    _at(fleet, run_s, begin)
+    schedule_in(fleet, run_s, begin)
 
 
 def find_excesses(fleet: LimitedFleet) -> list[str]:
--- a/testkit/signal_fleet.py
+++ b/testkit/signal_fleet.py
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-import heapq
 from collections import Counter, defaultdict
-from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any
@@ -52,6 +50,7 @@
 from .instances import make_config_spec, make_entry_spec
 from .states import make_instance
 from .upstreams import make_response_fields
+from .virtual_time import Action, run_until, schedule
 
 SERVICES = ("models", "app")
 TICK_S = 0.01
@@ -151,7 +150,7 @@
     plan: FleetPlan
     rng: Random
     now: float = 100.0
-    events: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
+    events: list[tuple[float, int, Action]] = field(default_factory=list)
     event_count: int = 0
     nodes: list[Node] = field(default_factory=list)
     replica_by_id: dict[str, Replica] = field(default_factory=dict)
@@ -182,23 +181,16 @@
             fleet.replica_by_id[id] = Replica(id, service)
     for number in range(plan.instances):
         fleet.nodes.append(Node(number, _start_instance(fleet, number)))
-        _at(fleet, fleet.now, lambda number=number: _run_ticks(fleet, number))
-        _at(fleet, fleet.now, lambda number=number: _keep_house(fleet, number))
-        _at(fleet, fleet.now, lambda number=number: _arrive(fleet, number))
-    _at(fleet, fleet.now + 1.0, lambda: _disturb(fleet))
+        schedule(fleet, fleet.now, lambda number=number: _run_ticks(fleet, number))
+        schedule(fleet, fleet.now, lambda number=number: _keep_house(fleet, number))
+        schedule(fleet, fleet.now, lambda number=number: _arrive(fleet, number))
+    schedule(fleet, fleet.now + 1.0, lambda: _disturb(fleet))
     end = 100.0 + plan.duration_s
-    while fleet.events and fleet.events[0][0] < end:
-        fleet.now, _, action = heapq.heappop(fleet.events)
-        action()
+    run_until(fleet, end)
     _check_rests(fleet)
     return fleet
 
 
-def _at(fleet: SignalFleet, when: float, action: Callable[[], None]) -> None:
-    fleet.event_count += 1
-    heapq.heappush(fleet.events, (when, fleet.event_count, action))
-
-
 def _start_instance(fleet: SignalFleet, number: int) -> Instance:
     """Return an instance that knows the configuration and the present entries."""
     instance = make_instance()
@@ -227,7 +219,9 @@
     """Let an entry, or its removal if None, reach each instance after a time."""
     for number in range(len(fleet.nodes)):
         delay_s = fleet.rng.random() ** 2 * MAX_ENTRY_DELAY_S
-        _at(fleet, fleet.now + delay_s, lambda n=number: _receive(fleet, n, id, spec))
+        schedule(
+            fleet, fleet.now + delay_s, lambda n=number: _receive(fleet, n, id, spec)
+        )
 
 
 def _receive(
@@ -267,7 +261,7 @@
     if replica.is_up and not replica.is_leaving:
         fleet.kinds[kind] += 1
         _apply_disturbance(fleet, kind, replica)
-    _at(fleet, fleet.now + rng.uniform(0.05, 0.3), lambda: _disturb(fleet))
+    schedule(fleet, fleet.now + rng.uniform(0.05, 0.3), lambda: _disturb(fleet))
 
 
 def _apply_disturbance(fleet: SignalFleet, kind: str, replica: Replica) -> None:
@@ -283,10 +277,10 @@
             _deliver(fleet, replica.id, _make_entry(replica, "draining"))
         else:
             _deliver(fleet, replica.id, _make_entry(replica))
-        _at(fleet, fleet.now + DRAIN_S, lambda: _end_life(fleet, replica))
+        schedule(fleet, fleet.now + DRAIN_S, lambda: _end_life(fleet, replica))
     elif kind == "crash" and not replica.id.endswith("0"):
         replica.is_up = False
-        _at(fleet, fleet.now + CRASH_S, lambda: _begin_life(fleet, replica))
+        schedule(fleet, fleet.now + CRASH_S, lambda: _begin_life(fleet, replica))
     elif kind == "stale entry":
         _deliver(
             fleet, replica.id, _make_entry(replica) | {"slots": rng.randint(8, 32)}
@@ -295,7 +289,9 @@
         number = rng.randrange(len(fleet.nodes))
         spec = _make_entry(replica)
         _receive(fleet, number, replica.id, None)
-        _at(fleet, fleet.now + 0.3, lambda: _receive(fleet, number, replica.id, spec))
+        schedule(
+            fleet, fleet.now + 0.3, lambda: _receive(fleet, number, replica.id, spec)
+        )
     elif kind == "restart":
         node = rng.choice(fleet.nodes)
         node.life += 1
@@ -306,7 +302,7 @@
 def _end_life(fleet: SignalFleet, replica: Replica) -> None:
     replica.is_up = False
     _deliver(fleet, replica.id, None)
-    _at(fleet, fleet.now + 0.5, lambda: _begin_life(fleet, replica))
+    schedule(fleet, fleet.now + 0.5, lambda: _begin_life(fleet, replica))
 
 
 def _begin_life(fleet: SignalFleet, replica: Replica) -> None:
@@ -317,7 +313,7 @@
         replica.hides_run = False
     _deliver(fleet, replica.id, _make_entry(replica))
     # Entries reach the instances out of order; the last one stands.
-    _at(
+    schedule(
         fleet,
         fleet.now + MAX_ENTRY_DELAY_S,
         lambda: _deliver(fleet, replica.id, _make_entry(replica)),
@@ -326,12 +322,12 @@
 
 def _run_ticks(fleet: SignalFleet, number: int) -> None:
     _tick(fleet, fleet.nodes[number])
-    _at(fleet, fleet.now + TICK_S, lambda: _run_ticks(fleet, number))
+    schedule(fleet, fleet.now + TICK_S, lambda: _run_ticks(fleet, number))
 
 
 def _keep_house(fleet: SignalFleet, number: int) -> None:
     end_returned_rests(fleet.nodes[number].instance, fleet.now)
-    _at(fleet, fleet.now + HOUSEKEEPING_S, lambda: _keep_house(fleet, number))
+    schedule(fleet, fleet.now + HOUSEKEEPING_S, lambda: _keep_house(fleet, number))
 
 
 def _arrive(fleet: SignalFleet, number: int) -> None:
@@ -347,7 +343,7 @@
     add_retry_credit(find_retry_budget(node.instance, service))
     _serve(fleet, call)
     wait_s = fleet.rng.expovariate(fleet.plan.calls_per_s)
-    _at(fleet, fleet.now + wait_s, lambda: _arrive(fleet, number))
+    schedule(fleet, fleet.now + wait_s, lambda: _arrive(fleet, number))
 
 
 def _serve(fleet: SignalFleet, call: SimulatedCall) -> None:
@@ -434,13 +430,13 @@
             life = replica.incarnation
             _check_sending(fleet, call, upstream, life)
             transit_s = fleet.rng.random() * MAX_TRANSIT_S
-            _at(
+            schedule(
                 fleet,
                 fleet.now + transit_s,
                 lambda: _reach(fleet, call, upstream, life, sent_at),
             )
 
-    _at(fleet, fleet.now + fleet.rng.random() * MAX_CONNECT_S, send)
+    schedule(fleet, fleet.now + fleet.rng.random() * MAX_CONNECT_S, send)
 
 
 def _make_key(call: SimulatedCall, id: str, incarnation: int) -> tuple:
@@ -497,7 +493,7 @@
         if fleet.now >= fleet.calm_at:
             fleet.calm_runs[upstream.id] += 1
     when = fleet.now + run_s + fleet.rng.random() * MAX_TRANSIT_S
-    _at(fleet, when, lambda: _answer(fleet, call, upstream, life, sent_at, fields))
+    schedule(fleet, when, lambda: _answer(fleet, call, upstream, life, sent_at, fields))
 
 
 def _answer(
