--- a/catkintrack/instance/tests/test_limited_replicas.py
+++ b/catkintrack/instance/tests/test_limited_replicas.py
@@ -3,7 +3,7 @@
 import logging
 import unittest
 
-from testkit.limited_fleet import (
+from testkit.named_limit_fleet import (
     LimitedPlan,
     count_arrivals,
     find_excesses,
