--- a/review/harness/replica.py
+++ b/review/harness/replica.py
@@ -139,7 +139,10 @@
 
     async def handle(self, request: Request, writer: asyncio.StreamWriter) -> None:
         """Answer one request."""
-        if request.path == "/-/report":
+        if not self.is_engine and request.path != "/health":
+            # A plain service knows none of the engines' paths.
+            await self._handle_call(request, writer)
+        elif request.path == "/-/report":
             body = json.dumps(self._make_report()).encode()
             writer.write(encode_response(200, self._headers(request), body))
         elif request.path == "/health":
@@ -186,7 +189,14 @@
             await self.turned_away()
             return
         try:
-            self.record("run", id=id, replica=self.id, version=self.version)
+            self.record(
+                "run",
+                id=id,
+                replica=self.id,
+                version=self.version,
+                method=request.method,
+                target=request.target,
+            )
             if self.is_engine:
                 await self.send_stream(request, writer)
             else:
--- a/review/harness/store.py
+++ b/review/harness/store.py
@@ -25,6 +25,7 @@
         self.changes: list[tuple[int, str, dict, bool]] = []
         self.changed = asyncio.Event()
         self.servers: list[asyncio.Server] = []
+        self.silent_until = 0.0
 
     async def open_port(self, port: int, view: View | None = None) -> None:
         """Serve at a port; `view` changes the objects that its callers see."""
@@ -35,7 +36,9 @@
             try:
                 while (request := await read_request(reader)) is not None:
                     await asyncio.sleep(LATENCY_S)
+                    await self._wait_while_silent()
                     status, value = await self._handle(request, view)
+                    await self._wait_while_silent()
                     body = json.dumps(value).encode()
                     headers = {"Content-Type": "application/json"}
                     writer.write(encode_response(status, headers, body))
@@ -74,6 +77,12 @@
             metadata = row["metadata"] | {"revision": self.revision}
             self._record(kind, row | {"metadata": metadata}, True)
 
+    async def _wait_while_silent(self) -> None:
+        """Answer nothing while the store is away; calls are not lost, only late."""
+        loop = asyncio.get_running_loop()
+        while (left_s := self.silent_until - loop.time()) > 0:
+            await asyncio.sleep(left_s)
+
     def _record(self, kind: str, row: dict, is_deleted: bool) -> None:
         self.changes.append((self.revision, kind, row, is_deleted))
         self.changed.set()
