--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+set -u
+cd "$(dirname "$0")/../.."
+exec python3 review/5/run.py
