--- a/review/5/run.py
+++ b/review/5/run.py
@@ -38,9 +38,9 @@
 # Requests come in groups, as in the sites' traffic.
 CLUMP = 3
 DEADLINE_S = 1.0
-SECONDS = 24.0
+SECONDS = 28.0
 BRITTLE_FROM_S = 4.0
-BRITTLE_FOR_S = 16.0
+BRITTLE_FOR_S = 20.0
 STABLE_WINDOW_S = 3.0
 # While brittle: how many may wait, and more than how many in a second end a replica.
 BRITTLE_QUEUE = 4
