--- a/review/harness/store.py
+++ b/review/harness/store.py
@@ -12,6 +12,9 @@
 
 LATENCY_S = 0.004
 PREFIX = "/-/objects/"
+# Stands in an object for a JSON number that Python's float does not hold.
+HUGE_NUMBER = "@1e999@"
+HUGE_NUMBER_MARK = json.dumps(HUGE_NUMBER).encode()
 
 View = Callable[[str, dict], dict]
 
@@ -40,6 +43,7 @@
                     status, value = await self._handle(request, view)
                     await self._wait_while_silent()
                     body = json.dumps(value).encode()
+                    body = body.replace(HUGE_NUMBER_MARK, b"1e999")
                     headers = {"Content-Type": "application/json"}
                     writer.write(encode_response(status, headers, body))
                     await writer.drain()
