--- a/review/3/run.py
+++ b/review/3/run.py
@@ -27,7 +27,7 @@
 
 ZONES = ("z1", "z2")
 NODES = 4
-ENGINES = 5
+ENGINES = 6
 APPS = 3
 SECONDS = 14.0
 STREAMS_PER_S = 20.0
