--- a/catkintrack/decisions/ejection.py
+++ b/catkintrack/decisions/ejection.py
@@ -17,14 +17,18 @@
     return row.ejections > 0 and row.in_flight > 0 and row.consecutive_failures > 0
 
 
-def record_failure(row: UpstreamRow, now: float, is_unreachable: bool) -> None:
-    """Count a failure; an unreachable upstream is ejected at once."""
+def record_failure(row: UpstreamRow, now: float, is_unreachable: bool) -> bool:
+    """Count a failure and report whether it ejects the upstream.
+
+    An unreachable one is ejected at once.
+    """
     row.consecutive_failures += 1
     if not is_unreachable and row.consecutive_failures < FAILURES_TO_EJECT:
-        return
+        return False
     duration_s = min(EJECTION_MAX_S, EJECTION_S * 2**row.ejections)
     row.ejections += 1
     row.ejected_until = now + duration_s
+    return True
 
 
 def record_success(row: UpstreamRow, now: float) -> None:
--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -511,13 +511,12 @@
 
 def record_failure(
     tables: Tables, request_id: str, now: float, is_unreachable: bool
-) -> None:
-    """Record that a request has failed at its upstream."""
+) -> bool:
+    """Record that a request has failed; report whether that ejects its upstream."""
     running = tables.running_by_id.get(request_id)
     record_end(tables, request_id, now)
     row = tables.upstream_by_name.get(running.upstream) if running else None
-    if row is not None:
-        ejection.record_failure(row, now, is_unreachable)
+    return row is not None and ejection.record_failure(row, now, is_unreachable)
 
 
 def set_incarnation(
--- a/catkintrack/instance/dump.py
+++ b/catkintrack/instance/dump.py
@@ -19,10 +19,22 @@
     return None if limit is None else limit.per_s
 
 
+def _describe_health(instance: Instance, id: str, now: float) -> dict[str, Any]:
+    row = instance.decisions.upstream_by_name.get(id)
+    row = row or instance.services.row_by_name.get(id)
+    if row is None:
+        return {"in_flight": None}
+    return {
+        "in_flight": row.in_flight,
+        "failures": row.consecutive_failures,
+        "ejections": row.ejections,
+        "ejected_for_s": round(max(0.0, row.ejected_until - now), 3),
+    }
+
+
 def dump_instance(instance: Instance) -> dict[str, Any]:
     """Return the instance's view of its feeds, peers, lease, upstreams and limits."""
     now = time.monotonic()
-    rows = instance.decisions.upstream_by_name
     return {
         "instance": instance.site.instance,
         "incarnation": instance.incarnation,
@@ -59,10 +71,14 @@
                 "accepts_requests": may_send(instance, upstream, now),
                 "limit_per_s": _find_limit_per_s(instance, upstream),
                 "weights": [w.version for w in upstream.weights],
-                "in_flight": rows[id].in_flight if id in rows else None,
+                **_describe_health(instance, id, now),
             }
             for id, upstream in instance.upstream_by_id.items()
         },
+        "retry_budgets": {
+            service: {"cap": round(budget.cap, 2), "level": round(budget.level, 2)}
+            for service, budget in instance.retry_budget_by_service.items()
+        },
         "limits": {
             name: round(row.level)
             for name, row in instance.limits.bucket_by_workspace.items()
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -19,6 +19,7 @@
     requests: Counter
     first_byte_seconds: Histogram
     retries: Counter
+    retry_budget: Gauge
     resumed_streams: Counter
     prompt_tokens: Counter
     hit_tokens: Counter
@@ -52,7 +53,12 @@
             registry=registry,
             buckets=(*SECONDS_BUCKETS, float("inf")),
         ),
-        retries=counter("retries_total", "Attempts after the first, by service."),
+        retries=counter(
+            "retries_total", "Retries by service and outcome: allowed, refused."
+        ),
+        retry_budget=gauge(
+            "retry_budget", "Retries that the budget allows now, by service."
+        ),
         resumed_streams=counter("resumed_streams_total", "Streams continued."),
         prompt_tokens=counter("prompt_tokens_total", "Prompt tokens placed."),
         hit_tokens=counter("hit_tokens_total", "Prompt tokens believed cached."),
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -25,7 +25,7 @@
 )
 from catkintrack.decisions.placement import may_run
 from catkintrack.decisions.prefills import ANNOUNCED_MIN_TOKENS
-from catkintrack.decisions.retries import add_retry_credit, take_retry
+from catkintrack.decisions.retries import add_retry_credit
 from catkintrack.decisions.tables import UpstreamRow
 from catkintrack.fleet import Call, ModelWeights, Prompt
 from catkintrack.http import (
@@ -49,6 +49,7 @@
 )
 from .broadcasting import broadcast
 from .fleet_state import apply_replica_weights, find_retry_budget
+from .health import log_ejection, may_retry
 from .lives import has_other_life
 from .messages import PrefillBegun, PrefillEnded
 from .prompts import hash_prompt_blocks, make_cache_salt
@@ -91,13 +92,12 @@
     """Serve a model call on the replica where it costs least; retry it on others."""
     prompt = call.prompt
     assert prompt is not None
-    budget = find_retry_budget(instance, call.service)
-    add_retry_credit(budget)
+    add_retry_credit(find_retry_budget(instance, call.service))
     progress.software_version = await find_resumption_version(instance, call)
     request = _make_request(call, prompt)
     for _ in range(MAX_TRIES):
         # An attempt counts as a retry only if an earlier one reached a replica.
-        if progress.connected_attempts and not take_retry(budget):
+        if progress.connected_attempts and not may_retry(instance, call.service):
             progress.reason = "the retry budget is used up"
             break
         check_quarantine(instance, call, progress)
@@ -288,8 +288,9 @@
         await run_attempt(
             instance, call, progress, upstream, dispatch, connection, callbacks, False
         )
-    except UpstreamUnreachable:
-        record_failure(tables, request.id, time.monotonic(), True)
+    except UpstreamUnreachable as error:
+        if record_failure(tables, request.id, time.monotonic(), True):
+            log_ejection(row, f"unreachable: {error}")
         await report_unreachable(instance, upstream)
         raise
     except curio.CancelledError:
@@ -307,7 +308,8 @@
             await report_lost_replica(instance, upstream, call, has_begun_prompt)
         parts = [part.id for part in prompt.parts[:MAX_LOGGED_PARTS]]
         progress.record_break(has_response_head, has_event, parts)
-        record_failure(tables, request.id, time.monotonic(), False)
+        if record_failure(tables, request.id, time.monotonic(), False):
+            log_ejection(row, str(error))
         raise
     finally:
         record_end(tables, request.id, time.monotonic())
--- a/catkintrack/instance/probing.py
+++ b/catkintrack/instance/probing.py
@@ -2,21 +2,18 @@
 
 from __future__ import annotations
 
-import logging
 import time
 
 import curio
 
-from catkintrack.decisions import ejection
 from catkintrack.decisions.failure_detection import is_suspect
 from catkintrack.decisions.tables import UpstreamRow
 from catkintrack.fleet import Upstream
 from catkintrack.http import UpstreamUnreachable, open_exchange
 
+from .health import record_replica_failure
 from .state import Instance
 
-logger = logging.getLogger(__name__)
-
 PROBE_INTERVAL_S = 0.5
 
 
@@ -40,8 +37,4 @@
         async with open_exchange(instance.pool, upstream.address, force_new=True):
             return
     except UpstreamUnreachable as error:
-        ejection.record_failure(row, time.monotonic(), True)
-        logger.warning(
-            "silent upstream unreachable",
-            extra={"upstream": upstream.id, "reason": str(error)},
-        )
+        record_replica_failure(row, True, f"silent and unreachable: {error}")
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -258,6 +258,8 @@
     instance.limits.reporting_fraction = reporting_count / known_count
     instance.limits.known_instances = known_count
     instance.limits.report_delay_s = estimate_report_delay_s(instance)
+    for service, budget in instance.retry_budget_by_service.items():
+        instance.metrics.retry_budget.set({"service": service}, budget.level)
 
 
 async def _stop(instance: Instance, server: Server) -> None:
--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -8,7 +8,7 @@
 import curio
 
 from catkintrack.decisions import ejection
-from catkintrack.decisions.retries import add_retry_credit, take_retry
+from catkintrack.decisions.retries import add_retry_credit
 from catkintrack.decisions.services import choose_replica, ensure_service_row
 from catkintrack.fleet import Call, Upstream
 from catkintrack.http import (
@@ -32,6 +32,7 @@
     run_attempt,
 )
 from .fleet_state import find_retry_budget
+from .health import may_retry, record_replica_failure
 from .quarantining import (
     check_quarantine,
     record_given_up,
@@ -59,13 +60,12 @@
     instance: Instance, call: Call, progress: CallProgress, connection: Connection
 ) -> None:
     """Serve a call, and retry it on other replicas after a rejection or failure."""
-    budget = find_retry_budget(instance, call.service)
-    add_retry_credit(budget)
+    add_retry_credit(find_retry_budget(instance, call.service))
     excluded: frozenset[str] = frozenset()
     error_response: ReplicaErrorResponse | None = None
     for _ in range(MAX_TRIES):
         # An attempt counts as a retry only if an earlier one reached a replica.
-        if progress.connected_attempts and not take_retry(budget):
+        if progress.connected_attempts and not may_retry(instance, call.service):
             progress.reason = "the retry budget is used up"
             break
         check_quarantine(instance, call, progress)
@@ -191,21 +191,21 @@
         progress.executions = executions
         if progress.connected_attempts > connected_before:
             record_given_up(instance, upstream, call)
-        ejection.record_failure(row, time.monotonic(), False)
+        record_replica_failure(row, False, "no answer in time")
         raise UpstreamTimeout("no answer in time") from error
     except curio.CancelledError:
         if progress.connected_attempts > connected_before:
             record_given_up(instance, upstream, call)
         raise
-    except UpstreamUnreachable:
-        ejection.record_failure(row, time.monotonic(), True)
+    except UpstreamUnreachable as error:
+        record_replica_failure(row, True, f"unreachable: {error}")
         await report_unreachable(instance, upstream)
         raise
     except UpstreamExchangeError as error:
         progress.executions = executions
         if isinstance(error, UpstreamDisconnected):
             await report_lost_replica(instance, upstream, call, False)
-        ejection.record_failure(row, time.monotonic(), False)
+        record_replica_failure(row, False, str(error))
         raise
     finally:
         row.in_flight -= 1
