--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -11,7 +11,6 @@
 
 from catkintrack.decisions import load
 from catkintrack.decisions.leaving import forget_unknown_life
-from catkintrack.decisions.retries import RetryBudget, make_retry_budget
 from catkintrack.decisions.scheduler import (
     drop_upstream,
     put_upstream,
@@ -332,15 +331,3 @@
     missing = set(instance.spec_by_upstream) - set(instance.upstream_by_id)
     for id in missing:
         apply_upstream(instance, id, instance.spec_by_upstream[id], 0.0)
-
-
-def find_retry_budget(instance: Instance, service: str) -> RetryBudget:
-    """Return this instance's retry budget for a service, creating it if missing."""
-    budget = instance.retry_budget_by_service.get(service)
-    if budget is None:
-        bounds = instance.site.bounds
-        budget = make_retry_budget(
-            bounds.retry_ratio, bounds.retry_extra, instance.decisions.router_count
-        )
-        instance.retry_budget_by_service[service] = budget
-    return budget
--- a/catkintrack/instance/health.py
+++ b/catkintrack/instance/health.py
@@ -1,4 +1,4 @@
-"""Log the ejections of replicas and count the retries that their budget allows."""
+"""Record the failures of replicas and log their ejections."""
 
 from __future__ import annotations
 
@@ -6,12 +6,8 @@
 import time
 
 from catkintrack.decisions import ejection
-from catkintrack.decisions.retries import take_retry
 from catkintrack.decisions.tables import UpstreamRow
 
-from .fleet_state import find_retry_budget
-from .state import Instance
-
 logger = logging.getLogger(__name__)
 
 
@@ -33,11 +29,3 @@
             "in_flight": row.in_flight,
         },
     )
-
-
-def may_retry(instance: Instance, service: str) -> bool:
-    """Take one retry from a service's budget; report False if none is left."""
-    is_allowed = take_retry(find_retry_budget(instance, service))
-    outcome = "allowed" if is_allowed else "refused"
-    instance.metrics.retries.inc({"service": service, "outcome": outcome})
-    return is_allowed
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -48,8 +48,8 @@
     run_attempt,
 )
 from .broadcasting import broadcast
-from .fleet_state import apply_replica_weights, find_retry_budget
-from .health import log_ejection, may_retry
+from .fleet_state import apply_replica_weights
+from .health import log_ejection
 from .lives import has_other_life
 from .messages import PrefillBegun, PrefillEnded
 from .prompts import hash_prompt_blocks, make_cache_salt
@@ -65,6 +65,7 @@
 from .refusals import NotServed, OutcomeUnknown
 from .replica_signals import find_return_s
 from .reports import learn_weights
+from .retry_budgets import find_retry_budget, may_retry
 from .state import Instance
 from .stream_origins import (
     check_version_served,
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -72,6 +72,7 @@
 from .refusals import respond_to_bad_request
 from .reload import make_site_reload
 from .replica_signals import end_returned_rests, share_limits
+from .retry_budgets import share_retry_budgets
 from .state import Instance
 from .stream_origins import run_origin_keeper
 from .weights_rollout import run_weights_rollout
@@ -258,8 +259,7 @@
     instance.limits.reporting_fraction = reporting_count / known_count
     instance.limits.known_instances = known_count
     instance.limits.report_delay_s = estimate_report_delay_s(instance)
-    for service, budget in instance.retry_budget_by_service.items():
-        instance.metrics.retry_budget.set({"service": service}, budget.level)
+    share_retry_budgets(instance, now)
 
 
 async def _stop(instance: Instance, server: Server) -> None:
--- a/catkintrack/instance/reload.py
+++ b/catkintrack/instance/reload.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from dataclasses import asdict, replace
 from pathlib import Path
 
 from returns.result import Failure, Success
 
-from catkintrack.decisions.retries import make_retry_budget, resize_budget
 from catkintrack.fleet import Site
 from catkintrack.platform import StoreClient, load_site
 from catkintrack.processes import (
@@ -18,6 +18,7 @@
 )
 
 from .peers import get_or_add_peer
+from .retry_budgets import share_retry_budgets
 from .state import Instance
 
 
@@ -47,12 +48,7 @@
             era=instance.store.era,
             on_new_era=instance.store.on_new_era,
         )
-    bounds, router_count = merged.bounds, instance.decisions.router_count
-    for budget in instance.retry_budget_by_service.values():
-        wanted_budget = make_retry_budget(
-            bounds.retry_ratio, bounds.retry_extra, router_count
-        )
-        resize_budget(budget, wanted_budget)
+    share_retry_budgets(instance, time.monotonic())
     for seed in set(merged.seeds) - set(old.seeds):
         get_or_add_peer(instance, "", "", seed.host, seed.port)
 
--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -31,8 +31,7 @@
     forward_response,
     run_attempt,
 )
-from .fleet_state import find_retry_budget
-from .health import may_retry, record_replica_failure
+from .health import record_replica_failure
 from .quarantining import (
     check_quarantine,
     record_given_up,
@@ -43,6 +42,7 @@
 )
 from .refusals import NotServed, OutcomeUnknown
 from .replica_signals import find_limit_wait_s, find_return_s, may_choose, record_chosen
+from .retry_budgets import find_retry_budget, may_retry
 from .state import Instance
 
 logger = logging.getLogger(__name__)
--- a/catkintrack/instance/tests/test_reload.py
+++ b/catkintrack/instance/tests/test_reload.py
@@ -7,8 +7,8 @@
 from unittest import mock
 
 from catkintrack.http import Address
-from catkintrack.instance.fleet_state import find_retry_budget
 from catkintrack.instance.reload import apply_site, make_site_reload
+from catkintrack.instance.retry_budgets import find_retry_budget
 from catkintrack.platform import observe_era
 from testkit.instances import SETTINGS_LINES
 from testkit.states import make_instance
--- a/catkintrack/instance/tests/test_retry_shares.py
+++ b/catkintrack/instance/tests/test_retry_shares.py
@@ -2,13 +2,14 @@
 
 import time
 import unittest
+from dataclasses import replace
 
 import curio
 
 from catkintrack.decisions.retries import BUDGET_SAFETY_FACTOR
-from catkintrack.instance.fleet_state import find_retry_budget
 from catkintrack.instance.peers import PEER_REMOVAL_S, get_or_add_peer
 from catkintrack.instance.process import keep_house
+from catkintrack.instance.retry_budgets import find_retry_budget
 from testkit.states import make_instance
 
 PEERS = 7
@@ -42,7 +43,9 @@
         self.assertLessEqual(self.find_cap(), share)
 
     def test_young_instance_has_no_share_before_it_knows_its_peers(self):
+        """What the instance held before its restart may have just been spent."""
         self.instance.started_at = time.monotonic()
+        self.instance.site = replace(self.instance.site, is_bootstrap=False)
         self.assertLessEqual(self.find_cap(), 1.0)
         self.assertEqual(find_retry_budget(self.instance, "app").level, 0.0)
 
--- a/catkintrack/instance/tests/test_silent_replicas.py
+++ b/catkintrack/instance/tests/test_silent_replicas.py
@@ -10,8 +10,8 @@
 from catkintrack.decisions.ejection import EJECTION_S, is_ejected
 from catkintrack.decisions.services import ensure_service_row
 from catkintrack.instance.attempts import CallProgress
-from catkintrack.instance.fleet_state import find_retry_budget
 from catkintrack.instance.model_calls import serve_model_call
+from catkintrack.instance.retry_budgets import find_retry_budget
 from catkintrack.instance.service_calls import serve_service_call
 from testkit.instances import make_call, make_prompt, make_route
 from testkit.recording import RecordingConnection
