--- a/catkintrack/decisions/ejection.py
+++ b/catkintrack/decisions/ejection.py
@@ -17,16 +17,22 @@
     return row.ejections > 0 and row.in_flight > 0 and row.consecutive_failures > 0
 
 
-def record_failure(row: UpstreamRow, now: float, is_unreachable: bool) -> bool:
-    """Count a failure and report whether it ejects the upstream.
+def record_failure(
+    row: UpstreamRow, sent_at: float, now: float, is_unreachable: bool
+) -> bool:
+    """Count the failure of a request sent at `sent_at`; report whether it ejects.
 
-    An unreachable one is ejected at once.
+    An unreachable upstream is ejected at once.  Requests that were under way when an
+    ejection began failed in the same incident, and don't lengthen it.
     """
+    if sent_at <= row.ejected_at:
+        return False
     row.consecutive_failures += 1
     if not is_unreachable and row.consecutive_failures < FAILURES_TO_EJECT:
         return False
     duration_s = min(EJECTION_MAX_S, EJECTION_S * 2**row.ejections)
     row.ejections += 1
+    row.ejected_at = now
     row.ejected_until = now + duration_s
     return True
 
--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -516,7 +516,9 @@
     running = tables.running_by_id.get(request_id)
     record_end(tables, request_id, now)
     row = tables.upstream_by_name.get(running.upstream) if running else None
-    return row is not None and ejection.record_failure(row, now, is_unreachable)
+    if running is None or row is None:
+        return False
+    return ejection.record_failure(row, running.dispatched_at, now, is_unreachable)
 
 
 def set_incarnation(
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -71,6 +71,7 @@
     small_prefill_tokens: int = 0
     consecutive_failures: int = 0
     ejections: int = 0
+    ejected_at: float = -math.inf
     ejected_until: float = 0.0
     ramp_started_at: float = -1e9
     last_heard_at: float = 0.0
--- a/catkintrack/instance/health.py
+++ b/catkintrack/instance/health.py
@@ -11,9 +11,11 @@
 logger = logging.getLogger(__name__)
 
 
-def record_replica_failure(row: UpstreamRow, is_unreachable: bool, cause: str) -> None:
+def record_replica_failure(
+    row: UpstreamRow, sent_at: float, is_unreachable: bool, cause: str
+) -> None:
     """Record a failure of a replica, and log it if it ejects the replica."""
-    if ejection.record_failure(row, time.monotonic(), is_unreachable):
+    if ejection.record_failure(row, sent_at, time.monotonic(), is_unreachable):
         log_ejection(row, cause)
 
 
--- a/catkintrack/instance/probing.py
+++ b/catkintrack/instance/probing.py
@@ -33,8 +33,9 @@
 
 async def probe(instance: Instance, upstream: Upstream, row: UpstreamRow) -> None:
     """Connect to a replica and eject it if that fails."""
+    asked_at = time.monotonic()
     try:
         async with open_exchange(instance.pool, upstream.address, force_new=True):
             return
     except UpstreamUnreachable as error:
-        record_replica_failure(row, True, f"silent and unreachable: {error}")
+        record_replica_failure(row, asked_at, True, f"silent and unreachable: {error}")
--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -169,7 +169,8 @@
         reported=row.reported_running + row.reported_waiting,
         zone=row.zone,
     )
-    remaining_s = call.deadline_at - time.monotonic() - DEADLINE_MARGIN_S
+    sent_at = time.monotonic()
+    remaining_s = call.deadline_at - sent_at - DEADLINE_MARGIN_S
     dispatch = Dispatch(upstream.id, remaining_s)
     try:
         attempt_timeout_s = remaining_s
@@ -191,21 +192,21 @@
         progress.executions = executions
         if progress.connected_attempts > connected_before:
             record_given_up(instance, upstream, call)
-        record_replica_failure(row, False, "no answer in time")
+        record_replica_failure(row, sent_at, False, "no answer in time")
         raise UpstreamTimeout("no answer in time") from error
     except curio.CancelledError:
         if progress.connected_attempts > connected_before:
             record_given_up(instance, upstream, call)
         raise
     except UpstreamUnreachable as error:
-        record_replica_failure(row, True, f"unreachable: {error}")
+        record_replica_failure(row, sent_at, True, f"unreachable: {error}")
         await report_unreachable(instance, upstream)
         raise
     except UpstreamExchangeError as error:
         progress.executions = executions
         if isinstance(error, UpstreamDisconnected):
             await report_lost_replica(instance, upstream, call, False)
-        record_replica_failure(row, False, str(error))
+        record_replica_failure(row, sent_at, False, str(error))
         raise
     finally:
         row.in_flight -= 1
--- a/catkintrack/router/service_calls.py
+++ b/catkintrack/router/service_calls.py
@@ -239,14 +239,15 @@
         replica = _select_replica(router, call, excluded)
         row = ensure_service_row(router.services, replica.name)
         row.in_flight += 1
+        sent_at = time.monotonic()
         try:
             result = await _send_to_replica(router, call, replica, handle_exchange)
             ejection.record_success(row, time.monotonic())
             return result
         except UpstreamUnreachable as error:
-            _record_replica_failure(router, call, replica, error, True)
+            _record_replica_failure(router, call, replica, error, sent_at)
         except UpstreamExchangeError as error:
-            _record_replica_failure(router, call, replica, error, False)
+            _record_replica_failure(router, call, replica, error, sent_at)
             if has_response_started():
                 # The connection closes before the response's end, which marks it as
                 # incomplete.
@@ -303,10 +304,11 @@
     call: ServiceCall,
     replica: Upstream,
     error: Exception,
-    is_unreachable: bool,
+    sent_at: float,
 ) -> None:
     row = ensure_service_row(router.services, replica.name)
-    ejection.record_failure(row, time.monotonic(), is_unreachable)
+    is_unreachable = isinstance(error, UpstreamUnreachable)
+    ejection.record_failure(row, sent_at, time.monotonic(), is_unreachable)
     logger.warning(
         "service replica failed",
         extra={
