--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -107,6 +107,14 @@
     return sorted(unsuspected or eligible, key=lambda row: row.name)
 
 
+def has_unsuspected(tables: Tables, request: ModelRequest, now: float) -> bool:
+    """Report whether an upstream that is not silent may get the request."""
+    return any(
+        is_eligible(tables, row, request, now) and not is_suspect(row, now)
+        for row in tables.upstream_by_name.values()
+    )
+
+
 def compute_affinity_key(request: ModelRequest) -> int:
     """Return the block hash by which all instances rank the upstreams alike."""
     if request.block_ends:
--- a/catkintrack/decisions/services.py
+++ b/catkintrack/decisions/services.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from .ejection import is_ejected
+from .failure_detection import is_suspect
 from .load import estimate_running
 from .tables import UpstreamRow
 
@@ -41,6 +42,14 @@
     )
 
 
+def has_unsuspected_replica(
+    tables: ServiceTables, names: Iterable[str], now: float
+) -> bool:
+    """Report whether one of the replicas is neither ejected nor silent."""
+    rows = (ensure_service_row(tables, name) for name in names)
+    return any(not is_ejected(row, now) and not is_suspect(row, now) for row in rows)
+
+
 def _sort_key(row: UpstreamRow, zone: str, now: float) -> tuple[bool, float]:
     """Return the sort key: same zone and below capacity first, then by load."""
     fill = estimate_running(row, now) / max(1, row.max_running)
--- a/catkintrack/http/stream_bounds.py
+++ b/catkintrack/http/stream_bounds.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from .errors import UpstreamResponseTooLarge, UpstreamTimeout
@@ -39,16 +40,22 @@
     bounds.last_event_at = now
 
 
-def find_remaining_s(bounds: StreamBounds, now: float) -> float:
+def find_remaining_s(
+    bounds: StreamBounds, now: float, may_move: Callable[[], bool] = lambda: True
+) -> float:
     """Return how long to wait for the next event.
 
-    Raise UpstreamTimeout if the pause is too long or the deadline has passed.
+    Raise UpstreamTimeout if the deadline has passed, or if the pause is too long and
+    `may_move` reports that another upstream can go on.
     """
     if now >= bounds.deadline_at:
         raise UpstreamTimeout("the stream did not end before its deadline")
+    remaining_s = bounds.deadline_at - now
     if bounds.last_event_at is None:
-        return bounds.deadline_at - now
+        return remaining_s
     stalled_at = bounds.last_event_at + bounds.max_pause_s
-    if now >= stalled_at:
+    if now < stalled_at:
+        return min(stalled_at - now, remaining_s)
+    if may_move():
         raise UpstreamTimeout("the stream stalled between two events")
-    return min(stalled_at, bounds.deadline_at) - now
+    return remaining_s
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -16,6 +16,7 @@
     StreamBounds,
     UpstreamDisconnected,
     UpstreamExchangeError,
+    UpstreamResponseTooLarge,
     UpstreamTimeout,
     find_remaining_s,
     open_exchange,
@@ -84,7 +85,8 @@
 
     `connected_attempts` counts the attempts that reached a replica, `executions` those
     that a replica ran or may have run, `unreachable_attempts` those without a
-    connection.  `software_version` is the one that the stream must go on at, None if any;
+    connection.  `has_retry` is set if a retry was taken from the budget for the next
+    attempt.  `software_version` is the one that the stream must go on at, None if any;
     `is_version_confirmed` is set if the replica itself reported its incarnation.
     """
 
@@ -95,6 +97,7 @@
     executions: int = 0
     connected_attempts: int = 0
     unreachable_attempts: int = 0
+    has_retry: bool = False
     last_event_id: int | None = None
     software_version: str | None = None
     is_version_confirmed: bool = True
@@ -134,7 +137,8 @@
     `on_data` is called after each response head and complete event, `on_answered` when
     the first event or a whole response has shown that the replica can answer,
     `on_completed` when a response is certainly complete; `should_abandon` is polled while
-    no data arrives.
+    no data arrives, each `check_interval_s`.  An attempt that is still open is given up only if `may_move` reports
+    that another one may follow: a silent replica may go on.
     """
 
     on_response_head: ResponseHeadCallback
@@ -142,6 +146,8 @@
     on_answered: Callable[[], Awaitable[None]] = ignore_answer
     on_completed: Callable[[], Awaitable[None]] = ignore_answer
     should_abandon: Callable[[], bool] = lambda: False
+    may_move: Callable[[], bool] = lambda: True
+    check_interval_s: float = ABANDON_CHECK_INTERVAL_S
 
 
 async def run_attempt(
@@ -203,7 +209,7 @@
             raise UpstreamExchangeError(
                 f"status {head.status} instead of the stream's rest"
             )
-        body = await exchange.read_body(_remaining_s(call))
+        body = await _read_body(bounds, exchange, callbacks)
         # A close alone does not say that the response is whole.
         if head.status == 200 and not head.is_close_delimited:
             await callbacks.on_answered()
@@ -222,10 +228,6 @@
     return call.last_event_id
 
 
-def _remaining_s(call: Call) -> float:
-    return max(0.0, call.deadline_at - time.monotonic()) + DEADLINE_GRACE_S
-
-
 def make_stream_bounds(call: Call, max_body_bytes: int) -> StreamBounds:
     """Return the bounds of a call's stream; `max_body_bytes` applies without a prompt."""
     route = call.route
@@ -253,14 +255,32 @@
 ) -> T:
     """Read until data arrives; raise UpstreamTimeout if abandoned or out of time."""
     while True:
-        remaining_s = find_remaining_s(bounds, time.monotonic())
+        now = time.monotonic()
+        remaining_s = find_remaining_s(bounds, now, callbacks.may_move)
         try:
-            return await read(min(ABANDON_CHECK_INTERVAL_S, remaining_s))
+            return await read(min(callbacks.check_interval_s, remaining_s))
         except UpstreamTimeout:
-            if callbacks.should_abandon():
+            if callbacks.should_abandon() and callbacks.may_move():
                 raise
 
 
+async def _read_body(
+    bounds: StreamBounds, exchange: Exchange, callbacks: AttemptCallbacks
+) -> bytes:
+    """Return a whole body.
+
+    Raise UpstreamTimeout if abandoned or out of time, or UpstreamResponseTooLarge.
+    """
+    body = bytearray()
+    while True:
+        part = await _read_unless_abandoned(bounds, callbacks, exchange.read_body_part)
+        if part is None:
+            return bytes(body)
+        body += part
+        if len(body) > exchange.max_body_bytes:
+            raise UpstreamResponseTooLarge("the body exceeds the size limit")
+
+
 def _check_response(call: Call, fields: ResponseFields) -> None:
     """Raise UpstreamExchangeError on a response to another call, encoded or unsigned."""
     if fields.request_id != call.id:
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -23,7 +23,7 @@
     record_bytes_received,
     should_fail_over,
 )
-from catkintrack.decisions.placement import may_run
+from catkintrack.decisions.placement import has_unsuspected, may_run
 from catkintrack.decisions.prefills import ANNOUNCED_MIN_TOKENS
 from catkintrack.decisions.retries import add_retry_credit
 from catkintrack.decisions.tables import UpstreamRow
@@ -65,7 +65,7 @@
 from .refusals import NotServed, OutcomeUnknown
 from .replica_signals import find_return_s
 from .reports import learn_weights
-from .retry_budgets import find_retry_budget, may_retry
+from .retry_budgets import find_retry_budget, reserve_retry, take_next_attempt
 from .state import Instance
 from .stream_origins import (
     check_version_served,
@@ -97,8 +97,7 @@
     progress.software_version = await find_resumption_version(instance, call)
     request = _make_request(call, prompt)
     for _ in range(MAX_TRIES):
-        # An attempt counts as a retry only if an earlier one reached a replica.
-        if progress.connected_attempts and not may_retry(instance, call.service):
+        if not take_next_attempt(instance, call, progress):
             progress.reason = "the retry budget is used up"
             break
         check_quarantine(instance, call, progress)
@@ -248,14 +247,24 @@
     async def handle_completion() -> None:
         await report_completed(instance, call)
 
+    executions = progress.executions + 1
+    others = replace(request, excluded=request.excluded | {upstream.id})
+
+    def may_move() -> bool:
+        if not call.route.is_retryable or executions >= call.route.max_attempts:
+            return False
+        wanted = replace(others, software_version=progress.software_version)
+        if not has_unsuspected(tables, wanted, time.monotonic()):
+            return False
+        return reserve_retry(instance, call, progress)
+
     callbacks = AttemptCallbacks(
         on_response_head=handle_response_head,
         on_answered=handle_answer,
         on_completed=handle_completion,
         on_data=lambda: record_bytes_received(row, time.monotonic()),
-        should_abandon=lambda: (
-            call.route.is_retryable and should_fail_over(row, time.monotonic())
-        ),
+        should_abandon=lambda: should_fail_over(row, time.monotonic()),
+        may_move=may_move,
     )
     remaining_s = call.deadline_at - time.monotonic() - DEADLINE_MARGIN_S
     dispatch = Dispatch(
--- a/catkintrack/instance/retry_budgets.py
+++ b/catkintrack/instance/retry_budgets.py
@@ -11,7 +11,9 @@
     open_retry_budget,
     take_retry,
 )
+from catkintrack.fleet import Call
 
+from .attempts import CallProgress
 from .peers import PEER_REMOVAL_S, list_limit_sharers
 from .state import Instance
 
@@ -41,6 +43,23 @@
     return is_allowed
 
 
+def take_next_attempt(instance: Instance, call: Call, progress: CallProgress) -> bool:
+    """Report whether a call may be sent once more, and take a retry if that needs one.
+
+    It needs none if no attempt has reached a replica, or if one was taken in advance.
+    """
+    if not progress.connected_attempts or progress.has_retry:
+        progress.has_retry = False
+        return True
+    return may_retry(instance, call.service)
+
+
+def reserve_retry(instance: Instance, call: Call, progress: CallProgress) -> bool:
+    """Take a retry for the next attempt of a call; report False if none is left."""
+    progress.has_retry = progress.has_retry or may_retry(instance, call.service)
+    return progress.has_retry
+
+
 def _find_share(instance: Instance, now: float) -> RetryShare:
     bounds = instance.site.bounds
     return RetryShare(
--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -8,8 +8,16 @@
 import curio
 
 from catkintrack.decisions import ejection
+from catkintrack.decisions.failure_detection import (
+    record_bytes_received,
+    record_request_sent,
+)
 from catkintrack.decisions.retries import add_retry_credit
-from catkintrack.decisions.services import choose_replica, ensure_service_row
+from catkintrack.decisions.services import (
+    choose_replica,
+    ensure_service_row,
+    has_unsuspected_replica,
+)
 from catkintrack.fleet import Call, Upstream
 from catkintrack.http import (
     Connection,
@@ -42,7 +50,7 @@
 )
 from .refusals import NotServed, OutcomeUnknown
 from .replica_signals import find_limit_wait_s, find_return_s, may_choose, record_chosen
-from .retry_budgets import find_retry_budget, may_retry
+from .retry_budgets import find_retry_budget, reserve_retry, take_next_attempt
 from .state import Instance
 
 logger = logging.getLogger(__name__)
@@ -54,6 +62,8 @@
 # A retryable call is retried elsewhere if it has no complete response after this many
 # times the route's latency target.
 ATTEMPT_TIMEOUT_TARGETS = 2.0
+# Shorter than for streams: whole calls take some tens of milliseconds.
+ABANDON_CHECK_INTERVAL_S = 0.05
 
 
 async def serve_service_call(
@@ -64,8 +74,7 @@
     excluded: frozenset[str] = frozenset()
     error_response: ReplicaErrorResponse | None = None
     for _ in range(MAX_TRIES):
-        # An attempt counts as a retry only if an earlier one reached a replica.
-        if progress.connected_attempts and not may_retry(instance, call.service):
+        if not take_next_attempt(instance, call, progress):
             progress.reason = "the retry budget is used up"
             break
         check_quarantine(instance, call, progress)
@@ -75,7 +84,7 @@
         excluded |= {upstream.id}
         start_trial(instance, call)
         try:
-            await _run(instance, call, progress, upstream, connection)
+            await _run(instance, call, progress, upstream, excluded, connection)
             return
         except ReplicaErrorResponse as error:
             error_response = error
@@ -121,14 +130,7 @@
     instance: Instance, service: str, excluded: frozenset[str], now: float
 ) -> Upstream | None:
     """Return the replica that gets a call to a service now, if any."""
-    names = [
-        upstream.id
-        for upstream in instance.upstream_by_id.values()
-        if upstream.service == service
-        and not upstream.is_draining
-        and upstream.id not in excluded
-        and may_choose(instance, upstream, now)
-    ]
+    names = _list_replicas(instance, service, excluded, now)
     name = choose_replica(
         instance.services, names, now, instance.rng, instance.site.zone
     )
@@ -139,11 +141,26 @@
     return upstream
 
 
+def _list_replicas(
+    instance: Instance, service: str, excluded: frozenset[str], now: float
+) -> list[str]:
+    """Return the names of the replicas that may get a call, whatever their health."""
+    return [
+        upstream.id
+        for upstream in instance.upstream_by_id.values()
+        if upstream.service == service
+        and not upstream.is_draining
+        and upstream.id not in excluded
+        and may_choose(instance, upstream, now)
+    ]
+
+
 async def _run(
     instance: Instance,
     call: Call,
     progress: CallProgress,
     upstream: Upstream,
+    excluded: frozenset[str],
     connection: Connection,
 ) -> None:
     row = ensure_service_row(instance.services, upstream.id)
@@ -153,7 +170,17 @@
     connected_before = progress.connected_attempts
     is_last_attempt = executions >= call.route.max_attempts
 
+    def may_move() -> bool:
+        if not is_retryable or is_last_attempt:
+            return False
+        now = time.monotonic()
+        others = _list_replicas(instance, call.service, excluded, now)
+        if not has_unsuspected_replica(instance.services, others, now):
+            return False
+        return reserve_retry(instance, call, progress)
+
     async def handle_response_head(fields: ResponseFields) -> None:
+        record_bytes_received(row, time.monotonic())
         if fields.load is not None:
             row.reported_running, row.reported_waiting = fields.load
             row.reported_at = time.monotonic()
@@ -172,11 +199,17 @@
     sent_at = time.monotonic()
     remaining_s = call.deadline_at - sent_at - DEADLINE_MARGIN_S
     dispatch = Dispatch(upstream.id, remaining_s)
+    abandon_at = sent_at + ATTEMPT_TIMEOUT_TARGETS * call.route.target_s
+    callbacks = AttemptCallbacks(
+        handle_response_head,
+        on_completed=handle_completion,
+        should_abandon=lambda: time.monotonic() >= abandon_at,
+        may_move=may_move,
+        check_interval_s=ABANDON_CHECK_INTERVAL_S,
+    )
+    record_request_sent(row, sent_at)
     try:
-        attempt_timeout_s = remaining_s
-        if is_retryable and not is_last_attempt:
-            attempt_timeout_s = ATTEMPT_TIMEOUT_TARGETS * call.route.target_s
-        async with timeout_after(max(0.02, attempt_timeout_s)):
+        async with timeout_after(max(0.02, remaining_s)):
             await run_attempt(
                 instance,
                 call,
@@ -184,7 +217,7 @@
                 upstream,
                 dispatch,
                 connection,
-                AttemptCallbacks(handle_response_head, on_completed=handle_completion),
+                callbacks,
                 is_retryable and not is_last_attempt,
             )
         ejection.record_success(row, time.monotonic())
@@ -204,6 +237,8 @@
         raise
     except UpstreamExchangeError as error:
         progress.executions = executions
+        if isinstance(error, UpstreamTimeout):
+            record_given_up(instance, upstream, call)
         if isinstance(error, UpstreamDisconnected):
             await report_lost_replica(instance, upstream, call, False)
         record_replica_failure(row, sent_at, False, str(error))
