--- a/catkintrack/decisions/ejection.py
+++ b/catkintrack/decisions/ejection.py
@@ -28,6 +28,7 @@
     if sent_at <= row.ejected_at:
         return False
     row.consecutive_failures += 1
+    row.is_unreachable = is_unreachable
     if not is_unreachable and row.consecutive_failures < FAILURES_TO_EJECT:
         return False
     duration_s = min(EJECTION_MAX_S, EJECTION_S * 2**row.ejections)
@@ -42,5 +43,6 @@
     if row.ejections:
         row.ramp_started_at = now
     row.consecutive_failures = 0
+    row.is_unreachable = False
     row.ejections = 0
     row.ejected_until = 0.0
--- a/catkintrack/decisions/services.py
+++ b/catkintrack/decisions/services.py
@@ -11,6 +11,9 @@
 from .load import estimate_running
 from .tables import UpstreamRow
 
+# Running and waiting calls per slot up to which a replica of an ejected service is tried.
+PANIC_FILL = 2.0
+
 
 @dataclass(slots=True)
 class ServiceTables:
@@ -28,11 +31,10 @@
 ) -> str | None:
     """Return the replica with the lowest load per capacity, ties at random.
 
-    Replicas in availability zone `zone` come first while they are below capacity.
+    Replicas in availability zone `zone` come first while they are below capacity.  If all
+    are ejected, those that can be reached are tried.
     """
-    eligible = [
-        name for name in names if not is_ejected(ensure_service_row(tables, name), now)
-    ]
+    eligible = _list_eligible(tables, list(names), now)
     if not eligible:
         return None
     rng.shuffle(eligible)
@@ -42,6 +44,24 @@
     )
 
 
+def _list_eligible(tables: ServiceTables, names: list[str], now: float) -> list[str]:
+    """Return the replicas that may get a call.
+
+    A service whose replicas are all ejected still gets calls, within its capacity, as with
+    Envoy's panic threshold: what befell all of them together tells nothing of each.
+    """
+    rows = [ensure_service_row(tables, name) for name in names]
+    eligible = [row.name for row in rows if not is_ejected(row, now)]
+    if eligible:
+        return eligible
+    return [
+        row.name
+        for row in rows
+        if not row.is_unreachable
+        and estimate_running(row, now) < PANIC_FILL * max(1, row.max_running)
+    ]
+
+
 def has_unsuspected_replica(
     tables: ServiceTables, names: Iterable[str], now: float
 ) -> bool:
