--- a/catkintrack/decisions/ejection.py
+++ b/catkintrack/decisions/ejection.py
@@ -17,14 +17,25 @@
     return row.ejections > 0 and row.in_flight > 0 and row.consecutive_failures > 0
 
 
-def record_failure(row: UpstreamRow, now: float, is_unreachable: bool) -> None:
-    """Count a failure; an unreachable upstream is ejected at once."""
+def record_failure(
+    row: UpstreamRow, sent_at: float, now: float, is_unreachable: bool
+) -> bool:
+    """Count the failure of a request sent at `sent_at`; report whether it ejects.
+
+    An unreachable upstream is ejected at once.  Requests that were under way when an
+    ejection began failed in the same incident, and don't lengthen it.
+    """
+    if sent_at <= row.ejected_at:
+        return False
     row.consecutive_failures += 1
+    row.is_unreachable = is_unreachable
     if not is_unreachable and row.consecutive_failures < FAILURES_TO_EJECT:
-        return
+        return False
     duration_s = min(EJECTION_MAX_S, EJECTION_S * 2**row.ejections)
     row.ejections += 1
+    row.ejected_at = now
     row.ejected_until = now + duration_s
+    return True
 
 
 def record_success(row: UpstreamRow, now: float) -> None:
@@ -32,5 +43,6 @@
     if row.ejections:
         row.ramp_started_at = now
     row.consecutive_failures = 0
+    row.is_unreachable = False
     row.ejections = 0
     row.ejected_until = 0.0
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -23,9 +23,9 @@
     record_bytes_received,
     should_fail_over,
 )
-from catkintrack.decisions.placement import may_run
+from catkintrack.decisions.placement import has_unsuspected, may_run
 from catkintrack.decisions.prefills import ANNOUNCED_MIN_TOKENS
-from catkintrack.decisions.retries import add_retry_credit, take_retry
+from catkintrack.decisions.retries import add_retry_credit
 from catkintrack.decisions.tables import UpstreamRow
 from catkintrack.fleet import Call, ModelWeights, Prompt
 from catkintrack.http import (
@@ -48,7 +48,8 @@
     run_attempt,
 )
 from .broadcasting import broadcast
-from .fleet_state import apply_replica_weights, find_retry_budget
+from .fleet_state import apply_replica_weights
+from .health import log_ejection
 from .lives import has_other_life
 from .messages import PrefillBegun, PrefillEnded
 from .prompts import hash_prompt_blocks, make_cache_salt
@@ -64,6 +65,7 @@
 from .refusals import NotServed, OutcomeUnknown
 from .replica_signals import find_return_s
 from .reports import learn_weights
+from .retry_budgets import find_retry_budget, reserve_retry, take_next_attempt
 from .state import Instance
 from .stream_origins import (
     check_version_served,
@@ -91,13 +93,11 @@
     """Serve a model call on the replica where it costs least; retry it on others."""
     prompt = call.prompt
     assert prompt is not None
-    budget = find_retry_budget(instance, call.service)
-    add_retry_credit(budget)
+    add_retry_credit(find_retry_budget(instance, call.service))
     progress.software_version = await find_resumption_version(instance, call)
     request = _make_request(call, prompt)
     for _ in range(MAX_TRIES):
-        # An attempt counts as a retry only if an earlier one reached a replica.
-        if progress.connected_attempts and not take_retry(budget):
+        if not take_next_attempt(instance, call, progress):
             progress.reason = "the retry budget is used up"
             break
         check_quarantine(instance, call, progress)
@@ -247,14 +247,24 @@
     async def handle_completion() -> None:
         await report_completed(instance, call)
 
+    executions = progress.executions + 1
+    others = replace(request, excluded=request.excluded | {upstream.id})
+
+    def may_move() -> bool:
+        if not call.route.is_retryable or executions >= call.route.max_attempts:
+            return False
+        wanted = replace(others, software_version=progress.software_version)
+        if not has_unsuspected(tables, wanted, time.monotonic()):
+            return False
+        return reserve_retry(instance, call, progress)
+
     callbacks = AttemptCallbacks(
         on_response_head=handle_response_head,
         on_answered=handle_answer,
         on_completed=handle_completion,
         on_data=lambda: record_bytes_received(row, time.monotonic()),
-        should_abandon=lambda: (
-            call.route.is_retryable and should_fail_over(row, time.monotonic())
-        ),
+        should_abandon=lambda: should_fail_over(row, time.monotonic()),
+        may_move=may_move,
     )
     remaining_s = call.deadline_at - time.monotonic() - DEADLINE_MARGIN_S
     dispatch = Dispatch(
@@ -288,8 +298,9 @@
         await run_attempt(
             instance, call, progress, upstream, dispatch, connection, callbacks, False
         )
-    except UpstreamUnreachable:
-        record_failure(tables, request.id, time.monotonic(), True)
+    except UpstreamUnreachable as error:
+        if record_failure(tables, request.id, time.monotonic(), True):
+            log_ejection(row, f"unreachable: {error}")
         await report_unreachable(instance, upstream)
         raise
     except curio.CancelledError:
@@ -307,7 +318,8 @@
             await report_lost_replica(instance, upstream, call, has_begun_prompt)
         parts = [part.id for part in prompt.parts[:MAX_LOGGED_PARTS]]
         progress.record_break(has_response_head, has_event, parts)
-        record_failure(tables, request.id, time.monotonic(), False)
+        if record_failure(tables, request.id, time.monotonic(), False):
+            log_ejection(row, str(error))
         raise
     finally:
         record_end(tables, request.id, time.monotonic())
