--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -496,11 +496,21 @@
     if running is None or row is None:
         return
     load.record_prefilled(tables, row, running, now)
-    ejection.record_success(row, now)
     if set_incarnation(tables, row, incarnation, now, now):
         add_cached_blocks(tables.residency, row.bit_index, running.request.blocks)
 
 
+def record_answer(tables: Tables, request_id: str, now: float) -> None:
+    """Record that an upstream has sent a valid event or a whole response.
+
+    A response's head alone doesn't show that the upstream works.
+    """
+    running = tables.running_by_id.get(request_id)
+    row = tables.upstream_by_name.get(running.upstream) if running else None
+    if row is not None:
+        ejection.record_success(row, now)
+
+
 def record_end(tables: Tables, request_id: str, now: float) -> None:
     """Record that a request has ended at its upstream."""
     running = tables.running_by_id.pop(request_id, None)
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -13,6 +13,7 @@
 from catkintrack.decisions import (
     ModelRequest,
     Refusal,
+    record_answer,
     record_end,
     record_failure,
     record_first_token,
@@ -238,6 +239,7 @@
     async def handle_answer() -> None:
         nonlocal has_event
         has_event = True
+        record_answer(tables, request.id, time.monotonic())
         if progress.software_version is None:
             progress.software_version = upstream.software_version
         if call.route.is_resumable:
@@ -245,6 +247,7 @@
         await report_served(instance, prompt)
 
     async def handle_completion() -> None:
+        record_answer(tables, request.id, time.monotonic())
         await report_completed(instance, call)
 
     executions = progress.executions + 1
--- a/catkintrack/router/model_calls.py
+++ b/catkintrack/router/model_calls.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 import msgspec
@@ -14,6 +15,7 @@
     Dispatch,
     ModelRequest,
     Refusal,
+    record_answer,
     record_end,
     record_failure,
     record_first_token,
@@ -318,17 +320,25 @@
             raise UpstreamExchangeError(f"upstream answered status {head.status}")
         await _record_first_token(router, call, decision, head)
         await run_tick(router.call_queue)
+
+        def handle_answer() -> None:
+            record_answer(router.decisions, call.id, time.monotonic())
+
+        if head.status == 200 and call.body.is_stream:
+            await _relay_stream(
+                call, exchange, connection, limits.read_timeout_s, handle_answer
+            )
+            return
         if head.status != 200:
             await _relay_error_response(
                 call, exchange, head, connection, limits.read_timeout_s
             )
-        elif call.body.is_stream:
-            await _relay_stream(call, exchange, connection, limits.read_timeout_s)
         else:
             remaining_s = max(0.0, deadline_at - time.monotonic())
             await _relay_complete_response(
                 call, exchange, head, connection, remaining_s
             )
+        handle_answer()
 
 
 def _make_request(call: ModelCall, host: str) -> Request:
@@ -368,9 +378,13 @@
 
 
 async def _relay_stream(
-    call: ModelCall, exchange: Exchange, connection: Connection, timeout_s: float
+    call: ModelCall,
+    exchange: Exchange,
+    connection: Connection,
+    timeout_s: float,
+    on_event: Callable[[], None] = lambda: None,
 ) -> None:
-    """Relay events as they arrive.
+    """Relay events as they arrive, and call `on_event` at each part that has some.
 
     Raise UpstreamExchangeError if the stream is incomplete.
     """
@@ -387,6 +401,7 @@
         relayed = reader.read(data)
         if relayed:
             record_event(bounds, time.monotonic())
+            on_event()
             await _start_stream(call, connection)
             await connection.send_body(relayed)
     if not progress.is_done:
