--- /dev/null
+++ b/bin/drill.py
@@ -0,0 +1,49 @@
+"""Drill instances as real processes, one seeded plan of disruptions a run."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from random import Random
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+import fire
+
+from testkit.drill import DrillSize, run_drill
+from testkit.drill_checks import find_violations, summarize
+from testkit.drill_faults import make_incident_plan
+
+
+def main(
+    seeds: int = 1,
+    first: int = 1,
+    nodes: int = 4,
+    per_s: float = 40.0,
+    silences: int = 4,
+    services: str = "models,app",
+    kill_lead_s: float | None = None,
+    event_s: float = 0.15,
+    logs: str = "",
+) -> None:
+    """Run a number of seeds and end with status 1 if a check broke."""
+    size = DrillSize(nodes=nodes, per_s=per_s, event_s=event_s)
+    names = services.split(",") if isinstance(services, str) else services
+    failed = 0
+    for seed in range(first, first + seeds):
+        plan = make_incident_plan(Random(seed), silences, tuple(names), kill_lead_s)
+        run = run_drill(seed, plan, size, Path(logs) / str(seed) if logs else None)
+        violations = find_violations(run)
+        print(f"seed {seed}: {len(violations)} broken", flush=True)
+        notes = [f"{at - run.began_at:.2f} s {text}" for at, text in run.notes]
+        for line in (*notes, *summarize(run)):
+            print(f"  {line}", flush=True)
+        for line in violations:
+            print(f"  BROKEN {line}", flush=True)
+        failed += bool(violations)
+    print(f"{seeds - failed} of {seeds} seeds clean")
+    raise SystemExit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/standins/answers.py
+++ b/standins/answers.py
@@ -63,16 +63,29 @@
     connection.h11.their_http_version = b"1.0"
 
 
-def serve_until_stopped(host: str, port: int, handler: Handler, *tasks: Any) -> None:
+def serve_until_stopped(
+    host: str,
+    port: int,
+    handler: Handler,
+    *tasks: Any,
+    drops_on_disconnect: bool = False,
+) -> None:
     """Serve `handler` and run `tasks` in the background until SIGTERM."""
-    curio.run(_serve, host, port, handler, tasks)
+    curio.run(_serve, host, port, handler, tasks, drops_on_disconnect)
 
 
-async def _serve(host: str, port: int, handler: Handler, tasks: Any) -> None:
+async def _serve(
+    host: str, port: int, handler: Handler, tasks: Any, drops_on_disconnect: bool
+) -> None:
     limits = ServerLimits(max_connections=10000, idle_timeout_s=600.0)
     with catch_signals() as signals:
         async with open_server(
-            host, port, handler, limits, echoes_request_id=True
+            host,
+            port,
+            handler,
+            limits,
+            echoes_request_id=True,
+            cancels_on_disconnect=drops_on_disconnect,
         ) as server:
             running = [await curio.spawn(task, daemon=True) for task in tasks]
             await wait_for_stop_signal(signals)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 import contextlib
-import hashlib
 import os
 import socket
+import time
 import weakref
 from collections import Counter
 from dataclasses import dataclass, field
@@ -36,6 +36,14 @@
     respond_json,
     serve_until_stopped,
 )
+from .replica_answers import (
+    compute_response_body,
+    list_prompt_parts,
+    make_event,
+    make_load,
+    read_id,
+)
+from .replica_faults import Faults, SilentConnection, send_endless
 from .replica_signals import (
     LEAVING_HEADER,
     LimitState,
@@ -46,6 +54,7 @@
     make_rest_headers,
     record_arrival,
 )
+from .replica_slots import Slots, describe_slots
 
 EVENTS_PER_STREAM = 12
 STREAM_EVENT_INTERVAL_S = 0.02
@@ -62,45 +71,6 @@
 ROUTER_HEADERS = (b"x-kv-hold", b"x-pin-ms", b"x-kv-backup", b"kv-from")
 
 
-@dataclass(slots=True)
-class Faults:
-    """Hold the injected faults; a count is the number of requests still affected."""
-
-    is_silent: bool = False
-    reject: int = 0
-    fail: int = 0
-    break_after_events: int = -1
-    break_streams: int = 0
-    lose_answers: int = 0
-    unsigned: int = 0
-    # The duration of a run, and the number of responses followed by a spurious one.
-    run_s: float = 0.0
-    extra_answers: int = 0
-    # The process ends when it begins to answer a prompt that has this part.
-    crash_part: str = ""
-    # The process ends this long after it has begun to run a request with this in its
-    # body; without a prompt it does not answer before.
-    crash_body: str = ""
-    crash_after_s: float = 0.0
-    # Answers that end with their connection, and answers that a reset cuts: streams
-    # after `break_after_events` events, whole ones after some bytes.
-    close_delimited: int = 0
-    reset_answers: int = 0
-    is_leaving: bool = False
-    # The time that the replica asks for from the next request on, 0 for none, and
-    # whether the requests that meet it may have run.
-    rest_s: float = 0.0
-    rest_may_have_run: bool = False
-    # The requests a second that the replica takes from all instances, if it names any.
-    limit_per_s: float | None = None
-    # The pause between events, 0 for the usual one.
-    event_s: float = 0.0
-    # The software version that each event of a stream names, if any.
-    software: str = ""
-    # The start of the replica's present life, in Unix milliseconds.
-    born: int = 1000
-
-
 @dataclass(slots=True)
 class Replica:
     """Hold a replica's weights version, its weights orders and its counters."""
@@ -120,6 +90,11 @@
     whole_streams: int = 0
     left_streams: int = 0
     requests_by_path: Counter = field(default_factory=Counter)
+    # When each request arrived, of the monotonic clock, and its ID; the IDs of those
+    # that the replica broke off or answered wrongly.
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+    slots: Slots = field(default_factory=Slots)
     rest: RestState = field(default_factory=RestState)
     limit: LimitState = field(default_factory=LimitState)
 
@@ -138,11 +113,13 @@
         await respond_json(connection, 200, {})
         return
     if path == "/counts":
-        await respond_json(connection, 200, msgspec.to_builtins(replica))
+        counts = msgspec.to_builtins(replica, enc_hook=describe_slots)
+        await respond_json(connection, 200, counts)
         return
     replica.requests_by_path[path] += 1
     if replica.faults.is_silent:
         await curio.sleep(SILENT_DELAY_S)
+    connection = SilentConnection(connection, replica.faults)
     if replica.faults.is_leaving:
         connection = SignallingConnection(connection, (LEAVING_HEADER,))
     if replica.faults.limit_per_s is not None:
@@ -163,6 +140,7 @@
         await respond_json(connection, 200, events)
     else:
         record_arrival(replica.limit)
+        replica.arrivals.append((time.monotonic(), read_id(request)))
         await handle_request(replica, request, connection)
 
 
@@ -174,8 +152,8 @@
         "models": models,
         "busy": replica.is_loading,
         "sequence": len(replica.orders),
-        "waiting": 0,
-        "running": 0,
+        "waiting": replica.slots.waiting,
+        "running": replica.slots.running,
         "born": replica.faults.born,
     }
 
@@ -231,27 +209,45 @@
     if is_other or (version is not None and int(version) != replica.version):
         await connection.respond(421, (), b"")
         return
-    if replica.is_loading or faults.reject > 0:
+    if replica.is_loading or faults.reject > 0 or replica.slots.is_full():
         faults.reject = max(0, faults.reject - 1)
         await connection.respond(503, ((b"x-not-executed", b"1"),), b"")
         return
+    async with replica.slots.take():
+        await run_request(replica, request, connection)
+
+
+async def run_request(
+    replica: Replica, request: Request, connection: Connection
+) -> None:
+    """Run a request and answer it."""
+    faults = replica.faults
     record_run(replica, request)
     if faults.crash_body and faults.crash_body.encode() in request.body:
         await begin_to_crash(replica, request)
     if faults.lose_answers > 0:
         faults.lose_answers -= 1
+        replica.broken.append(read_id(request))
         await drop_connection(connection)
-    if find_header(headers, b"x-model") is not None:
+    if faults.endless_answers > 0:
+        faults.endless_answers -= 1
+        replica.broken.append(read_id(request))
+        headers = make_response_headers(replica, request)
+        id = (b"x-request-id", read_id(request).encode())
+        await send_endless(connection, faults.endless_place, (*headers, id))
+    if find_header(request.headers, b"x-model") is not None:
         await send_stream(replica, request, connection)
         return
     await curio.sleep(faults.run_s)
-    status = 200
+    status = 500 if faults.fail > 0 else 200
     if faults.fail > 0:
         faults.fail -= 1
-        status = 500
-    headers = make_response_headers(replica, request)
+        replica.broken.append(read_id(request))
     body = compute_response_body(request)
+    headers = make_response_headers(replica, request)
     if faults.close_delimited > 0:
+        if faults.reset_answers > 0:
+            replica.broken.append(read_id(request))
         await send_close_delimited(faults, connection, status, headers, body)
         return
     await connection.respond(status, headers, body)
@@ -279,8 +275,7 @@
 def record_run(replica: Replica, request: Request) -> None:
     """Count a run, its workspace, its cache salt and any leaked headers."""
     headers = request.headers
-    id = (find_header(headers, b"x-request-id") or b"").decode()
-    replica.runs_by_request[id] += 1
+    replica.runs_by_request[read_id(request)] += 1
     replica.workspaces[(find_header(headers, b"x-tenant") or b"").decode()] += 1
     replica.salts[(find_header(headers, b"x-cache-salt") or b"").decode()] += 1
     forbidden = (CREDENTIAL_HEADER, *ROUTER_HEADERS)
@@ -290,24 +285,19 @@
 def make_response_headers(replica: Replica, request: Request) -> Headers:
     """Return the response headers, without a signature if a fault says so."""
     headers = [
-        (b"x-server-load", b"1,0,8"),
+        (b"x-server-load", make_load(replica.slots)),
         (b"x-instance-id", replica.id.encode()),
     ]
     if find_header(request.headers, b"x-model") is not None:
         headers.append((b"x-weight-versions", str(replica.version).encode()))
     if replica.faults.unsigned > 0:
         replica.faults.unsigned -= 1
+        replica.broken.append(read_id(request))
     else:
         headers.append((b"x-response-signature", compute_response_body(request)[:16]))
     return tuple(headers)
 
 
-def compute_response_body(request: Request) -> bytes:
-    """Return a response body that is unique to the request's id and body."""
-    id = find_header(request.headers, b"x-request-id") or b""
-    return hashlib.sha256(id + request.body).hexdigest().encode()
-
-
 async def send_stream(
     replica: Replica, request: Request, connection: Connection
 ) -> None:
@@ -315,8 +305,9 @@
     faults = replica.faults
     if faults.fail > 0:
         faults.fail -= 1
-        headers = make_response_headers(replica, request)
-        await connection.respond(500, headers, compute_response_body(request))
+        replica.broken.append(read_id(request))
+        body = compute_response_body(request)
+        await connection.respond(500, make_response_headers(replica, request), body)
         return
     first = int(find_header(request.headers, b"last-event-id") or b"0") + 1
     headers = (
@@ -350,9 +341,11 @@
     for number in range(first, EVENTS_PER_STREAM + 1):
         if faults.reset_answers > 0 and number > faults.break_after_events >= 0:
             faults.reset_answers -= 1
+            replica.broken.append(read_id(request))
             await reset_connection(connection)
         if faults.break_streams > 0 and number > faults.break_after_events >= 0:
             faults.break_streams -= 1
+            replica.broken.append(read_id(request))
             await connection.send_body(b"id: %d\nda" % number)
             await drop_connection(connection)
         await connection.send_body(make_event(request, number, faults.software))
@@ -386,29 +379,21 @@
     os._exit(CRASH_STATUS)
 
 
-def list_prompt_parts(request: Request) -> list[str]:
-    """Return the ids of the prompt's parts."""
-    text = find_header(request.headers, b"x-prompt-prefix") or b""
-    return [entry.partition(":")[0] for entry in text.decode().split(",")]
-
-
-def make_event(request: Request, number: int, software: str = "") -> bytes:
-    """Return one server-sent event of the response to a request."""
-    text = hashlib.sha256(request.body + b"/%d" % number).hexdigest().encode()
-    data = software.encode() + text[:16]
-    return b"id: %d\ndata: %s\n\n" % (number, data)
-
-
 def main(
-    host: str = "127.0.0.1", port: int = 8080, id: str = "i1", model: str = "m1"
+    host: str = "127.0.0.1",
+    port: int = 8080,
+    id: str = "i1",
+    model: str = "m1",
+    slots: int = 0,
+    queue: int = 0,
 ) -> None:
-    """Serve one replica."""
-    replica = Replica(str(id), model)
+    """Serve one replica; with `slots` it drops requests whose connections close."""
+    replica = Replica(str(id), model, slots=Slots(slots, queue))
 
     async def handler(request: Request, connection: Connection) -> None:
         await handle(replica, request, connection)
 
-    serve_until_stopped(host, port, handler)
+    serve_until_stopped(host, port, handler, drops_on_disconnect=slots > 0)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/testkit/drill_checks.py
@@ -0,0 +1,223 @@
+"""Check a drill by what callers and replicas saw."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from .drill import DrillRun
+from .drill_faults import ROUTE_TIMEOUT_MS
+from .site_soak import STABLE_WINDOW_S, check_outcome, label
+from .soak_callers import Outcome
+
+# The users' bounds: the window of the retry budget and what it allows, the answers that
+# may be lost, the time that a configuration takes, and an instance's memory.
+BUDGET_WINDOW_S = 10.0
+BUDGET_RATIO = 0.2
+BUDGET_EXTRA = 56
+MAX_LOST = 3
+CONFIG_APPLY_S = 2.0
+MAX_MEMORY_MB = 300.0
+DEADLINE_S = 5.0
+# How much sooner than at its timeout an answer may end.
+TIMEOUT_SLACK_S = 0.1
+SERVICES = ("models", "app", "spare")
+
+
+@dataclass(frozen=True)
+class BudgetUse:
+    """Hold the window of a service's worst use of its retry budget; times in seconds."""
+
+    service: str
+    ends_at: float
+    repeats: int
+    requests: int
+
+    @property
+    def allowed(self) -> float:
+        """Return how many repeats the window allows."""
+        return BUDGET_RATIO * self.requests + BUDGET_EXTRA
+
+
+def find_violations(run: DrillRun) -> list[str]:
+    """Return a line for each violation of a guarantee."""
+    runs_by_id = Counter()
+    for counts in run.counts_by_replica.values():
+        runs_by_id.update(counts["runs_by_request"])
+    violations = []
+    for outcome in run.outcomes:
+        violations += check_outcome(outcome, runs_by_id[outcome.id])
+    lost = list_lost(run)
+    if len(lost) > MAX_LOST:
+        violations.append(f"LOST {len(lost)} answers")
+        violations += [f"LOST {describe(run, outcome)}" for outcome in lost]
+    for service in SERVICES:
+        use = find_worst_budget_use(run, service)
+        if use is not None and use.repeats > use.allowed:
+            violations.append(f"BUDGET {describe_use(run, use)}")
+    sent_ids = {outcome.id for outcome in run.outcomes}
+    violations += [f"UNASKED run of {id}" for id in runs_by_id if id not in sent_ids]
+    leaked = sum(row["leaked_headers"] for row in run.counts_by_replica.values())
+    if leaked:
+        violations.append(f"{leaked} headers of callers reached replicas")
+    violations += run.failures
+    violations += [
+        f"MEMORY {name} used {peak_mb:.0f} MB"
+        for name, peak_mb in run.peak_mb_by_node.items()
+        if peak_mb > MAX_MEMORY_MB
+    ]
+    return violations
+
+
+def list_lost(run: DrillRun) -> list[Outcome]:
+    """Return the requests whose connection ended early at a sound replica.
+
+    A silent replica is sound. Excused are requests whose time was up, that their replica
+    broke off, that reached no replica across the close of an idle connection, and those
+    beside a disruption of instances.
+    """
+    rows = run.counts_by_replica.values()
+    broken = {id for row in rows for id in row["broken"]}
+    arrived = {id for row in rows for _, id in row["arrivals"]}
+    return [
+        outcome
+        for outcome in run.outcomes
+        if outcome.status == 0
+        and outcome.is_connected
+        and (outcome.id in arrived or not outcome.is_reused)
+        and outcome.id not in broken
+        and outcome.ended_at - outcome.began_at < find_timeout_s(outcome)
+        and not _is_disrupted(run, outcome)
+    ]
+
+
+def find_timeout_s(outcome: Outcome) -> float:
+    """Return the time from which on a request's end is excused."""
+    timeout_s = DEADLINE_S if outcome.kind == "long" else ROUTE_TIMEOUT_MS / 1e3
+    return timeout_s - TIMEOUT_SLACK_S
+
+
+def _is_disrupted(run: DrillRun, outcome: Outcome) -> bool:
+    return any(
+        began_at < outcome.ended_at and ended_at > outcome.began_at - STABLE_WINDOW_S
+        for began_at, ended_at in run.state.restarted
+    )
+
+
+def find_worst_budget_use(run: DrillRun, service: str) -> BudgetUse | None:
+    """Return the window in which a service had the most repeats for its requests."""
+    repeats = sorted(list_repeats(run, service))
+    sent_at = sorted(
+        outcome.began_at for outcome in run.outcomes if may_reach(run, outcome, service)
+    )
+    uses = []
+    for last, ends_at in enumerate(repeats):
+        first = bisect_left(repeats, ends_at - BUDGET_WINDOW_S)
+        requests = max(
+            count_between(sent_at, begins_at, begins_at + BUDGET_WINDOW_S)
+            for begins_at in (
+                ends_at - BUDGET_WINDOW_S,
+                ends_at - 1.5 * BUDGET_WINDOW_S,
+                ends_at - 2 * BUDGET_WINDOW_S,
+            )
+        )
+        uses.append(BudgetUse(service, ends_at, last - first + 1, requests))
+    return max(uses, key=lambda use: use.repeats / use.allowed, default=None)
+
+
+def count_between(times: list[float], begins_at: float, ends_at: float) -> int:
+    """Return how many of the sorted times lie in a span."""
+    return bisect_left(times, ends_at) - bisect_left(times, begins_at)
+
+
+def list_repeats(run: DrillRun, service: str) -> Iterator[float]:
+    """Yield the time of each arrival at a service after a request's first there."""
+    arrivals = sorted(
+        arrival
+        for id, counts in run.counts_by_replica.items()
+        if run.service_by_replica.get(id) == service
+        for arrival in counts["arrivals"]
+    )
+    seen = set()
+    for at, id in arrivals:
+        if id in seen:
+            yield at
+        seen.add(id)
+
+
+def may_reach(run: DrillRun, outcome: Outcome, service: str) -> bool:
+    """Report whether a configuration that may be in force sends a request there."""
+    if outcome.kind in ("long", "short"):
+        return service == "models"
+    if outcome.kind == "lookup":
+        return service == "app"
+    ends = [at for at, _ in run.order_services[1:]] + [float("inf")]
+    return any(
+        name == service and at <= outcome.began_at < end + CONFIG_APPLY_S
+        for (at, name), end in zip(run.order_services, ends, strict=True)
+    )
+
+
+def describe(run: DrillRun, outcome: Outcome) -> str:
+    """Return a line about a request: when it was sent, how long it took, where it ran."""
+    replicas = [
+        f"{id} at {at - run.began_at:.2f}"
+        for id, counts in run.counts_by_replica.items()
+        for at, found in counts["arrivals"]
+        if found == outcome.id
+    ]
+    seconds = outcome.ended_at - outcome.began_at
+    begun = "begun" if outcome.has_begun else "not begun"
+    at_s = outcome.began_at - run.began_at
+    reached = ", ".join(replicas) or "no replica"
+    return f"{at_s:.2f} s: {label(outcome)}, {begun}, {seconds:.2f} s, {reached}"
+
+
+def describe_use(run: DrillRun, use: BudgetUse) -> str:
+    """Return a line about a window of a service's retry budget."""
+    ends_at = use.ends_at - run.began_at
+    return (
+        f"{use.service}: {use.repeats} repeats of {use.allowed:.1f} allowed"
+        f" ({use.requests} requests) in 10 s to {ends_at:.2f} s"
+    )
+
+
+def summarize(run: DrillRun) -> list[str]:
+    """Return lines with the figures of a drill."""
+    lines = []
+    for kind in sorted({outcome.kind for outcome in run.outcomes}):
+        found = [outcome for outcome in run.outcomes if outcome.kind == kind]
+        statuses = Counter(outcome.status for outcome in found)
+        lines.append(
+            f"{kind}: {statuses[200]}/{len(found)} served, worst second"
+            f" {find_worst_second(run, found)}, {dict(sorted(statuses.items()))}"
+        )
+    for service in SERVICES:
+        use = find_worst_budget_use(run, service)
+        if use is not None:
+            share = use.repeats / use.allowed
+            lines.append(f"budget {share:.2f}: {describe_use(run, use)}")
+    caps = [
+        f"{at - run.began_at:.1f} s {name} "
+        + " ".join(f"{s} {b['level']}/{b['cap']}" for s, b in sorted(budgets.items()))
+        for at, name, budgets in run.budgets
+    ]
+    lines += [f"retries {text}" for text in caps]
+    lost = list_lost(run)
+    begun = sum(outcome.has_begun for outcome in lost)
+    lines.append(f"lost {len(lost)}, of these {begun} begun")
+    lines.append(f"peak memory {max(run.peak_mb_by_node.values()):.0f} MB")
+    return lines
+
+
+def find_worst_second(run: DrillRun, outcomes: list[Outcome]) -> str:
+    """Return the second with the least share of requests served."""
+    sent, served = Counter(), Counter()
+    for outcome in outcomes:
+        second = int(outcome.began_at - run.began_at)
+        sent[second] += 1
+        served[second] += outcome.status == 200
+    worst = min(sent, key=lambda second: served[second] / sent[second])
+    return f"{worst}: {served[worst]}/{sent[worst]}"
--- /dev/null
+++ b/testkit/drill_faults.py
@@ -0,0 +1,144 @@
+"""Disrupt a drilled site: silent replicas, changed configurations, joint kills."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from contextlib import ExitStack
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from .instances import make_config_spec
+from .soak_faults import SoakState, change_config, start_instance
+
+# Longer than a silence, so that a call outlasts it.
+ROUTE_TIMEOUT_MS = 4000
+CHANGE_LEAD_S = 0.6
+SILENCE_INTERVAL_S = 6.0
+FIRST_CHANGE_S = 4.0
+
+Disruption = Callable[[SoakState, Random], None]
+
+
+@dataclass(frozen=True)
+class Step:
+    """Describe one disruption of a plan: when it begins, in seconds, and what it is."""
+
+    at_s: float
+    text: str
+    run: Disruption
+
+
+def make_drill_config(order_service: str = "app") -> dict[str, Any]:
+    """Return what a drill's configuration has besides the usual."""
+    spec = make_config_spec()
+    for route in spec["routes"]:
+        if route["name"] != "long":
+            route["timeout_ms"] = ROUTE_TIMEOUT_MS
+        if route["name"] == "order":
+            route["service"] = order_service
+    spec["services"].append({"name": "spare", "max_connections": 110})
+    spec["tenants"][0] |= {"rate_per_s": 10_000_000, "burst": 10_000_000}
+    return {name: spec[name] for name in ("routes", "services", "limits", "tenants")}
+
+
+def change_idle_time(state: SoakState, rng: Random) -> None:
+    """Write a configuration with another idle time."""
+    state.config_changes["limits"]["idle_timeout_ms"] = rng.randrange(10_000, 20_000)
+    change_config(state, rng)
+
+
+def change_timeout(state: SoakState, rng: Random) -> None:
+    """Write a configuration with another timeout of a route."""
+    for route in state.config_changes["routes"]:
+        if route["name"] == "short":
+            route["timeout_ms"] = rng.randrange(ROUTE_TIMEOUT_MS, 6000)
+    change_config(state, rng)
+
+
+def change_service(state: SoakState, rng: Random) -> None:
+    """Write a configuration in which orders go to another service."""
+    for route in state.config_changes["routes"]:
+        if route["name"] == "order":
+            route["service"] = "spare" if route["service"] == "app" else "app"
+    change_config(state, rng)
+
+
+CHANGES: tuple[Disruption, ...] = (change_idle_time, change_timeout, change_service)
+
+
+def list_replicas(state: SoakState, service: str) -> list[str]:
+    """Return the ids of a service's replicas."""
+    return state.models if service == "models" else state.apps
+
+
+def make_silence(service: str, share: float, for_s: float) -> Disruption:
+    """Return a disruption in which replicas read and work, but send nothing."""
+
+    def silence(state: SoakState, rng: Random) -> None:
+        ids = list_replicas(state, service)
+        until_s = time.monotonic() + for_s
+        for id in rng.sample(ids, max(1, round(share * len(ids)))):
+            state.site.set_replica_faults(id, silent_until_s=until_s)
+
+    return silence
+
+
+def make_freeze(service: str, share: float, for_s: float) -> Disruption:
+    """Return a disruption in which the processes of replicas are suspended."""
+
+    def freeze_replicas(state: SoakState, rng: Random) -> None:
+        ids = list_replicas(state, service)
+        chosen = rng.sample(ids, max(1, round(share * len(ids))))
+        processes = [state.site.process_by_name[id] for id in chosen]
+        for process in processes:
+            process.freeze()
+        time.sleep(for_s)
+        for process in processes:
+            process.unfreeze()
+
+    return freeze_replicas
+
+
+def make_joint_kill(away_s: float) -> Disruption:
+    """Return a disruption that kills all instances and starts them again."""
+
+    def kill_all(state: SoakState, rng: Random) -> None:
+        began_at = time.monotonic()
+        nodes = state.site.node_by_name
+        with ExitStack() as stack:
+            for name in nodes:
+                stack.enter_context(state.lock_by_node[name])
+            for node in nodes.values():
+                node.process.kill()
+            time.sleep(away_s)
+            for name in nodes:
+                start_instance(state, name)
+        state.restarted.append((began_at, time.monotonic()))
+
+    return kill_all
+
+
+def make_incident_plan(
+    rng: Random, silences: int, services: tuple[str, ...], kill_lead_s: float | None
+) -> list[Step]:
+    """Return changes of the configuration, each with a silence shortly after it.
+
+    With `kill_lead_s` all instances are killed that long before each second silence.
+    """
+    steps = []
+    for number in range(silences):
+        at_s = FIRST_CHANGE_S + SILENCE_INTERVAL_S * number
+        change = rng.choice(CHANGES)
+        steps.append(Step(at_s, change.__name__, change))
+        silent_s = at_s + CHANGE_LEAD_S
+        share, for_s = rng.choice((1.0, 0.6)), rng.uniform(1.0, 1.3)
+        make = make_freeze if rng.random() < 0.25 else make_silence
+        for service in services:
+            text = f"{make.__name__} {service} {share} for {for_s:.2f} s"
+            steps.append(Step(silent_s, text, make(service, share, for_s)))
+        if kill_lead_s is not None and number % 2 == 0:
+            kill = make_joint_kill(rng.uniform(0.1, 0.5))
+            steps.append(Step(silent_s - kill_lead_s, "joint kill", kill))
+    return sorted(steps, key=lambda step: step.at_s)
--- a/testkit/site.py
+++ b/testkit/site.py
@@ -93,11 +93,16 @@
         path = f"/-/objects/{kind}/{name}"
         call_json(self.store_ports[0], path, {}, method="DELETE")
 
-    def start_replica(self, id: str, service: str, **entry: Any) -> None:
-        """Start a replica and write its discovery entry, with `entry` fields changed."""
+    def start_replica(
+        self, id: str, service: str, options: tuple[str, ...] = (), **entry: Any
+    ) -> None:
+        """Start a replica and write its discovery entry, with `entry` fields changed.
+
+        `options` are further ones of its command line.
+        """
         port = find_free_port()
         self.replica_port_by_id[id] = port
-        arguments = ["standins.replica", "--port", str(port), "--id", id]
+        arguments = ["standins.replica", "--port", str(port), "--id", id, *options]
         self.start_process(id, arguments, {})
         wait_until(lambda: call_json(port, "/counts") is not None)
         self.write_entry(id, service, **entry)
--- a/testkit/site_soak.py
+++ b/testkit/site_soak.py
@@ -139,37 +139,40 @@
     rows = [soak.site.read_counts(id) for id in ids]
     for outcome in soak.outcomes:
         runs = sum(row["runs_by_request"].get(outcome.id, 0) for row in rows)
-        violations += _check_outcome(outcome, runs)
+        violations += check_outcome(outcome, runs)
         if _is_lost(soak, outcome, runs):
-            violations.append(f"{_label(outcome)}: lost without an unplanned fault")
+            violations.append(f"{label(outcome)}: lost without an unplanned fault")
     leaked = sum(row["leaked_headers"] for row in rows)
     if leaked:
         violations.append(f"{leaked} headers of callers reached replicas")
     for id, row in zip(ids, rows, strict=True):
-        violations += _check_orders(id, row["orders"])
-    violations += _check_processes(soak) + _check_crashes(soak) + _check_limits(soak)
+        violations += check_orders(id, row["orders"])
+    violations += (
+        check_processes(soak.state) + _check_crashes(soak) + _check_limits(soak)
+    )
     if not any(outcome.status == 200 for outcome in soak.outcomes):
         violations.append("nothing was served")
     return violations
 
 
-def _label(outcome: Outcome) -> str:
+def label(outcome: Outcome) -> str:
+    """Return the words that name an outcome."""
     return f"{outcome.kind} {outcome.id} at {outcome.node} ({outcome.status})"
 
 
-def _check_outcome(outcome: Outcome, runs: int) -> list[str]:
+def check_outcome(outcome: Outcome, runs: int) -> list[str]:
     """Check one response against the runs of its request."""
     violations = []
     if not outcome.is_right:
-        violations.append(f"{_label(outcome)}: a wrong or cut answer looked whole")
+        violations.append(f"{label(outcome)}: a wrong or cut answer looked whole")
     if outcome.kind in ("order", "short") and runs > 1:
-        violations.append(f"{_label(outcome)}: ran {runs} times")
+        violations.append(f"{label(outcome)}: ran {runs} times")
     if (
         outcome.kind in ("order", "short")
         and runs
         and outcome.status in NOT_RUN_STATUSES
     ):
-        violations.append(f"{_label(outcome)}: was said not to have run")
+        violations.append(f"{label(outcome)}: was said not to have run")
     return violations
 
 
@@ -221,7 +224,7 @@
     return violations
 
 
-def _check_orders(id: str, orders: list[dict]) -> list[str]:
+def check_orders(id: str, orders: list[dict]) -> list[str]:
     """Check that fencing tokens never decrease and that each has only one holder."""
     violations = []
     fences = [order["fence"] for order in orders]
@@ -238,10 +241,10 @@
     return violations
 
 
-def _check_processes(soak: SoakRun) -> list[str]:
+def check_processes(state: SoakState) -> list[str]:
     """Check that no instance has ended by itself or failed inside."""
-    violations = list(soak.state.ended)
-    for name, node in soak.site.node_by_name.items():
+    violations = list(state.ended)
+    for name, node in state.site.node_by_name.items():
         log = node.process.read_log()
         violations += [f"{name} logged {text}" for text in FAILURE_TEXTS if text in log]
     return violations
--- a/testkit/soak_callers.py
+++ b/testkit/soak_callers.py
@@ -6,6 +6,7 @@
 import http.client
 import re
 import time
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -18,6 +19,8 @@
 # Callers open a new connection for some of their calls.
 NEW_CONNECTION_SHARE = 0.2
 SUBJECTS = 5
+# Ends the ID of a request that takes up a broken stream.
+AGAIN = "-again"
 HOST_BY_KIND = {
     "order": "h2.example",
     "lookup": "h2.example",
@@ -39,7 +42,8 @@
 
     The status is 0 if the connection ended without a complete response. `is_right` is
     False if a response with status 200 was incomplete or wrong. `is_reused` says that
-    the connection had carried a request before.
+    the connection had carried a request before, `has_begun` that a part of a successful
+    answer has arrived.
     """
 
     id: str
@@ -52,11 +56,15 @@
     began_at: float
     ended_at: float
     is_complete: bool = False
+    has_begun: bool = False
 
 
 @dataclass
 class KeptCaller:
-    """Hold one caller's open connections, keyed by instance."""
+    """Hold one caller's open connections, keyed by instance.
+
+    `list_nodes` returns the instances that take new connections, by default all.
+    """
 
     site: Site
     rng: Random
@@ -65,15 +73,16 @@
         default_factory=dict
     )
     request_count: int = 0
+    list_nodes: Callable[[], Iterable[str]] | None = None
 
-    def call(self, crashing_part: str = "") -> list[Outcome]:
-        """Send a random request to a random instance and return its outcome.
+    def call(self, crashing_part: str = "", kind: str = "") -> list[Outcome]:
+        """Send a request, by default of a random kind, and return its outcome.
 
         A broken stream is taken up once at another instance, for a second outcome.
         """
         self.request_count += 1
-        kind = self.rng.choice(KINDS)
-        node = self.rng.choice(sorted(self.site.node_by_name))
+        kind = kind or self.rng.choice(KINDS)
+        node = self._choose_node()
         id = f"{self.prefix}-{self.request_count}"
         headers = make_headers(kind, id)
         if kind == "long":
@@ -92,15 +101,20 @@
         last_event_id = find_last_event_id(body)
         if kind != "long" or outcome.is_complete or not last_event_id:
             return [outcome]
-        node = self.rng.choice(sorted(self.site.node_by_name))
-        again = make_headers(kind, f"{id}-again") | {
+        node = self._choose_node()
+        again = make_headers(kind, f"{id}{AGAIN}") | {
             "X-Prompt-Prefix": headers["X-Prompt-Prefix"],
             "Last-Event-Id": last_event_id,
             "Resumes": id,
         }
-        taken_up, _ = self._exchange(kind, node, f"{id}-again", again, body)
+        taken_up, _ = self._exchange(kind, node, f"{id}{AGAIN}", again, body)
         return [outcome, taken_up]
 
+    def _choose_node(self) -> str:
+        """Return an instance that takes new connections or that one is open to."""
+        found = self.site.node_by_name if self.list_nodes is None else self.list_nodes()
+        return self.rng.choice(sorted({*found, *self.connection_by_node}))
+
     def close(self, node: str) -> None:
         """Close the connection to an instance, if there is one."""
         connection = self.connection_by_node.pop(node, None)
@@ -123,8 +137,8 @@
         try:
             connection = self._connect(node)
             is_connected = True
-            is_lookup = kind == "lookup"
-            method, request_body = ("GET", b"") if is_lookup else ("POST", b"{}")
+            method = "GET" if kind == "lookup" else "POST"
+            request_body = make_request_body(kind, id)
             connection.request(method, PATH_BY_KIND[kind], request_body, headers)
             response = connection.getresponse()
             body = response.read()
@@ -149,6 +163,7 @@
             began_at,
             time.monotonic(),
             status == 200,
+            bool(body),
         )
         return outcome, body
 
@@ -185,15 +200,20 @@
     return body[: end + 2] if end >= 0 else b""
 
 
+def make_request_body(kind: str, id: str) -> bytes:
+    """Return the body of a request, which tells its answer from all others."""
+    return b"" if kind == "lookup" else id.removesuffix(AGAIN).encode()
+
+
 def is_right_answer(kind: str, id: str, body: bytes) -> bool:
     """Report whether a body is the whole response to the request with this id."""
+    request_body = make_request_body(kind, id)
     if kind in ("long", "short"):
-        return is_complete_stream(body)
-    request_body = b"{}" if kind == "order" else b""
+        return is_complete_stream(request_body, body)
     return body == hashlib.sha256(id.encode() + request_body).hexdigest().encode()
 
 
-def is_complete_stream(body: bytes) -> bool:
+def is_complete_stream(request_body: bytes, body: bytes) -> bool:
     """Report whether a stream has each event of the answer exactly once and in order.
 
     All of them are of one software version, if they name one.
@@ -203,7 +223,7 @@
         return False
     body = re.sub(rb"^data: v\d", b"data: ", body, flags=re.M)
     texts = [
-        hashlib.sha256(b"{}" + b"/%d" % number).hexdigest().encode()[:16]
+        hashlib.sha256(request_body + b"/%d" % number).hexdigest().encode()[:16]
         for number in range(1, EVENTS_PER_STREAM + 1)
     ]
     events = [
--- a/testkit/soak_faults.py
+++ b/testkit/soak_faults.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
+from typing import Any
 
 from standins.replica import EVENTS_PER_STREAM
 
@@ -30,7 +31,8 @@
     `unplanned` holds the spans of faults that are not planned work. A lock of
     `lock_by_node` is held while an instance's process is stopped or restarted,
     `app_lock` while a plain replica is replaced. `left_apps` holds replicas that left,
-    `ended` instances that ended by themselves.  `limits` are the limits that
+    `ended` instances that ended by themselves, `config_changes` what the configuration
+    has besides the usual.  `limits` are the limits that
     replicas have named: from when to when, by which one, the most requests that it got in
     a span and how many were allowed; `restarted` when instances were disrupted.
     """
@@ -46,6 +48,7 @@
     app_lock: threading.Lock = field(default_factory=threading.Lock)
     left_apps: list[str] = field(default_factory=list)
     crashing_part: str = ""
+    config_changes: dict[str, Any] = field(default_factory=dict)
     has_two_versions: bool = False
     has_broken_streams: bool = False
     crashed_at: list[float] = field(default_factory=list)
@@ -263,7 +266,7 @@
     """Write a configuration with one new key."""
     with state.write_lock:
         state.config_version += 1
-        spec = make_config_spec(state.config_version)
+        spec = make_config_spec(state.config_version, **state.config_changes)
         spec["tenants"][0]["api_keys"] = [KEY, f"key-{state.config_version}"]
         state.site.write_object("config", "main", spec)
 
