--- a/bin/drill.py
+++ b/bin/drill.py
@@ -12,7 +12,7 @@
 
 from testkit.drill import DrillSize, run_drill
 from testkit.drill_checks import find_violations, summarize
-from testkit.drill_faults import make_incident_plan
+from testkit.drill_faults import make_incident_plan, make_mixed_plan
 
 
 def main(
@@ -21,17 +21,27 @@
     nodes: int = 4,
     per_s: float = 40.0,
     silences: int = 4,
+    mixed_s: float = 0.0,
     services: str = "models,app",
     kill_lead_s: float | None = None,
     event_s: float = 0.15,
+    long_share: float = 0.2,
     logs: str = "",
 ) -> None:
-    """Run a number of seeds and end with status 1 if a check broke."""
-    size = DrillSize(nodes=nodes, per_s=per_s, event_s=event_s)
+    """Run a number of seeds and end with status 1 if a check broke.
+
+    By default a plan has changes of the configuration with `silences` of `services`;
+    with `mixed_s` all kinds of disruptions for so long.
+    """
+    size = DrillSize(nodes=nodes, per_s=per_s, long_share=long_share, event_s=event_s)
     names = services.split(",") if isinstance(services, str) else services
     failed = 0
     for seed in range(first, first + seeds):
-        plan = make_incident_plan(Random(seed), silences, tuple(names), kill_lead_s)
+        rng = Random(seed)
+        if mixed_s:
+            plan = make_mixed_plan(rng, mixed_s)
+        else:
+            plan = make_incident_plan(rng, silences, tuple(names), kill_lead_s)
         run = run_drill(seed, plan, size, Path(logs) / str(seed) if logs else None)
         violations = find_violations(run)
         print(f"seed {seed}: {len(violations)} broken", flush=True)
--- a/standins/replica_faults.py
+++ b/standins/replica_faults.py
@@ -14,6 +14,16 @@
 ENDLESS_PAUSE_S = 0.001
 ENDLESS_BYTES = 16_384
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+ENDLESS_PLACES = (
+    "status",
+    "informational",
+    "header",
+    "extension",
+    "body",
+    "event",
+    "trailer",
+    "unframed",
+)
 CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
 
 
@@ -103,11 +113,12 @@
 def make_endless_parts(place: str, head: bytes) -> tuple[bytes, bytes]:
     """Return how an answer begins, and what follows without end at a place of it."""
     filler = b"x" * ENDLESS_BYTES
+    interim = b"HTTP/1.1 103 Early Hints\r\n\r\n"
     chunk = b"%x\r\n%s\r\n" % (ENDLESS_BYTES, filler)
     chunked = STATUS_LINE + head + CHUNKED
     parts_by_place = {
         "status": (b"HTTP/1.1 200 ", filler),
-        "informational": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100),
+        "informational": (b"", interim * 100),
         "header": (STATUS_LINE + head + b"x-more: ", filler),
         "extension": (chunked + b"5;", filler),
         "body": (chunked, chunk),
--- a/testkit/drill.py
+++ b/testkit/drill.py
@@ -21,11 +21,11 @@
 from .drill_faults import Step, make_drill_config
 from .fleet import call_json
 from .instances import make_config_spec
-from .open_load import OpenLoad, open_load
+from .open_load import OpenLoad, make_shares, open_load
 from .site import Site
 from .site_soak import check_processes
 from .soak_callers import Outcome
-from .soak_faults import SoakState, inject, supervise_processes
+from .soak_faults import SoakState, supervise_processes
 
 SETTLE_S = 4.0
 MEMORY_INTERVAL_S = 0.5
@@ -40,6 +40,7 @@
     apps: int = 3
     spares: int = 2
     per_s: float = 40.0
+    long_share: float = 0.2
     model_slots: int = 16
     app_slots: int = 6
     run_s: float = 0.02
@@ -50,6 +51,7 @@
 class DrillRun:
     """Hold the state of a drill and what was seen; times of the monotonic clock.
 
+    The last disruption ended at `calm_at`.
     `notes` are the disruptions and when they began, `order_services` the services that
     orders went to from when on.  `counts_by_replica` are the replicas' counters at the
     end, `budgets` the instances' retry budgets after each disruption, `failures` the ends
@@ -59,6 +61,7 @@
     state: SoakState
     size: DrillSize
     began_at: float = 0.0
+    calm_at: float = 0.0
     outcomes: list[Outcome] = field(default_factory=list)
     notes: list[tuple[float, str]] = field(default_factory=list)
     order_services: list[tuple[float, str]] = field(default_factory=list)
@@ -86,9 +89,11 @@
         with open_balancer(run.state.site) as balancer, _watch(run):
             run.began_at = time.monotonic()
             run.note("start")
-            load = OpenLoad(balancer, seed, size.per_s, outcomes=run.outcomes)
+            shares = make_shares(size.long_share)
+            load = OpenLoad(balancer, seed, size.per_s, shares, outcomes=run.outcomes)
             with open_load(load):
                 _follow(run, plan, Random(f"{seed}/plan"))
+                run.calm_at = time.monotonic()
                 time.sleep(SETTLE_S)
         _collect(run)
         if logs is not None:
@@ -102,12 +107,14 @@
     for step in plan:
         time.sleep(max(0.0, run.began_at + step.at_s - time.monotonic()))
         run.note(step.text)
-        target, choice = step.run, Random(rng.random())
-        args = (run.state, target, choice)
-        threads.append(threading.Thread(target=inject, args=args))
-        threads[-1].start()
-        threads.append(threading.Thread(target=_read_budgets, args=(run,)))
-        threads[-1].start()
+        args = (run.state, Random(rng.random()))
+        begun = [
+            threading.Thread(target=step.run, args=args),
+            threading.Thread(target=_read_budgets, args=(run,)),
+        ]
+        for thread in begun:
+            thread.start()
+        threads += begun
     for thread in threads:
         thread.join()
 
--- a/testkit/drill_checks.py
+++ b/testkit/drill_checks.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 
 from .drill import DrillRun
-from .drill_faults import ROUTE_TIMEOUT_MS
+from .drill_faults import TIMEOUT_MS_BY_ROUTE
 from .site_soak import STABLE_WINDOW_S, check_outcome, label
-from .soak_callers import Outcome
+from .soak_callers import DEADLINE_S_BY_KIND, KINDS, Outcome
 
 # The users' bounds: the window of the retry budget and what it allows, the answers that
 # may be lost, the time that a configuration takes, and an instance's memory.
@@ -20,7 +20,8 @@
 MAX_LOST = 3
 CONFIG_APPLY_S = 2.0
 MAX_MEMORY_MB = 300.0
-DEADLINE_S = 5.0
+RECOVERY_S = 2.0
+MIN_SERVED_SHARE = 0.25
 # How much sooner than at its timeout an answer may end.
 TIMEOUT_SLACK_S = 0.1
 SERVICES = ("models", "app", "spare")
@@ -51,8 +52,7 @@
         violations += check_outcome(outcome, runs_by_id[outcome.id])
     lost = list_lost(run)
     if len(lost) > MAX_LOST:
-        violations.append(f"LOST {len(lost)} answers")
-        violations += [f"LOST {describe(run, outcome)}" for outcome in lost]
+        violations.append(f"LOST {len(lost)} answers, {MAX_LOST} allowed")
     for service in SERVICES:
         use = find_worst_budget_use(run, service)
         if use is not None and use.repeats > use.allowed:
@@ -63,6 +63,7 @@
     if leaked:
         violations.append(f"{leaked} headers of callers reached replicas")
     violations += run.failures
+    violations += check_recovery(run)
     violations += [
         f"MEMORY {name} used {peak_mb:.0f} MB"
         for name, peak_mb in run.peak_mb_by_node.items()
@@ -71,32 +72,59 @@
     return violations
 
 
+def check_recovery(run: DrillRun) -> list[str]:
+    """Check that each kind of request is served again once all disruptions are over."""
+    violations = []
+    for kind in KINDS:
+        found = [
+            outcome.status == 200
+            for outcome in run.outcomes
+            if outcome.kind == kind and outcome.began_at > run.calm_at + RECOVERY_S
+        ]
+        if sum(found) < MIN_SERVED_SHARE * len(found):
+            text = f"{sum(found)} of {len(found)} served"
+            violations.append(f"RECOVER {kind}: {text} in the end")
+    return violations
+
+
 def list_lost(run: DrillRun) -> list[Outcome]:
-    """Return the requests whose connection ended early at a sound replica.
+    """Return the requests whose connection ended early without an excuse."""
+    return [outcome for outcome, excuse in list_cut(run) if not excuse]
 
-    A silent replica is sound. Excused are requests whose time was up, that their replica
+
+def list_cut(run: DrillRun) -> list[tuple[Outcome, str]]:
+    """Return the requests that ended without a complete answer, with their excuses.
+
+    A silent replica is none. Excused are requests whose time was up, that their replica
     broke off, that reached no replica across the close of an idle connection, and those
-    beside a disruption of instances.
+    beside a kill of instances.
     """
     rows = run.counts_by_replica.values()
     broken = {id for row in rows for id in row["broken"]}
     arrived = {id for row in rows for _, id in row["arrivals"]}
-    return [
-        outcome
-        for outcome in run.outcomes
-        if outcome.status == 0
-        and outcome.is_connected
-        and (outcome.id in arrived or not outcome.is_reused)
-        and outcome.id not in broken
-        and outcome.ended_at - outcome.began_at < find_timeout_s(outcome)
-        and not _is_disrupted(run, outcome)
-    ]
+    cut = []
+    for outcome in run.outcomes:
+        if outcome.status:
+            continue
+        excuse = ""
+        if _is_disrupted(run, outcome):
+            excuse = "instances killed"
+        elif not outcome.is_connected:
+            excuse = "not connected"
+        elif outcome.id in broken:
+            excuse = "broken off by its replica"
+        elif outcome.ended_at - outcome.began_at >= find_timeout_s(outcome):
+            excuse = "time up"
+        elif outcome.is_reused and outcome.id not in arrived:
+            excuse = "not passed on"
+        cut.append((outcome, excuse))
+    return cut
 
 
 def find_timeout_s(outcome: Outcome) -> float:
     """Return the time from which on a request's end is excused."""
-    timeout_s = DEADLINE_S if outcome.kind == "long" else ROUTE_TIMEOUT_MS / 1e3
-    return timeout_s - TIMEOUT_SLACK_S
+    timeout_s = TIMEOUT_MS_BY_ROUTE[outcome.kind] / 1e3
+    return min(timeout_s, DEADLINE_S_BY_KIND[outcome.kind]) - TIMEOUT_SLACK_S
 
 
 def _is_disrupted(run: DrillRun, outcome: Outcome) -> bool:
@@ -199,19 +227,32 @@
         if use is not None:
             share = use.repeats / use.allowed
             lines.append(f"budget {share:.2f}: {describe_use(run, use)}")
-    caps = [
-        f"{at - run.began_at:.1f} s {name} "
-        + " ".join(f"{s} {b['level']}/{b['cap']}" for s, b in sorted(budgets.items()))
-        for at, name, budgets in run.budgets
-    ]
-    lines += [f"retries {text}" for text in caps]
+    lines += describe_caps(run)
     lost = list_lost(run)
     begun = sum(outcome.has_begun for outcome in lost)
     lines.append(f"lost {len(lost)}, of these {begun} begun")
+    excuses = Counter(f"{o.kind} {excuse}" for o, excuse in list_cut(run) if excuse)
+    lines.append(f"cut with an excuse: {dict(sorted(excuses.items()))}")
+    lines += [f"LOST {describe(run, outcome)}" for outcome in lost]
     lines.append(f"peak memory {max(run.peak_mb_by_node.values()):.0f} MB")
     return lines
 
 
+def describe_caps(run: DrillRun) -> list[str]:
+    """Return a line for each service: the caps of the instances' retry budgets."""
+    caps_by_service: dict[str, dict[str, list[float]]] = {}
+    for _, node, budgets in sorted(run.budgets):
+        for service, budget in budgets.items():
+            caps = caps_by_service.setdefault(service, {}).setdefault(node, [])
+            if budget["cap"] not in caps:
+                caps.append(budget["cap"])
+    return [
+        f"retry caps {service}: "
+        + ", ".join(f"{node} {caps}" for node, caps in sorted(caps_by_node.items()))
+        for service, caps_by_node in sorted(caps_by_service.items())
+    ]
+
+
 def find_worst_second(run: DrillRun, outcomes: list[Outcome]) -> str:
     """Return the second with the least share of requests served."""
     sent, served = Counter(), Counter()
--- a/testkit/drill_faults.py
+++ b/testkit/drill_faults.py
@@ -9,15 +9,21 @@
 from random import Random
 from typing import Any
 
+from standins.replica import EVENTS_PER_STREAM
+from standins.replica_faults import ENDLESS_PLACES
+
 from .instances import make_config_spec
-from .soak_faults import SoakState, change_config, start_instance
+from .soak_faults import SoakState, change_config, start_instance, stop
 
 # Longer than a silence, so that a call outlasts it.
-ROUTE_TIMEOUT_MS = 4000
+TIMEOUT_MS_BY_ROUTE = {"lookup": 4000, "order": 4000, "short": 14000, "long": 14000}
 CHANGE_LEAD_S = 0.6
 SILENCE_INTERVAL_S = 6.0
 FIRST_CHANGE_S = 4.0
 
+MANY = 1_000_000
+COUNTED_FAULTS = ("endless_answers", "fail", "lose_answers", "break_streams")
+
 Disruption = Callable[[SoakState, Random], None]
 
 
@@ -34,8 +40,7 @@
     """Return what a drill's configuration has besides the usual."""
     spec = make_config_spec()
     for route in spec["routes"]:
-        if route["name"] != "long":
-            route["timeout_ms"] = ROUTE_TIMEOUT_MS
+        route["timeout_ms"] = TIMEOUT_MS_BY_ROUTE[route["name"]]
         if route["name"] == "order":
             route["service"] = order_service
     spec["services"].append({"name": "spare", "max_connections": 110})
@@ -53,7 +58,8 @@
     """Write a configuration with another timeout of a route."""
     for route in state.config_changes["routes"]:
         if route["name"] == "short":
-            route["timeout_ms"] = rng.randrange(ROUTE_TIMEOUT_MS, 6000)
+            least_ms = TIMEOUT_MS_BY_ROUTE["short"]
+            route["timeout_ms"] = rng.randrange(least_ms, 2 * least_ms)
     change_config(state, rng)
 
 
@@ -101,6 +107,26 @@
     return freeze_replicas
 
 
+def make_faulty(service: str, share: float, for_s: float, **faults: Any) -> Disruption:
+    """Return a disruption in which replicas have faults, and none of them afterwards."""
+
+    def hurt(state: SoakState, rng: Random) -> None:
+        ids = list_replicas(state, service)
+        chosen = rng.sample(ids, max(1, round(share * len(ids))))
+        for id in chosen:
+            state.site.set_replica_faults(id, **faults)
+        time.sleep(for_s)
+        for id in chosen:
+            state.site.set_replica_faults(id, **dict.fromkeys(COUNTED_FAULTS, 0))
+
+    return hurt
+
+
+def stop_planned(state: SoakState, rng: Random) -> None:
+    """Stop an instance as planned and start it again; that excuses no lost answer."""
+    stop(state, rng)
+
+
 def make_joint_kill(away_s: float) -> Disruption:
     """Return a disruption that kills all instances and starts them again."""
 
@@ -108,7 +134,8 @@
         began_at = time.monotonic()
         nodes = state.site.node_by_name
         with ExitStack() as stack:
-            for name in nodes:
+            # A planned stop that is under way ends first.
+            for name in sorted(nodes):
                 stack.enter_context(state.lock_by_node[name])
             for node in nodes.values():
                 node.process.kill()
@@ -120,6 +147,43 @@
     return kill_all
 
 
+def choose_replica_fault(rng: Random) -> tuple[str, Disruption]:
+    """Return a random fault of some replicas of a service and its description."""
+    service, share = rng.choice(("models", "app")), rng.choice((0.4, 0.6, 1.0))
+    for_s = rng.uniform(1.0, 3.0)
+    name = rng.choice(("silent", "frozen", "endless", "failing", "breaking", "losing"))
+    where = f"{service} {share} for {for_s:.2f} s"
+    if name == "silent":
+        return f"silent {where}", make_silence(service, share, for_s)
+    if name == "frozen":
+        return f"frozen {where}", make_freeze(service, share, for_s)
+    if name == "endless":
+        place = rng.choice(ENDLESS_PLACES)
+        faults = {"endless_answers": MANY, "endless_place": place}
+        where = f"{place} {where}"
+    elif name == "breaking":
+        after = rng.randrange(EVENTS_PER_STREAM)
+        faults = {"break_streams": MANY, "break_after_events": after}
+    else:
+        faults = {"fail" if name == "failing" else "lose_answers": MANY}
+    return f"{name} {where}", make_faulty(service, share, for_s, **faults)
+
+
+def make_mixed_plan(rng: Random, seconds: float) -> list[Step]:
+    """Return faults of replicas beside changes, planned stops and joint kills."""
+    steps = []
+    at_s = FIRST_CHANGE_S
+    while at_s < seconds:
+        text, disruption = choose_replica_fault(rng)
+        steps.append(Step(at_s, text, disruption))
+        beside = rng.choice((*CHANGES, stop_planned, make_joint_kill(0.3), None))
+        if beside is not None:
+            beside_s = at_s + rng.uniform(-0.6, 0.6)
+            steps.append(Step(beside_s, beside.__name__, beside))
+        at_s += rng.uniform(1.5, 4.0)
+    return sorted(steps, key=lambda step: step.at_s)
+
+
 def make_incident_plan(
     rng: Random, silences: int, services: tuple[str, ...], kill_lead_s: float | None
 ) -> list[Step]:
--- a/testkit/open_load.py
+++ b/testkit/open_load.py
@@ -15,7 +15,7 @@
 from .soak_callers import KeptCaller, Outcome
 
 MAX_CALLERS = 600
-WEIGHT_BY_KIND = {"lookup": 0.45, "order": 0.25, "long": 0.2, "short": 0.1}
+SHARE_BY_KIND = {"lookup": 0.45, "order": 0.25, "long": 0.2, "short": 0.1}
 
 
 @dataclass
@@ -25,6 +25,7 @@
     balancer: Balancer
     seed: int
     per_s: float
+    share_by_kind: dict[str, float] = field(default_factory=SHARE_BY_KIND.copy)
     idle: deque[KeptCaller] = field(default_factory=deque)
     outcomes: list[Outcome] = field(default_factory=list)
     caller_count: int = 0
@@ -33,11 +34,11 @@
     def run(self) -> None:
         """Start requests at random intervals until the load is over; wait for all."""
         rng = Random(f"{self.seed}/load")
-        kinds, weights = list(WEIGHT_BY_KIND), list(WEIGHT_BY_KIND.values())
+        kinds, shares = list(self.share_by_kind), list(self.share_by_kind.values())
         next_at = time.monotonic()
         with ThreadPoolExecutor(MAX_CALLERS) as pool:
             while not self.is_over:
-                kind = rng.choices(kinds, weights)[0]
+                kind = rng.choices(kinds, shares)[0]
                 pool.submit(self._call, self._take_caller(), kind)
                 next_at += rng.expovariate(self.per_s)
                 time.sleep(max(0.0, next_at - time.monotonic()))
@@ -56,6 +57,13 @@
         self.idle.append(caller)
 
 
+def make_shares(long_share: float) -> dict[str, float]:
+    """Return the usual shares of the kinds with another share of long streams."""
+    scale = (1.0 - long_share) / (1.0 - SHARE_BY_KIND["long"])
+    shares = {kind: share * scale for kind, share in SHARE_BY_KIND.items()}
+    return shares | {"long": long_share}
+
+
 @contextmanager
 def open_load(load: OpenLoad) -> Iterator[OpenLoad]:
     """Send the load's requests meanwhile."""
--- a/testkit/soak_callers.py
+++ b/testkit/soak_callers.py
@@ -18,6 +18,8 @@
 CALL_TIMEOUT_S = 15.0
 # Callers open a new connection for some of their calls.
 NEW_CONNECTION_SHARE = 0.2
+# Four fifths of the shortest idle time that a soak or a drill configures.
+MAX_IDLE_S = 8.0
 SUBJECTS = 5
 # Ends the ID of a request that takes up a broken stream.
 AGAIN = "-again"
@@ -34,6 +36,7 @@
     "short": "/long/short/1",
 }
 KINDS = tuple(PATH_BY_KIND)
+DEADLINE_S_BY_KIND = {"order": 5.0, "lookup": 5.0, "long": 14.0, "short": 14.0}
 
 
 @dataclass(frozen=True)
@@ -72,6 +75,7 @@
     connection_by_node: dict[str, http.client.HTTPConnection] = field(
         default_factory=dict
     )
+    used_at_by_node: dict[str, float] = field(default_factory=dict)
     request_count: int = 0
     list_nodes: Callable[[], Iterable[str]] | None = None
 
@@ -81,6 +85,7 @@
         A broken stream is taken up once at another instance, for a second outcome.
         """
         self.request_count += 1
+        self._close_idle()
         kind = kind or self.rng.choice(KINDS)
         node = self._choose_node()
         id = f"{self.prefix}-{self.request_count}"
@@ -121,6 +126,13 @@
         if connection is not None:
             connection.close()
 
+    def _close_idle(self) -> None:
+        """Close the connections that have been idle for too long to be used again."""
+        oldest_at = time.monotonic() - MAX_IDLE_S
+        for node in list(self.connection_by_node):
+            if self.used_at_by_node.get(node, 0.0) < oldest_at:
+                self.close(node)
+
     def _exchange(
         self,
         kind: str,
@@ -150,6 +162,7 @@
             self.close(node)
         except (OSError, http.client.HTTPException):
             self.close(node)
+        self.used_at_by_node[node] = time.monotonic()
         if status == 200 or begun:
             body = cut_after_last_event(begun) + body
         outcome = Outcome(
@@ -182,7 +195,7 @@
     headers = {
         "Host": HOST_BY_KIND[kind],
         "X-Request-Id": id,
-        "X-Deadline-Ms": "5000",
+        "X-Deadline-Ms": f"{DEADLINE_S_BY_KIND[kind] * 1e3:.0f}",
         "X-Credential": KEY,
     }
     return headers | PROMPT_HEADERS if kind in ("long", "short") else headers
