--- a/bin/drill.py
+++ b/bin/drill.py
@@ -12,17 +12,17 @@
 
 from testkit.drill import DrillSize, run_drill
 from testkit.drill_checks import find_violations, summarize
-from testkit.drill_faults import make_incident_plan, make_mixed_plan
+from testkit.drill_faults import make_endless_plan, make_incident_plan, make_mixed_plan
 
 
 def main(
     seeds: int = 1,
     first: int = 1,
+    plan: str = "mixed",
+    seconds: float = 24.0,
     nodes: int = 4,
     per_s: float = 40.0,
-    silences: int = 4,
-    mixed_s: float = 0.0,
-    services: str = "models,app",
+    services: str | tuple[str, ...] = "models,app",
     kill_lead_s: float | None = None,
     event_s: float = 0.15,
     long_share: float = 0.2,
@@ -30,19 +30,20 @@
 ) -> None:
     """Run a number of seeds and end with status 1 if a check broke.
 
-    By default a plan has changes of the configuration with `silences` of `services`;
-    with `mixed_s` all kinds of disruptions for so long.
+    Plans are `incident`, silences of `services` beside changes of the configuration,
+    `endless`, one long fault of engines, and `mixed`, all kinds of disruptions.
     """
     size = DrillSize(nodes=nodes, per_s=per_s, long_share=long_share, event_s=event_s)
-    names = services.split(",") if isinstance(services, str) else services
+    names = tuple(services.split(",") if isinstance(services, str) else services)
+    make_by_plan = {
+        "incident": lambda r: make_incident_plan(r, seconds, names, kill_lead_s),
+        "endless": lambda r: make_endless_plan(r, seconds, kill_lead_s),
+        "mixed": lambda r: make_mixed_plan(r, seconds),
+    }
     failed = 0
     for seed in range(first, first + seeds):
-        rng = Random(seed)
-        if mixed_s:
-            plan = make_mixed_plan(rng, mixed_s)
-        else:
-            plan = make_incident_plan(rng, silences, tuple(names), kill_lead_s)
-        run = run_drill(seed, plan, size, Path(logs) / str(seed) if logs else None)
+        steps = make_by_plan[plan](Random(seed))
+        run = run_drill(seed, steps, size, Path(logs) / str(seed) if logs else None)
         violations = find_violations(run)
         print(f"seed {seed}: {len(violations)} broken", flush=True)
         notes = [f"{at - run.began_at:.2f} s {text}" for at, text in run.notes]
--- a/testkit/drill_faults.py
+++ b/testkit/drill_faults.py
@@ -184,15 +184,32 @@
     return sorted(steps, key=lambda step: step.at_s)
 
 
+def make_endless_plan(
+    rng: Random, seconds: float, kill_lead_s: float | None
+) -> list[Step]:
+    """Return one long fault: some engines send bytes without end in their answers.
+
+    With `kill_lead_s` all instances are killed that long before.
+    """
+    place = rng.choice(ENDLESS_PLACES)
+    faults = {"endless_answers": MANY, "endless_place": place}
+    hurt = make_faulty("models", 0.4, seconds - FIRST_CHANGE_S, **faults)
+    steps = [Step(FIRST_CHANGE_S, f"endless {place} models 0.4", hurt)]
+    if kill_lead_s is not None:
+        at_s = FIRST_CHANGE_S - kill_lead_s
+        steps.insert(0, Step(at_s, "joint kill", make_joint_kill(0.3)))
+    return steps
+
+
 def make_incident_plan(
-    rng: Random, silences: int, services: tuple[str, ...], kill_lead_s: float | None
+    rng: Random, seconds: float, services: tuple[str, ...], kill_lead_s: float | None
 ) -> list[Step]:
     """Return changes of the configuration, each with a silence shortly after it.
 
     With `kill_lead_s` all instances are killed that long before each second silence.
     """
     steps = []
-    for number in range(silences):
+    for number in range(max(1, round(seconds / SILENCE_INTERVAL_S))):
         at_s = FIRST_CHANGE_S + SILENCE_INTERVAL_S * number
         change = rng.choice(CHANGES)
         steps.append(Step(at_s, change.__name__, change))
