--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 
-.PHONY: install test lint unit demo demo-site serve bench bench-relay bench-state bench-times seeded soak soak-site soak-signals clean
+.PHONY: install test lint unit demo demo-site serve bench bench-relay bench-state bench-times seeded drill soak soak-site soak-signals clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -47,6 +47,9 @@
 soak: install
 	$(BIN)/python bin/soak.py
 
+drill: install
+	$(BIN)/python bin/drill.py --seeds 50
+
 soak-site: install
 	$(BIN)/python bin/soak_site.py
 
