--- a/testkit/drill_checks.py
+++ b/testkit/drill_checks.py
@@ -10,8 +10,10 @@
 from .site_soak import STABLE_WINDOW_S, check_outcome, label
 from .soak_callers import DEADLINE_S_BY_KIND, KINDS, Outcome
 
-# The users' bounds: the answers that may be lost, and an instance's memory.
+# The users' bounds: the answers that may be lost, how long a request may cross the
+# close of its connection, and the memory of an instance.
 MAX_LOST = 3
+LOSS_SLACK_S = 0.2
 MAX_MEMORY_MB = 300.0
 RECOVERY_S = 2.0
 MIN_SERVED_SHARE = 0.25
@@ -70,8 +72,8 @@
     """Return the requests that ended without a complete answer, with their excuses.
 
     A silent replica is none. Excused are requests whose time was up, that their replica
-    broke off, that reached no replica across the close of an idle connection, and those
-    beside a kill of instances.
+    broke off, that crossed the close of a kept connection and reached no replica, and
+    those beside a kill of instances.
     """
     rows = run.counts_by_replica.values()
     broken = {id for row in rows for id in row["broken"]}
@@ -89,12 +91,17 @@
             excuse = "broken off by its replica"
         elif outcome.ended_at - outcome.began_at >= find_timeout_s(outcome):
             excuse = "time up"
-        elif outcome.is_reused and outcome.id not in arrived:
+        elif _has_crossed_close(outcome) and outcome.id not in arrived:
             excuse = "not passed on"
         cut.append((outcome, excuse))
     return cut
 
 
+def _has_crossed_close(outcome: Outcome) -> bool:
+    seconds = outcome.ended_at - outcome.began_at
+    return outcome.is_reused and seconds < LOSS_SLACK_S
+
+
 def find_timeout_s(outcome: Outcome) -> float:
     """Return the time from which on a request's end is excused."""
     timeout_s = TIMEOUT_MS_BY_ROUTE[outcome.kind] / 1e3
