--- a/testkit/drill.py
+++ b/testkit/drill.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from copy import deepcopy
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -29,6 +30,8 @@
 
 SETTLE_S = 4.0
 MEMORY_INTERVAL_S = 0.5
+# The users' bound for applying a configuration.
+CONFIG_APPLY_S = 2.0
 
 
 @dataclass(frozen=True)
@@ -52,8 +55,8 @@
     """Hold the state of a drill and what was seen; times of the monotonic clock.
 
     The last disruption ended at `calm_at`.
-    `notes` are the disruptions and when they began, `order_services` the services that
-    orders went to from when on.  `counts_by_replica` are the replicas' counters at the
+    `notes` are the disruptions and when they began, `routes` the routes by name from
+    when on.  `counts_by_replica` are the replicas' counters at the
     end, `budgets` the instances' retry budgets after each disruption, `failures` the ends
     and unexpected errors of processes.
     """
@@ -64,7 +67,7 @@
     calm_at: float = 0.0
     outcomes: list[Outcome] = field(default_factory=list)
     notes: list[tuple[float, str]] = field(default_factory=list)
-    order_services: list[tuple[float, str]] = field(default_factory=list)
+    routes: list[tuple[float, dict[str, dict[str, Any]]]] = field(default_factory=list)
     counts_by_replica: dict[str, dict[str, Any]] = field(default_factory=dict)
     service_by_replica: dict[str, str] = field(default_factory=dict)
     budgets: list[tuple[float, str, dict[str, Any]]] = field(default_factory=list)
@@ -73,12 +76,26 @@
     is_over: bool = False
 
     def note(self, text: str) -> None:
-        """Note what is done now, and where orders go since."""
-        now = time.monotonic()
-        self.notes.append((now, text))
-        for route in self.state.config_changes["routes"]:
-            if route["name"] == "order":
-                self.order_services.append((now, route["service"]))
+        """Note what is done now."""
+        self.notes.append((time.monotonic(), text))
+
+    def note_routes(self) -> None:
+        """Note which routes the newest configuration has."""
+        routes = deepcopy(self.state.config_changes["routes"])
+        by_name = {route["name"]: route for route in routes}
+        if not self.routes or self.routes[-1][1] != by_name:
+            self.routes.append((time.monotonic(), by_name))
+
+    def list_routes(
+        self, name: str, began_at: float, ended_at: float
+    ) -> list[dict[str, Any]]:
+        """Return the versions of a route that may have been in force in a span."""
+        ends = [at + CONFIG_APPLY_S for at, _ in self.routes[1:]] + [float("inf")]
+        return [
+            by_name[name]
+            for (at, by_name), end in zip(self.routes, ends, strict=True)
+            if at <= ended_at and began_at < end
+        ]
 
 
 def run_drill(
@@ -88,7 +105,7 @@
     with open_drill_site(size) as run:
         with open_balancer(run.state.site) as balancer, _watch(run):
             run.began_at = time.monotonic()
-            run.note("start")
+            run.note_routes()
             shares = make_shares(size.long_share)
             load = OpenLoad(balancer, seed, size.per_s, shares, outcomes=run.outcomes)
             with open_load(load):
@@ -107,9 +124,9 @@
     for step in plan:
         time.sleep(max(0.0, run.began_at + step.at_s - time.monotonic()))
         run.note(step.text)
-        args = (run.state, Random(rng.random()))
+        args = (run, step, Random(rng.random()))
         begun = [
-            threading.Thread(target=step.run, args=args),
+            threading.Thread(target=_run_step, args=args),
             threading.Thread(target=_read_budgets, args=(run,)),
         ]
         for thread in begun:
@@ -119,6 +136,11 @@
         thread.join()
 
 
+def _run_step(run: DrillRun, step: Step, rng: Random) -> None:
+    step.run(run.state, rng)
+    run.note_routes()
+
+
 def _read_budgets(run: DrillRun) -> None:
     """Read the instances' retry budgets while a disruption lasts."""
     time.sleep(1.0)
--- a/testkit/drill_budget.py
+++ b/testkit/drill_budget.py
@@ -10,13 +10,11 @@
 from .drill import DrillRun
 from .soak_callers import DEADLINE_S_BY_KIND, Outcome
 
-# The users' bounds: the window of the retry budget and what it allows, the time that a
-# configuration takes, the requests that may run on too many replicas, the time that a
+# The users' bounds: the window of the retry budget and what it allows, the requests that may run on too many replicas, the time that a
 # replica may be given beyond what is left, and how often and in what share more.
 BUDGET_WINDOW_S = 10.0
 BUDGET_RATIO = 0.2
 BUDGET_EXTRA = 56
-CONFIG_APPLY_S = 2.0
 MAX_OVER_ATTEMPTS = 3
 DEADLINE_SLACK_S = 0.5
 MAX_OVER_DEADLINES = 20
@@ -156,11 +154,8 @@
         return service == "models"
     if outcome.kind == "lookup":
         return service == "app"
-    ends = [at for at, _ in run.order_services[1:]] + [float("inf")]
-    return any(
-        name == service and at <= outcome.began_at < end + CONFIG_APPLY_S
-        for (at, name), end in zip(run.order_services, ends, strict=True)
-    )
+    routes = run.list_routes("order", outcome.began_at, outcome.began_at)
+    return any(route["service"] == service for route in routes)
 
 
 def describe_use(run: DrillRun, use: BudgetUse) -> str:
--- a/testkit/drill_checks.py
+++ b/testkit/drill_checks.py
@@ -6,7 +6,6 @@
 
 from .drill import DrillRun
 from .drill_budget import check_budget, describe_budget
-from .drill_faults import TIMEOUT_MS_BY_ROUTE
 from .site_soak import STABLE_WINDOW_S, check_outcome, label
 from .soak_callers import DEADLINE_S_BY_KIND, KINDS, Outcome
 
@@ -17,6 +16,8 @@
 MAX_MEMORY_MB = 300.0
 RECOVERY_S = 2.0
 MIN_SERVED_SHARE = 0.25
+MAX_LATE_S = 0.5
+MIN_LATE = 8
 # How much sooner than at its timeout an answer may end.
 TIMEOUT_SLACK_S = 0.1
 
@@ -32,7 +33,7 @@
     lost = list_lost(run)
     if len(lost) > MAX_LOST:
         violations.append(f"LOST {len(lost)} answers, {MAX_LOST} allowed")
-    violations += check_budget(run)
+    violations += check_budget(run) + check_timeouts(run)
     sent_ids = {outcome.id for outcome in run.outcomes}
     violations += [f"UNASKED run of {id}" for id in runs_by_id if id not in sent_ids]
     leaked = sum(row["leaked_headers"] for row in run.counts_by_replica.values())
@@ -89,7 +90,7 @@
             excuse = "not connected"
         elif outcome.id in broken:
             excuse = "broken off by its replica"
-        elif outcome.ended_at - outcome.began_at >= find_timeout_s(outcome):
+        elif _is_time_up(run, outcome):
             excuse = "time up"
         elif _has_crossed_close(outcome) and outcome.id not in arrived:
             excuse = "not passed on"
@@ -102,10 +103,34 @@
     return outcome.is_reused and seconds < LOSS_SLACK_S
 
 
-def find_timeout_s(outcome: Outcome) -> float:
-    """Return the time from which on a request's end is excused."""
-    timeout_s = TIMEOUT_MS_BY_ROUTE[outcome.kind] / 1e3
-    return min(timeout_s, DEADLINE_S_BY_KIND[outcome.kind]) - TIMEOUT_SLACK_S
+def _is_time_up(run: DrillRun, outcome: Outcome) -> bool:
+    limit_s = find_time_limits_s(run, outcome)[0]
+    return outcome.ended_at - outcome.began_at >= limit_s - TIMEOUT_SLACK_S
+
+
+def find_time_limits_s(run: DrillRun, outcome: Outcome) -> tuple[float, float]:
+    """Return the shortest and the longest time that a request may have had.
+
+    The timeout of its route may have changed meanwhile.
+    """
+    routes = run.list_routes(outcome.kind, outcome.began_at, outcome.ended_at)
+    timeouts_s = [route["timeout_ms"] / 1e3 for route in routes]
+    deadline_s = DEADLINE_S_BY_KIND[outcome.kind]
+    return min(deadline_s, *timeouts_s), min(deadline_s, max(timeouts_s))
+
+
+def check_timeouts(run: DrillRun) -> list[str]:
+    """Check that requests are answered when their time is up."""
+    over_s = [
+        outcome.ended_at - outcome.began_at - find_time_limits_s(run, outcome)[1]
+        for outcome in run.outcomes
+        if not _is_disrupted(run, outcome)
+    ]
+    due = sum(seconds > 0.0 for seconds in over_s)
+    late = sum(seconds > MAX_LATE_S for seconds in over_s)
+    if late < MIN_LATE or 2 * late <= due:
+        return []
+    return [f"CONFIG {late} of {due} requests had no answer {MAX_LATE_S} s late"]
 
 
 def _is_disrupted(run: DrillRun, outcome: Outcome) -> bool:
--- a/testkit/drill_faults.py
+++ b/testkit/drill_faults.py
@@ -21,6 +21,7 @@
 SILENCE_INTERVAL_S = 6.0
 FIRST_CHANGE_S = 4.0
 
+TIMEOUT_CHANGE = (0.6, 1.5)
 MANY = 1_000_000
 COUNTED_FAULTS = ("endless_answers", "fail", "lose_answers", "break_streams")
 
@@ -56,10 +57,9 @@
 
 def change_timeout(state: SoakState, rng: Random) -> None:
     """Write a configuration with another timeout of a route."""
-    for route in state.config_changes["routes"]:
-        if route["name"] == "short":
-            least_ms = TIMEOUT_MS_BY_ROUTE["short"]
-            route["timeout_ms"] = rng.randrange(least_ms, 2 * least_ms)
+    route = rng.choice(state.config_changes["routes"])
+    usual_ms = TIMEOUT_MS_BY_ROUTE[route["name"]]
+    route["timeout_ms"] = round(usual_ms * rng.uniform(*TIMEOUT_CHANGE))
     change_config(state, rng)
 
 
