--- a/bin/drill.py
+++ b/bin/drill.py
@@ -25,6 +25,7 @@
     services: str | tuple[str, ...] = "models,app",
     place: str = "",
     kill_lead_s: float | None = None,
+    model_slots: int = 16,
     event_s: float = 0.15,
     long_share: float = 0.2,
     logs: str = "",
@@ -34,7 +35,13 @@
     Plans are `incident`, silences of `services` beside changes of the configuration,
     `endless`, one long fault of engines at a `place`, and `mixed`, all kinds of disruptions.
     """
-    size = DrillSize(nodes=nodes, per_s=per_s, long_share=long_share, event_s=event_s)
+    size = DrillSize(
+        nodes=nodes,
+        per_s=per_s,
+        long_share=long_share,
+        model_slots=model_slots,
+        event_s=event_s,
+    )
     names = tuple(services.split(",") if isinstance(services, str) else services)
     make_by_plan = {
         "incident": lambda r: make_incident_plan(r, seconds, names, kill_lead_s),
--- a/testkit/drill_checks.py
+++ b/testkit/drill_checks.py
@@ -17,6 +17,8 @@
 RECOVERY_S = 2.0
 MIN_SERVED_SHARE = 0.25
 MAX_LATE_S = 0.5
+GONE_SLACK_S = 0.5
+MAX_GONE = 3
 MIN_LATE = 8
 # How much sooner than at its timeout an answer may end.
 TIMEOUT_SLACK_S = 0.1
@@ -34,6 +36,7 @@
     if len(lost) > MAX_LOST:
         violations.append(f"LOST {len(lost)} answers, {MAX_LOST} allowed")
     violations += check_budget(run) + check_timeouts(run)
+    violations += check_abandoned(run)
     sent_ids = {outcome.id for outcome in run.outcomes}
     violations += [f"UNASKED run of {id}" for id in runs_by_id if id not in sent_ids]
     leaked = sum(row["leaked_headers"] for row in run.counts_by_replica.values())
@@ -64,6 +67,30 @@
     return violations
 
 
+def check_abandoned(run: DrillRun) -> list[str]:
+    """Check that requests reach no replica after their callers have gone.
+
+    Frozen replicas read late what reached them before.
+    """
+    ended_at_by_id = {
+        outcome.id: outcome.ended_at
+        for outcome in run.outcomes
+        if not _is_disrupted(run, outcome)
+    }
+    late = [
+        id
+        for row in run.counts_by_replica.values()
+        for at, id, _ in row["arrivals"]
+        if at > ended_at_by_id.get(id, at) + GONE_SLACK_S
+        and not any(a < at < b + GONE_SLACK_S for a, b in run.state.unplanned)
+    ]
+    if len(late) <= MAX_GONE:
+        return []
+    return [
+        f"GONE {len(late)} requests arrived after their callers had gone: {late[:5]}"
+    ]
+
+
 def list_lost(run: DrillRun) -> list[Outcome]:
     """Return the requests whose connection ended early without an excuse."""
     return [outcome for outcome, excuse in list_cut(run) if not excuse]
@@ -72,8 +99,8 @@
 def list_cut(run: DrillRun) -> list[tuple[Outcome, str]]:
     """Return the requests that ended without a complete answer, with their excuses.
 
-    A silent replica is none. Excused are requests whose time was up, that their replica
-    broke off, that crossed the close of a kept connection and reached no replica, and
+    A silent replica is none. Excused are requests whose time was up, that their caller
+    gave up, that their replica broke off, that crossed the close of a kept connection and reached no replica, and
     those beside a kill of instances.
     """
     rows = run.counts_by_replica.values()
@@ -88,6 +115,8 @@
             excuse = "instances killed"
         elif not outcome.is_connected:
             excuse = "not connected"
+        elif outcome.has_given_up:
+            excuse = "given up by its caller"
         elif outcome.id in broken:
             excuse = "broken off by its replica"
         elif _is_time_up(run, outcome):
--- a/testkit/open_load.py
+++ b/testkit/open_load.py
@@ -16,6 +16,9 @@
 
 MAX_CALLERS = 600
 SHARE_BY_KIND = {"lookup": 0.45, "order": 0.25, "long": 0.2, "short": 0.1}
+# Callers abandon a stream after a gap of two seconds, four times the objective or eight
+# times the pause that its route allows, whichever is longest.
+PATIENCE_S_BY_KIND = {"long": 2.4, "short": 2.0}
 
 
 @dataclass
@@ -50,7 +53,13 @@
         prefix = f"c{self.caller_count}"
         rng = Random(f"{self.seed}/{prefix}")
         site, list_nodes = self.balancer.site, self.balancer.list_nodes
-        return KeptCaller(site, rng, prefix, list_nodes=list_nodes)
+        return KeptCaller(
+            site,
+            rng,
+            prefix,
+            list_nodes=list_nodes,
+            patience_by_kind=PATIENCE_S_BY_KIND,
+        )
 
     def _call(self, caller: KeptCaller, kind: str) -> None:
         self.outcomes += caller.call(kind=kind)
--- a/testkit/soak_callers.py
+++ b/testkit/soak_callers.py
@@ -46,7 +46,7 @@
     The status is 0 if the connection ended without a complete response. `is_right` is
     False if a response with status 200 was incomplete or wrong. `is_reused` says that
     the connection had carried a request before, `has_begun` that a part of a successful
-    answer has arrived.
+    answer has arrived, `has_given_up` that the caller waited in vain for the next.
     """
 
     id: str
@@ -60,13 +60,15 @@
     ended_at: float
     is_complete: bool = False
     has_begun: bool = False
+    has_given_up: bool = False
 
 
 @dataclass
 class KeptCaller:
     """Hold one caller's open connections, keyed by instance.
 
-    `list_nodes` returns the instances that take new connections, by default all.
+    `list_nodes` returns the instances that take new connections, by default all,
+    `patience_by_kind` has how long a caller waits for the next part of an answer.
     """
 
     site: Site
@@ -78,6 +80,7 @@
     used_at_by_node: dict[str, float] = field(default_factory=dict)
     request_count: int = 0
     list_nodes: Callable[[], Iterable[str]] | None = None
+    patience_by_kind: dict[str, float] = field(default_factory=dict)
 
     def call(self, crashing_part: str = "", kind: str = "") -> list[Outcome]:
         """Send a request, by default of a random kind, and return its outcome.
@@ -145,24 +148,31 @@
         began_at = time.monotonic()
         is_reused = node in self.connection_by_node
         is_connected = is_reused
-        status, body = 0, b""
+        has_given_up = False
+        status, parts = 0, []
         try:
             connection = self._connect(node)
             is_connected = True
+            patience_s = self.patience_by_kind.get(kind, CALL_TIMEOUT_S)
+            connection.sock.settimeout(patience_s)
             method = "GET" if kind == "lookup" else "POST"
             request_body = make_request_body(kind, id)
             connection.request(method, PATH_BY_KIND[kind], request_body, headers)
             response = connection.getresponse()
-            body = response.read()
+            read_parts(response, parts)
             status = response.status
             if response.will_close:
                 self.close(node)
         except http.client.IncompleteRead as error:
-            body = error.partial
+            parts.append(error.partial)
+            self.close(node)
+        except TimeoutError:
+            has_given_up = True
             self.close(node)
         except (OSError, http.client.HTTPException):
             self.close(node)
         self.used_at_by_node[node] = time.monotonic()
+        body = b"".join(parts)
         if status == 200 or begun:
             body = cut_after_last_event(begun) + body
         outcome = Outcome(
@@ -177,6 +187,7 @@
             time.monotonic(),
             status == 200,
             bool(body),
+            has_given_up,
         )
         return outcome, body
 
@@ -190,6 +201,15 @@
         return connection
 
 
+def read_parts(response: http.client.HTTPResponse, parts: list[bytes]) -> None:
+    """Read a body and append its parts as they arrive."""
+    if not response.chunked:
+        parts.append(response.read())
+        return
+    while data := response.read1():
+        parts.append(data)
+
+
 def make_headers(kind: str, id: str) -> dict[str, str]:
     """Return the headers of a request of one kind."""
     headers = {
