--- a/testkit/drill_checks.py
+++ b/testkit/drill_checks.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from .drill import DrillRun
+from .drill import CONFIG_APPLY_S, DrillRun
 from .drill_budget import check_budget, describe_budget
 from .site_soak import STABLE_WINDOW_S, check_outcome, label
 from .soak_callers import DEADLINE_S_BY_KIND, KINDS, Outcome
@@ -18,6 +18,10 @@
 MIN_SERVED_SHARE = 0.25
 MAX_LATE_S = 0.5
 GONE_SLACK_S = 0.5
+# How long after a change of the configuration a lost answer counts by itself, unless it
+# has used this share of its time.
+CHANGE_WINDOW_S = CONFIG_APPLY_S + 1.0
+USED_TIME_SHARE = 0.7
 MAX_GONE = 3
 MIN_LATE = 8
 # How much sooner than at its timeout an answer may end.
@@ -127,6 +131,18 @@
     return cut
 
 
+def list_lost_beside_changes(run: DrillRun) -> list[Outcome]:
+    """Return the lost requests that ended beside a change with time left, by the rule."""
+    changed_at = [at for at, text in run.notes if text.startswith("change_")]
+    return [
+        outcome
+        for outcome in list_lost(run)
+        if any(0 < outcome.ended_at - at < CHANGE_WINDOW_S for at in changed_at)
+        and outcome.ended_at - outcome.began_at
+        < USED_TIME_SHARE * find_time_limits_s(run, outcome)[0]
+    ]
+
+
 def _has_crossed_close(outcome: Outcome) -> bool:
     seconds = outcome.ended_at - outcome.began_at
     return outcome.is_reused and seconds < LOSS_SLACK_S
@@ -197,7 +213,8 @@
     lines += describe_budget(run)
     lost = list_lost(run)
     begun = sum(outcome.has_begun for outcome in lost)
-    lines.append(f"lost {len(lost)}, of these {begun} begun")
+    beside = len(list_lost_beside_changes(run))
+    lines.append(f"lost {len(lost)}: {begun} begun, {beside} beside a change")
     excuses = Counter(f"{o.kind} {excuse}" for o, excuse in list_cut(run) if excuse)
     lines.append(f"cut with an excuse: {dict(sorted(excuses.items()))}")
     lines += [f"LOST {describe(run, outcome)}" for outcome in lost]
