--- /dev/null
+++ b/catkintrack/tests/test_drill.py
@@ -0,0 +1,25 @@
+"""Drill four instances for some seconds; a seed that fails is kept here with its cause."""
+
+import unittest
+from random import Random
+
+from testkit.drill import DrillSize, run_drill
+from testkit.drill_checks import find_violations
+from testkit.drill_faults import make_incident_plan, make_mixed_plan
+
+
+class DrillTest(unittest.TestCase):
+    def assert_drill_passes(self, seed, plan, size):
+        run = run_drill(seed, plan, size)
+        steps = [step.text for step in plan]
+        self.assertEqual(find_violations(run), [], f"seed {seed}, {steps}")
+
+    def test_silent_engines_lose_no_stream_with_slow_events(self):
+        """Guards against streams cut shortly before their replicas go on (issue 48)."""
+        plan = make_incident_plan(Random(91), 10.0, ("models",), None)
+        size = DrillSize(per_s=14.0, long_share=0.3, event_s=1.0)
+        self.assert_drill_passes(91, plan, size)
+
+    def test_mixed_disruptions(self):
+        plan = make_mixed_plan(Random(2), 8.0)
+        self.assert_drill_passes(2, plan, DrillSize())
--- a/testkit/soak_callers.py
+++ b/testkit/soak_callers.py
@@ -6,6 +6,7 @@
 import http.client
 import re
 import time
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -17,7 +18,11 @@
 CALL_TIMEOUT_S = 15.0
 # Callers open a new connection for some of their calls.
 NEW_CONNECTION_SHARE = 0.2
+# Four fifths of the shortest idle time that a soak or a drill configures.
+MAX_IDLE_S = 8.0
 SUBJECTS = 5
+# Ends the ID of a request that takes up a broken stream.
+AGAIN = "-again"
 HOST_BY_KIND = {
     "order": "h2.example",
     "lookup": "h2.example",
@@ -31,6 +36,7 @@
     "short": "/long/short/1",
 }
 KINDS = tuple(PATH_BY_KIND)
+DEADLINE_S_BY_KIND = {"order": 5.0, "lookup": 5.0, "long": 14.0, "short": 14.0}
 
 
 @dataclass(frozen=True)
@@ -39,7 +45,8 @@
 
     The status is 0 if the connection ended without a complete response. `is_right` is
     False if a response with status 200 was incomplete or wrong. `is_reused` says that
-    the connection had carried a request before.
+    the connection had carried a request before, `has_begun` that a part of a successful
+    answer has arrived, `has_given_up` that the caller waited in vain for the next.
     """
 
     id: str
@@ -52,11 +59,17 @@
     began_at: float
     ended_at: float
     is_complete: bool = False
+    has_begun: bool = False
+    has_given_up: bool = False
 
 
 @dataclass
 class KeptCaller:
-    """Hold one caller's open connections, keyed by instance."""
+    """Hold one caller's open connections, keyed by instance.
+
+    `list_nodes` returns the instances that take new connections, by default all,
+    `patience_by_kind` has how long a caller waits for the next part of an answer.
+    """
 
     site: Site
     rng: Random
@@ -64,16 +77,20 @@
     connection_by_node: dict[str, http.client.HTTPConnection] = field(
         default_factory=dict
     )
+    used_at_by_node: dict[str, float] = field(default_factory=dict)
     request_count: int = 0
+    list_nodes: Callable[[], Iterable[str]] | None = None
+    patience_by_kind: dict[str, float] = field(default_factory=dict)
 
-    def call(self, crashing_part: str = "") -> list[Outcome]:
-        """Send a random request to a random instance and return its outcome.
+    def call(self, crashing_part: str = "", kind: str = "") -> list[Outcome]:
+        """Send a request, by default of a random kind, and return its outcome.
 
         A broken stream is taken up once at another instance, for a second outcome.
         """
         self.request_count += 1
-        kind = self.rng.choice(KINDS)
-        node = self.rng.choice(sorted(self.site.node_by_name))
+        self._close_idle()
+        kind = kind or self.rng.choice(KINDS)
+        node = self._choose_node()
         id = f"{self.prefix}-{self.request_count}"
         headers = make_headers(kind, id)
         if kind == "long":
@@ -92,21 +109,33 @@
         last_event_id = find_last_event_id(body)
         if kind != "long" or outcome.is_complete or not last_event_id:
             return [outcome]
-        node = self.rng.choice(sorted(self.site.node_by_name))
-        again = make_headers(kind, f"{id}-again") | {
+        node = self._choose_node()
+        again = make_headers(kind, f"{id}{AGAIN}") | {
             "X-Prompt-Prefix": headers["X-Prompt-Prefix"],
             "Last-Event-Id": last_event_id,
             "Resumes": id,
         }
-        taken_up, _ = self._exchange(kind, node, f"{id}-again", again, body)
+        taken_up, _ = self._exchange(kind, node, f"{id}{AGAIN}", again, body)
         return [outcome, taken_up]
 
+    def _choose_node(self) -> str:
+        """Return an instance that takes new connections or that one is open to."""
+        found = self.site.node_by_name if self.list_nodes is None else self.list_nodes()
+        return self.rng.choice(sorted({*found, *self.connection_by_node}))
+
     def close(self, node: str) -> None:
         """Close the connection to an instance, if there is one."""
         connection = self.connection_by_node.pop(node, None)
         if connection is not None:
             connection.close()
 
+    def _close_idle(self) -> None:
+        """Close the connections that have been idle for too long to be used again."""
+        oldest_at = time.monotonic() - MAX_IDLE_S
+        for node in list(self.connection_by_node):
+            if self.used_at_by_node.get(node, 0.0) < oldest_at:
+                self.close(node)
+
     def _exchange(
         self,
         kind: str,
@@ -119,23 +148,31 @@
         began_at = time.monotonic()
         is_reused = node in self.connection_by_node
         is_connected = is_reused
-        status, body = 0, b""
+        has_given_up = False
+        status, parts = 0, []
         try:
             connection = self._connect(node)
             is_connected = True
-            is_lookup = kind == "lookup"
-            method, request_body = ("GET", b"") if is_lookup else ("POST", b"{}")
+            patience_s = self.patience_by_kind.get(kind, CALL_TIMEOUT_S)
+            connection.sock.settimeout(patience_s)
+            method = "GET" if kind == "lookup" else "POST"
+            request_body = make_request_body(kind, id)
             connection.request(method, PATH_BY_KIND[kind], request_body, headers)
             response = connection.getresponse()
-            body = response.read()
+            read_parts(response, parts)
             status = response.status
             if response.will_close:
                 self.close(node)
         except http.client.IncompleteRead as error:
-            body = error.partial
+            parts.append(error.partial)
+            self.close(node)
+        except TimeoutError:
+            has_given_up = True
             self.close(node)
         except (OSError, http.client.HTTPException):
             self.close(node)
+        self.used_at_by_node[node] = time.monotonic()
+        body = b"".join(parts)
         if status == 200 or begun:
             body = cut_after_last_event(begun) + body
         outcome = Outcome(
@@ -149,6 +186,8 @@
             began_at,
             time.monotonic(),
             status == 200,
+            bool(body),
+            has_given_up,
         )
         return outcome, body
 
@@ -162,12 +201,21 @@
         return connection
 
 
+def read_parts(response: http.client.HTTPResponse, parts: list[bytes]) -> None:
+    """Read a body and append its parts as they arrive."""
+    if not response.chunked:
+        parts.append(response.read())
+        return
+    while data := response.read1():
+        parts.append(data)
+
+
 def make_headers(kind: str, id: str) -> dict[str, str]:
     """Return the headers of a request of one kind."""
     headers = {
         "Host": HOST_BY_KIND[kind],
         "X-Request-Id": id,
-        "X-Deadline-Ms": "5000",
+        "X-Deadline-Ms": f"{DEADLINE_S_BY_KIND[kind] * 1e3:.0f}",
         "X-Credential": KEY,
     }
     return headers | PROMPT_HEADERS if kind in ("long", "short") else headers
@@ -185,15 +233,20 @@
     return body[: end + 2] if end >= 0 else b""
 
 
+def make_request_body(kind: str, id: str) -> bytes:
+    """Return the body of a request, which tells its answer from all others."""
+    return b"" if kind == "lookup" else id.removesuffix(AGAIN).encode()
+
+
 def is_right_answer(kind: str, id: str, body: bytes) -> bool:
     """Report whether a body is the whole response to the request with this id."""
+    request_body = make_request_body(kind, id)
     if kind in ("long", "short"):
-        return is_complete_stream(body)
-    request_body = b"{}" if kind == "order" else b""
+        return is_complete_stream(request_body, body)
     return body == hashlib.sha256(id.encode() + request_body).hexdigest().encode()
 
 
-def is_complete_stream(body: bytes) -> bool:
+def is_complete_stream(request_body: bytes, body: bytes) -> bool:
     """Report whether a stream has each event of the answer exactly once and in order.
 
     All of them are of one software version, if they name one.
@@ -203,7 +256,7 @@
         return False
     body = re.sub(rb"^data: v\d", b"data: ", body, flags=re.M)
     texts = [
-        hashlib.sha256(b"{}" + b"/%d" % number).hexdigest().encode()[:16]
+        hashlib.sha256(request_body + b"/%d" % number).hexdigest().encode()[:16]
         for number in range(1, EVENTS_PER_STREAM + 1)
     ]
     events = [
