--- a/catkintrack/instance/calls.py
+++ b/catkintrack/instance/calls.py
@@ -35,6 +35,7 @@
     respond_with_error,
 )
 from .relaying import may_relay, relay_call
+from .retry_budgets import take_next_attempt
 from .service_calls import serve_service_call
 from .state import Instance
 
@@ -199,6 +200,9 @@
 ) -> bool:
     if not may_relay(instance, call, progress):
         return False
+    # A replica may have rejected the call before another one was unreachable.
+    if not take_next_attempt(instance, call, progress):
+        return False
     return await relay_call(instance, call, progress, connection)
 
 
--- a/catkintrack/instance/tests/test_relaying.py
+++ b/catkintrack/instance/tests/test_relaying.py
@@ -12,6 +12,7 @@
 from catkintrack.instance.config_state import apply_configuration
 from catkintrack.instance.fleet_state import apply_upstream
 from catkintrack.instance.peers import get_or_add_peer
+from catkintrack.instance.retry_budgets import find_retry_budget
 from testkit.instances import make_config_spec, make_entry_spec
 from testkit.raw_upstreams import make_chunk, open_raw_upstream, send_once
 from testkit.states import RecordingLink, make_instance
@@ -159,6 +160,40 @@
 
         self.assertEqual(len(curio.run(run)), 1)
 
+    def test_relay_after_a_rejection_needs_a_retry(self):
+        """The peer sends a relayed call as a first attempt, which it is not."""
+        refused = (
+            b"HTTP/1.1 503 Busy\r\nx-request-id: r1\r\nx-not-executed: 1\r\n"
+            b"content-length: 0\r\n\r\n"
+        )
+
+        async def run(replica, retries):
+            first = self.make_instance({"app": [find_closed_port(), replica.port]})
+            budget = find_retry_budget(first, "app")
+            budget.ratio, budget.level = 0.0, retries
+            relayed = []
+
+            async def handle(request, connection):
+                relayed.append(request)
+                await connection.respond(503, (), b"")
+
+            async with (
+                open_server(HOST, 0, handle) as server,
+                self.open_instance(first) as address,
+            ):
+                self.add_peer(first, Address(HOST, server.port))
+                # The unreachable replica is chosen as long as it is not ejected.
+                for row in first.services.row_by_name.values():
+                    row.in_flight = int(row.name == "app-0")
+                await fetch(Pool(), address, ORDER, 6.0)
+            return len(relayed), budget.level
+
+        # One retry each goes to the unreachable replica and to the search for a third.
+        for retries, relays in ((2.0, 0), (3.0, 1)):
+            with open_raw_upstream(send_once(refused)) as replica:
+                outcome = curio.run(run, replica, retries)
+                self.assertEqual(outcome, (relays, 0.0))
+
     def test_nothing_is_relayed_to_peers_that_are_cut_off_or_leaving(self):
         for fields in ({"is_cut_off": True}, {"is_leaving": True}, {"heard_at": 0.0}):
             with self.subTest(fields):
