--- a/catkintrack/decisions/failure_detection.py
+++ b/catkintrack/decisions/failure_detection.py
@@ -28,9 +28,9 @@
     row.last_heard_at = now
 
 
-def is_suspect(row: UpstreamRow, now: float) -> bool:
+def is_suspect(row: UpstreamRow, now: float, after_s: float = SUSPECT_AFTER_S) -> bool:
     """Report whether an upstream with requests in flight has been silent too long."""
-    return row.in_flight > 0 and now - row.last_heard_at > SUSPECT_AFTER_S
+    return row.in_flight > 0 and now - row.last_heard_at > after_s
 
 
 def should_fail_over(row: UpstreamRow, now: float) -> bool:
--- a/catkintrack/decisions/services.py
+++ b/catkintrack/decisions/services.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from .ejection import is_ejected
-from .failure_detection import is_suspect
+from .failure_detection import SUSPECT_AFTER_S, is_suspect
 from .load import estimate_running
 from .tables import UpstreamRow
 
@@ -28,11 +28,13 @@
     now: float,
     rng: Random,
     zone: str = "",
+    silent_after_s: float = SUSPECT_AFTER_S,
 ) -> str | None:
     """Return the replica with the lowest load per capacity, ties at random.
 
-    Replicas in availability zone `zone` come first while they are below capacity.  If all
-    are ejected, those that can be reached are tried.
+    Replicas that were silent for `silent_after_s` come last, those in availability zone
+    `zone` first while they are below capacity.  If all are ejected, those that can be
+    reached are tried.
     """
     eligible = _list_eligible(tables, list(names), now)
     if not eligible:
@@ -40,7 +42,10 @@
     rng.shuffle(eligible)
     return min(
         eligible,
-        key=lambda name: _sort_key(ensure_service_row(tables, name), zone, now),
+        key=lambda name: (
+            is_suspect(ensure_service_row(tables, name), now, silent_after_s),
+            *_sort_key(ensure_service_row(tables, name), zone, now),
+        ),
     )
 
 
@@ -63,11 +68,14 @@
 
 
 def has_unsuspected_replica(
-    tables: ServiceTables, names: Iterable[str], now: float
+    tables: ServiceTables, names: Iterable[str], now: float, silent_after_s: float
 ) -> bool:
-    """Report whether one of the replicas is neither ejected nor silent."""
+    """Report whether one is neither ejected nor was silent for `silent_after_s`."""
     rows = (ensure_service_row(tables, name) for name in names)
-    return any(not is_ejected(row, now) and not is_suspect(row, now) for row in rows)
+    return any(
+        not is_ejected(row, now) and not is_suspect(row, now, silent_after_s)
+        for row in rows
+    )
 
 
 def _sort_key(row: UpstreamRow, zone: str, now: float) -> tuple[bool, float]:
--- a/catkintrack/decisions/tests/test_services.py
+++ b/catkintrack/decisions/tests/test_services.py
@@ -34,6 +34,14 @@
         self.eject("a1")
         self.assertEqual(self.choose(), "a2")
 
+    def test_silent_replica_comes_last(self):
+        """Chosen for their low load, while those that answer had more to do."""
+        for name, in_flight in zip(NAMES, (1, 1, SLOTS), strict=True):
+            row = ensure_service_row(self.tables, name)
+            row.in_flight, row.last_heard_at = in_flight, 99.0
+        ensure_service_row(self.tables, "a2").last_heard_at = 100.0
+        self.assertEqual(self.choose(), "a2")
+
     def test_replicas_that_can_be_reached_are_tried_within_their_capacity(self):
         for name in NAMES:
             self.eject(name, is_unreachable=name == "a0")
--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -9,6 +9,7 @@
 
 from catkintrack.decisions import ejection
 from catkintrack.decisions.failure_detection import (
+    SUSPECT_AFTER_S,
     record_bytes_received,
     record_request_sent,
 )
@@ -78,7 +79,13 @@
             progress.reason = "the retry budget is used up"
             break
         check_quarantine(instance, call, progress)
-        upstream = choose_upstream(instance, call.service, excluded, time.monotonic())
+        upstream = choose_upstream(
+            instance,
+            call.service,
+            excluded,
+            time.monotonic(),
+            _find_attempt_timeout_s(call),
+        )
         if upstream is None:
             break
         excluded |= {upstream.id}
@@ -127,12 +134,24 @@
 
 
 def choose_upstream(
-    instance: Instance, service: str, excluded: frozenset[str], now: float
+    instance: Instance,
+    service: str,
+    excluded: frozenset[str],
+    now: float,
+    silent_after_s: float = SUSPECT_AFTER_S,
 ) -> Upstream | None:
-    """Return the replica that gets a call to a service now, if any."""
+    """Return the replica that gets a call to a service now, if any.
+
+    Those that were silent for `silent_after_s` come last.
+    """
     names = _list_replicas(instance, service, excluded, now)
     name = choose_replica(
-        instance.services, names, now, instance.rng, instance.site.zone
+        instance.services,
+        names,
+        now,
+        instance.rng,
+        instance.site.zone,
+        silent_after_s,
     )
     if name is None:
         return None
@@ -141,6 +160,10 @@
     return upstream
 
 
+def _find_attempt_timeout_s(call: Call) -> float:
+    return ATTEMPT_TIMEOUT_TARGETS * call.route.target_s
+
+
 def _list_replicas(
     instance: Instance, service: str, excluded: frozenset[str], now: float
 ) -> list[str]:
@@ -175,7 +198,9 @@
             return False
         now = time.monotonic()
         others = _list_replicas(instance, call.service, excluded, now)
-        if not has_unsuspected_replica(instance.services, others, now):
+        if not has_unsuspected_replica(
+            instance.services, others, now, attempt_timeout_s
+        ):
             return False
         return reserve_retry(instance, call, progress)
 
@@ -199,11 +224,11 @@
     sent_at = time.monotonic()
     remaining_s = call.deadline_at - sent_at - DEADLINE_MARGIN_S
     dispatch = Dispatch(upstream.id, remaining_s)
-    abandon_at = sent_at + ATTEMPT_TIMEOUT_TARGETS * call.route.target_s
+    attempt_timeout_s = _find_attempt_timeout_s(call)
     callbacks = AttemptCallbacks(
         handle_response_head,
         on_completed=handle_completion,
-        should_abandon=lambda: time.monotonic() >= abandon_at,
+        should_abandon=lambda: time.monotonic() >= sent_at + attempt_timeout_s,
         may_move=may_move,
         check_interval_s=ABANDON_CHECK_INTERVAL_S,
     )
--- a/catkintrack/instance/tests/test_silent_replicas.py
+++ b/catkintrack/instance/tests/test_silent_replicas.py
@@ -116,6 +116,14 @@
             set_retries(instance, "app", 2.0)
             self.assertEqual(self.call_all(instance, 40, 2.5, 0.02), 40)
 
+    def test_calls_at_a_silent_service_use_few_retries(self):
+        """Sent on to replicas as silent as the first, until no retry was left."""
+        script = answer_from(time.monotonic() + 1.2)
+        with open_instance(plain=dict.fromkeys(("a0", "a1", "a2"), script)) as instance:
+            set_retries(instance, "app", 20.0)
+            self.assertEqual(self.call_all(instance, 40, 2.5, 0.02), 40)
+            self.assertGreater(find_retry_budget(instance, "app").level, 10.0)
+
     def test_calls_of_one_silence_eject_a_replica_once(self):
         """Ejected for 15 s: each call that was under way doubled the time."""
         script = answer_from(time.monotonic() + 3.0)
--- a/testkit/signal_fleet.py
+++ b/testkit/signal_fleet.py
@@ -34,7 +34,6 @@
 from catkintrack.instance.config_state import apply_configuration
 from catkintrack.instance.fleet_state import (
     apply_upstream,
-    find_retry_budget,
     remove_upstreams,
 )
 from catkintrack.instance.replica_signals import (
@@ -43,6 +42,7 @@
     find_return_s,
     may_send,
 )
+from catkintrack.instance.retry_budgets import find_retry_budget
 from catkintrack.instance.service_calls import choose_upstream
 from catkintrack.instance.state import Instance
 
