Split the HTTP server: connections, reading requests, serving

Connections with their responses are in connections.py, reading requests within the limits in request_reading.py; server.py accepts, serves and drains. Code is moved only; Connection.send_event is public now, since the reader of bodies uses it.

--- a/catkintrack/http/__init__.py
+++ b/catkintrack/http/__init__.py
@@ -10,6 +10,7 @@
     open_exchange,
     record_lost,
 )
+from .connections import RESET_ON_CLOSE, Connection, Server, ServerLimits
 from .errors import (
     BadRequest,
     CallerDisconnected,
@@ -29,14 +30,10 @@
     find_header,
     strip_hop_by_hop_headers,
 )
+from .request_reading import DRAIN_READ_S
 from .server import (
-    DRAIN_READ_S,
-    RESET_ON_CLOSE,
     BadRequestHandler,
-    Connection,
     Handler,
-    Server,
-    ServerLimits,
     disable_keep_alive,
     drain_server,
     open_server,
--- /dev/null
+++ b/catkintrack/http/connections.py
@@ -0,0 +1,153 @@
+"""Hold the connections of callers and send responses over them."""
+
+from __future__ import annotations
+
+import socket as std_socket
+import struct
+from dataclasses import dataclass, field
+
+import curio
+import h11
+from curio import socket
+
+from catkintrack.timeouts import call_within
+
+from .errors import CallerDisconnected
+from .messages import Headers
+
+# Value of SO_LINGER that makes a close reset the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+STATUSES_WITHOUT_BODY = (204, 304)
+# States of a connection whose last response has started and not ended.
+CUT_STATES = (h11.SEND_BODY, h11.ERROR)
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """Bound the resources that callers can hold: request sizes, connections and time."""
+
+    max_head_bytes: int = 32768
+    max_body_bytes: int = 8 * 1024 * 1024
+    max_connections: int = 2000
+    head_timeout_s: float = 10.0
+    body_timeout_s: float = 30.0
+    idle_timeout_s: float = 75.0
+    write_timeout_s: float = 30.0
+
+
+@dataclass(slots=True)
+class Server:
+    """Hold the state and open connections of one listening socket."""
+
+    limits: ServerLimits
+    echoes_request_id: bool = False
+    cancels_on_disconnect: bool = False
+    port: int = 0
+    is_draining: bool = False
+    is_keep_alive_disabled: bool = False
+    active_requests: int = 0
+    connections: set[Connection] = field(default_factory=set)
+    accept_task: curio.Task | None = None
+
+
+class Connection:
+    """Represent a caller's connection and send its responses."""
+
+    def __init__(self, server: Server, sock: socket.socket) -> None:
+        self.server = server
+        self.sock = sock
+        self.h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits.max_head_bytes
+        )
+        self.is_busy = False
+        self.is_receiving = False
+        self.has_response_started = False
+        self.is_head_request = False
+        self.request_id: bytes | None = None
+        self.task: curio.Task | None = None
+
+    async def start_response(self, status: int, headers: Headers) -> None:
+        """Send the status line and headers."""
+        response_headers = list(headers)
+        if self.server.echoes_request_id and self.request_id is not None:
+            response_headers.append((b"x-request-id", self.request_id))
+        if self.server.is_draining or self.server.is_keep_alive_disabled:
+            response_headers = [
+                (k, v) for k, v in response_headers if k != b"connection"
+            ]
+            response_headers.append((b"connection", b"close"))
+        self.has_response_started = True
+        await self.send_event(
+            h11.Response(status_code=status, headers=response_headers)
+        )
+
+    async def send_body(self, data: bytes) -> None:
+        """Send one part of the body."""
+        await self.send_event(h11.Data(data=data))
+
+    async def finish_response(self) -> None:
+        """Send the end of the body."""
+        await self.send_event(h11.EndOfMessage())
+
+    async def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a complete response with its content length.
+
+        To HEAD, and with a status that allows no body, `body` gives only the length.
+        """
+        has_no_body = self.is_head_request or status in STATUSES_WITHOUT_BODY
+        if body or not has_no_body:
+            headers = (*headers, (b"content-length", str(len(body)).encode()))
+        await self.start_response(status, headers)
+        if body and not has_no_body:
+            await self.send_body(body)
+        await self.finish_response()
+
+    async def close(self) -> None:
+        """Close the connection; reset it if a plain close would complete a response."""
+        if self.sock._socket is None:
+            return
+        is_cut = self.has_response_started and self.h11.our_state in CUT_STATES
+        # HTTP/1.0 callers know no chunks: without a length, the close is the end.
+        if is_cut and self.h11.their_http_version == b"1.0":
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        await self.sock.close()
+
+    @property
+    def is_idle(self) -> bool:
+        """Report whether no byte of a request has been read since the last response."""
+        return not self.is_busy and not self.is_receiving
+
+    def has_caller_disconnected(self) -> bool:
+        """Report whether the caller has closed its side of the connection."""
+        flags = std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT
+        try:
+            return self.sock._socket.recv(1, flags) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    async def send_event(self, event: h11.Event) -> None:
+        """Send a part of a response; raise CallerDisconnected if that fails."""
+        try:
+            data = self.h11.send(event)
+        except h11.LocalProtocolError as error:
+            raise CallerDisconnected(str(error)) from error
+        if not data:
+            return
+        try:
+            # Data that fits the socket buffer is sent without the cost of a timer.
+            sent = self.sock._socket.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError as error:
+            raise CallerDisconnected(str(error)) from error
+        if sent < len(data):
+            await self._send_remaining(data[sent:])
+
+    async def _send_remaining(self, data: bytes) -> None:
+        timeout_s = self.server.limits.write_timeout_s
+        try:
+            await call_within(timeout_s, self.sock.sendall, data)
+        except (OSError, curio.TaskTimeout) as error:
+            raise CallerDisconnected(str(error)) from error
