Refuse requests that are complete only after a stopping instance takes none

Callers of a planned stop saw requests cut at the end of the grace time that had been sent late in it: a head or body that began before the stop and was whole 3.5 s or more after SIGTERM was still passed on, and what was not done 7.0 s after it was cut (LOST, also for requests that may not be repeated).

Cause: the time up to which calls are taken (2.9 s) ended new and idle connections only. A connection that was receiving a request went on, and nothing looked at the time when that request was whole.

A server has one time now up to which a request must be complete; later ones get 503 with Retry-After and Connection: close, and never reach a handler, so the refusal is true. A server without that time (the router and agent, whose drain has no end) serves them as before. Two gaps beside it: a request that had arrived behind a response that promised to keep its connection, or while idle connections were closed, was reset unread; it is refused now. A refusal names its own request's ID only.

--- a/catkintrack/http/connections.py
+++ b/catkintrack/http/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket as std_socket
 import struct
 from dataclasses import dataclass, field
@@ -37,13 +38,18 @@
 
 @dataclass(slots=True)
 class Server:
-    """Hold the state and open connections of one listening socket."""
+    """Hold the state and open connections of one listening socket.
+
+    Requests that are complete later than `accepts_until`, in seconds of the monotonic
+    clock, are refused and not handled.
+    """
 
     limits: ServerLimits
     echoes_request_id: bool = False
     cancels_on_disconnect: bool = False
     port: int = 0
     is_draining: bool = False
+    accepts_until: float = math.inf
     is_keep_alive_disabled: bool = False
     active_requests: int = 0
     connections: set[Connection] = field(default_factory=set)
@@ -102,6 +108,14 @@
             await self.send_body(body)
         await self.finish_response()
 
+    def start_next_request(self) -> None:
+        """Forget the last request and response, which are complete."""
+        self.is_busy = False
+        self.has_response_started = False
+        self.is_head_request = False
+        self.request_id = None
+        self.h11.start_next_cycle()
+
     async def close(self) -> None:
         """Close the connection; reset it if a plain close would complete a response."""
         if self.sock._socket is None:
@@ -117,15 +131,24 @@
         """Report whether no byte of a request has been read since the last response."""
         return not self.is_busy and not self.is_receiving
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Report whether bytes of another request have arrived."""
+        return bool(self.h11.trailing_data[0] or self._peek())
+
     def has_caller_disconnected(self) -> bool:
         """Report whether the caller has closed its side of the connection."""
+        return self._peek() == b""
+
+    def _peek(self) -> bytes | None:
+        """Return a byte that has arrived, b"" after the end, None if there is neither."""
         flags = std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT
         try:
-            return self.sock._socket.recv(1, flags) == b""
+            return self.sock._socket.recv(1, flags)
         except BlockingIOError:
-            return False
+            return None
         except OSError:
-            return True
+            return b""
 
     async def send_event(self, event: h11.Event) -> None:
         """Send a part of a response; raise CallerDisconnected if that fails."""
--- a/catkintrack/http/errors.py
+++ b/catkintrack/http/errors.py
@@ -8,13 +8,19 @@
 
 
 class BadRequest(HttpError):
-    """Report a request that can't be served, with the response status and error code."""
+    """Report a request that can't be served, with the response status and error code.
 
-    def __init__(self, status: int, code: str, message: str) -> None:
+    `retry_after_s` is when the caller may send it again, None if that can't help.
+    """
+
+    def __init__(
+        self, status: int, code: str, message: str, retry_after_s: float | None = None
+    ) -> None:
         super().__init__(message)
         self.status = status
         self.code = code
         self.message = message
+        self.retry_after_s = retry_after_s
 
 
 class CallerDisconnected(HttpError):
--- a/catkintrack/http/request_reading.py
+++ b/catkintrack/http/request_reading.py
@@ -42,6 +42,10 @@
     limits = connection.server.limits
     # The time limit runs from the first byte, however slowly the rest arrives.
     deadline: float | None = None
+    # Bytes that arrived with the request before.
+    if connection.h11.trailing_data[0]:
+        connection.is_receiving = True
+        deadline = time.monotonic() + limits.head_timeout_s
     while True:
         try:
             event = connection.h11.next_event()
--- a/catkintrack/http/server.py
+++ b/catkintrack/http/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
@@ -18,6 +19,8 @@
 
 LISTEN_BACKLOG = 512
 DRAIN_POLL_INTERVAL_S = 0.02
+# Other servers accept requests meanwhile, so callers may retry almost at once.
+STOPPING_RETRY_AFTER_S = 0.05
 
 Handler = Callable[[Request, Connection], Awaitable[None]]
 BadRequestHandler = Callable[[BadRequest, Connection], Awaitable[None]]
@@ -70,17 +73,21 @@
     """Stop accepting, serve the requests that have been sent and close all connections.
 
     Connections that wait to be accepted are accepted before the socket closes: closing
-    it resets them.
+    it resets them.  Requests that are complete after `accepts_until` are refused.
     """
     server.is_draining = True
     if server.accept_task is not None:
         await server.accept_task.cancel()
     await curio.sleep(DRAIN_READ_S)
+    while server.connections:
+        await _close_idle_connections(server)
+        await curio.sleep(DRAIN_POLL_INTERVAL_S)
+
+
+async def _close_idle_connections(server: Server) -> None:
     for connection in list(server.connections):
-        if connection.is_idle and connection.task is not None:
+        if connection.is_idle and not connection.has_unread_data and connection.task:
             await connection.task.cancel(blocking=False)
-    while any(not connection.is_idle for connection in server.connections):
-        await curio.sleep(DRAIN_POLL_INTERVAL_S)
 
 
 async def _accept_connections(
@@ -154,6 +161,9 @@
             connection.is_busy = True
             connection.is_receiving = False
             connection.request_id = find_header(request.headers, b"x-request-id")
+            if time.monotonic() > server.accepts_until:
+                await on_bad_request(_make_late_error(), connection)
+                return
             server.active_requests += 1
             try:
                 if server.cancels_on_disconnect:
@@ -163,12 +173,10 @@
             finally:
                 server.active_requests -= 1
             # A response that began before the drain promised to keep the connection.
-            if connection.h11.our_state is not h11.DONE or server.is_draining:
+            is_closing = server.is_draining and not connection.has_unread_data
+            if connection.h11.our_state is not h11.DONE or is_closing:
                 return
-            connection.is_busy = False
-            connection.has_response_started = False
-            connection.is_head_request = False
-            connection.h11.start_next_cycle()
+            connection.start_next_request()
     except (CallerDisconnected, OSError, curio.TaskTimeout, h11.ProtocolError):
         pass
     finally:
@@ -176,6 +184,10 @@
         await connection.close()
 
 
+def _make_late_error() -> BadRequest:
+    return BadRequest(503, "stopping", "the server is stopping", STOPPING_RETRY_AFTER_S)
+
+
 async def _handle_until_disconnect(
     request: Request, connection: Connection, handler: Handler
 ) -> None:
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -272,6 +272,7 @@
     await ignore_after(RELEASE_TIMEOUT_S, release_lease, instance)
     instance.full_gossip_at = -1e9
     await send_gossip(instance)
+    server.accepts_until = started_at + ACCEPTING_S
     accepting_s = ACCEPTING_S - DRAIN_READ_S - (time.monotonic() - started_at)
     await curio.sleep(max(0.0, accepting_s))
     remaining_s = instance.site.bounds.grace_s - STOP_MARGIN_S
--- a/catkintrack/instance/refusals.py
+++ b/catkintrack/instance/refusals.py
@@ -94,6 +94,7 @@
 
 async def respond_to_bad_request(error: BadRequest, connection: Connection) -> None:
     """Respond to a request that could not be parsed, and close its connection."""
-    headers = (*make_error_headers(b"", None), (b"connection", b"close"))
+    found = make_error_headers(connection.request_id or b"", error.retry_after_s)
+    headers = (*found, (b"connection", b"close"))
     body = encode_error_body(error.code, error.message)
     await connection.respond(error.status, headers, body)
--- a/catkintrack/router/refusals.py
+++ b/catkintrack/router/refusals.py
@@ -186,5 +186,6 @@
 async def answer_malformed(error: BadRequest, connection: Connection) -> None:
     """Send the error for a request that could not be read, with `connection: close`."""
     refusal = BadCall(error.code, error.message, error.status)
+    refusal.retry_after_s = error.retry_after_s
     headers = (*make_error_headers(refusal, "-"), (b"connection", b"close"))
     await connection.respond(error.status, headers, encode_error(refusal))
