Answer the calls that still run at the end of a planned stop

Callers of a call that outlasted the grace time saw their connection close without an answer 7.0 s after SIGTERM, whether the call ran, was being passed on or still waited in the queue. For those that had not been passed on this broke LOST, and callers of requests that may not be repeated could not try again.

Cause: at the end of the drain the connections' tasks were cancelled, which ends a call as if its caller had left.

A stop has one end for calls now, the grace time less a second.

After: both a whole 502 or 504 after 6.67 s or more, and the process ended within the 8 s.

--- a/catkintrack/instance/calls.py
+++ b/catkintrack/instance/calls.py
@@ -18,6 +18,7 @@
 
 from .attempts import CallProgress
 from .clocks import read_boot_clock
+from .ending_calls import register_call
 from .gossip import is_store_heard
 from .model_calls import serve_model_call
 from .pauses import limit_after_own_pause
@@ -61,7 +62,8 @@
         fields = _parse_request(request)
         request_id = fields.id
         call = make_call(instance, request, fields, now)
-        await _serve_before_deadline(instance, call, progress, connection)
+        async with register_call(instance, call, progress, connection):
+            await _serve_before_deadline(instance, call, progress, connection)
     except CallError as error:
         outcome = error.code
         if not connection.has_response_started:
@@ -112,7 +114,7 @@
         route=route,
         workspace=workspace,
         arrived_at=now,
-        deadline_at=now + timeout_s,
+        deadline_at=min(now + timeout_s, instance.calls_end_at),
         prompt=fields.prompt,
         last_event_id=fields.last_event_id,
         resumed_id=fields.resumed_id,
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -56,6 +56,7 @@
 from .calls import handle_call
 from .clocks import read_boot_clock
 from .dump import dump_instance
+from .ending_calls import bound_calls, end_calls
 from .eras import follow_eras
 from .feeds import WATCHED_KINDS, run_feed
 from .fleet_state import remove_lapsed_upstreams
@@ -96,7 +97,8 @@
 # Replicas respond to outstanding orders within this time.
 ORDER_RESPONSE_S = 0.05
 RELEASE_TIMEOUT_S = 0.5
-# End of the grace period, reserved for the last responses after the drain.
+# End of the grace period, reserved for the last responses after the drain and the end
+# of the process.
 STOP_MARGIN_S = 1.0
 
 
@@ -263,9 +265,15 @@
 
 
 async def _stop(instance: Instance, server: Server) -> None:
-    """Announce the stop, serve calls until the load balancer reacts, then drain."""
+    """Announce the stop, serve calls until the load balancer reacts, then drain.
+
+    Calls that still run at the end of the drain are answered, since a connection that
+    closes without an answer does not say whether the call ran.
+    """
     started_at = time.monotonic()
+    end_at = started_at + instance.site.bounds.grace_s - STOP_MARGIN_S
     instance.is_stopping = True
+    bound_calls(instance, end_at)
     logger.info("instance stopping", extra={"calls": server.active_requests})
     disable_keep_alive(server)
     await curio.sleep(ORDER_RESPONSE_S)
@@ -275,9 +283,9 @@
     server.accepts_until = started_at + ACCEPTING_S
     accepting_s = ACCEPTING_S - DRAIN_READ_S - (time.monotonic() - started_at)
     await curio.sleep(max(0.0, accepting_s))
-    remaining_s = instance.site.bounds.grace_s - STOP_MARGIN_S
-    remaining_s -= time.monotonic() - started_at
+    remaining_s = end_at - time.monotonic()
     await ignore_after(max(0.1, remaining_s), drain_server, server)
+    await end_calls(instance)
 
 
 def main() -> None:
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any, NamedTuple
@@ -17,8 +18,8 @@
 from catkintrack.decisions.retries import RetryBudget
 from catkintrack.decisions.services import ServiceTables
 from catkintrack.decisions.stream_origins import DEFAULT_LIFETIME_S, StreamOrigins
-from catkintrack.fleet import Configuration, Site, Upstream
-from catkintrack.http import Address, Pool, Server
+from catkintrack.fleet import Call, Configuration, Site, Upstream
+from catkintrack.http import Address, Connection, Pool, Server
 from catkintrack.leases import Lease
 from catkintrack.platform import StoreClient
 from catkintrack.pooling import PooledLimits
@@ -182,6 +183,16 @@
     has_objects: bool = False
 
 
+@dataclass(slots=True, eq=False)
+class OpenCall:
+    """Hold a call that runs; `is_ended` is set once a stop has ended it."""
+
+    call: Call
+    connection: Connection
+    task: curio.Task
+    is_ended: bool = False
+
+
 @dataclass(slots=True)
 class Instance:
     """Hold the whole state of an instance.
@@ -243,6 +254,8 @@
     probed_at_by_upstream: dict[str, float] = field(default_factory=dict)
     server: Server | None = None
     is_stopping: bool = False
+    calls_end_at: float = math.inf
+    open_calls: set[OpenCall] = field(default_factory=set)
     next_request_number: int = 0
     call_queue: CallQueue = field(init=False)
 
--- a/catkintrack/tests/test_late_in_the_grace.py
+++ b/catkintrack/tests/test_late_in_the_grace.py
@@ -14,6 +14,7 @@
 ACCEPTING_S = 2.9
 # Longer than the grace time, as the caller's deadline and the replica's work are.
 LONG_TIMEOUT_MS = 20000
+LONG_WORK_S = 20.0
 
 
 class StoppingTest(SiteTest):
@@ -111,6 +112,27 @@
         self.assert_ended_in_time(stopped_at)
 
 
+class EndOfGraceTest(StoppingTest):
+    def test_call_that_runs_at_the_end_is_answered(self):
+        for name in ("a0", "a1"):
+            self.site.set_replica_faults(name, run_s=LONG_WORK_S)
+        early = self.start(make_order("early"))
+        time.sleep(0.2)
+        stopped_at = self.begin_stop()
+        time.sleep(2.0)
+        late = self.start(make_order("late"))
+        for id, caller in (("early", early), ("late", late)):
+            answer = caller.join()
+            with self.subTest(id=id):
+                self.assertIn(answer.status, (502, 504))
+                self.assertTrue(answer.is_complete)
+                self.assertEqual(self.count_runs(id), 1)
+                # The replica worked until the last sixth of the grace time.
+                elapsed_s = answer.ended_at - stopped_at
+                self.assertGreater(elapsed_s, GRACE_S * 5 / 6)
+        self.assert_ended_in_time(stopped_at)
+
+
 class JointStopTest(StoppingTest):
     def test_more_signals_during_joint_stops_cut_no_call(self):
         for name in ("a0", "a1"):
