Refuse queued model calls a second before a stopping instance ends

Model calls that waited in the queue of a stopping instance got their 503 only as the grace time ended, 7.0 s after SIGTERM, and could be dispatched until then, to be cut at once.

Cause: the scheduler knew the callers' deadlines only, not when the process ends.

A stop bounds the deadlines in the scheduler, of what waits and of what comes: what would wait longer is refused when it comes or as soon as the queue shows it, the rest a second before calls end (6.0 s after SIGTERM), while callers have time for another instance.

--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -16,6 +16,7 @@
     from catkintrack.config import ConfigTables
 
 from . import ejection, load
+from .deadlines import bound_deadline
 from .fairness import charge_workspace, compute_cost, order_workspaces
 from .named_limits import TokenSupply, compute_wait_s, find_supply, reserve_token
 from .placement import POLICY_BY_NAME, WINDOWED_POLICIES, Placement, may_run
@@ -168,6 +169,7 @@
 
 def submit(tables: Tables, request: ModelRequest, now: float) -> Refusal | None:
     """Queue a request, or refuse it for retry budget, queue length or deadline."""
+    request = bound_deadline(tables, request)
     if request.is_retry:
         budget = tables.retry_budget
         if budget is not None and not take_retry(budget):
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -146,7 +146,8 @@
     """Hold all state that scheduling and placement depend on.
 
     `router_count` is the number of processes that share the upstreams, this one
-    included.
+    included. Requests that are not dispatched at `dispatches_until`, in seconds, are
+    refused.
     """
 
     upstream_by_name: dict[str, UpstreamRow] = field(default_factory=dict)
@@ -157,6 +158,7 @@
     prefills: Prefills = field(default_factory=Prefills)
     retries: deque[ModelRequest] = field(default_factory=deque)
     router_count: int = 1
+    dispatches_until: float = math.inf
     virtual_time: float = 0.0
     retry_budget: RetryBudget | None = field(default_factory=make_router_budget)
     round_robin_next: int = 0
--- a/catkintrack/instance/ending_calls.py
+++ b/catkintrack/instance/ending_calls.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from catkintrack.decisions.deadlines import bound_deadlines
 from catkintrack.fleet import Call
 from catkintrack.http import Connection
 from catkintrack.timeouts import ignore_after
@@ -16,6 +17,9 @@
 from .refusals import RETRY_AFTER_JITTER, CallError, NotServed, OutcomeUnknown
 from .state import Instance, OpenCall
 
+# Calls that are dispatched later than this before the end would mostly be cut, while
+# their callers have time left for another instance.
+MIN_SERVICE_S = 1.0
 # Time in which the answers to ended calls are sent.
 ANSWER_S = 0.2
 # Other instances serve meanwhile, so callers may retry almost at once.
@@ -53,12 +57,14 @@
 def bound_calls(instance: Instance, end_at: float) -> None:
     """Bound the deadlines of calls, now and later, by the time at which they end.
 
+    Calls that can't be dispatched long enough before are refused when that is known.
     `end_at` is in seconds of the monotonic clock.
     """
     instance.calls_end_at = end_at
     for open_call in instance.open_calls:
         call = open_call.call
         call.deadline_at = min(call.deadline_at, end_at)
+    bound_deadlines(instance.decisions, end_at - MIN_SERVICE_S)
 
 
 async def end_calls(instance: Instance) -> None:
--- a/catkintrack/tests/test_late_in_the_grace.py
+++ b/catkintrack/tests/test_late_in_the_grace.py
@@ -6,7 +6,7 @@
 
 from testkit.fleet import wait_until
 from testkit.instances import make_config_spec
-from testkit.raw_callers import connect, make_order, open_callers
+from testkit.raw_callers import connect, make_order, make_stream, open_callers
 from testkit.site_cases import SiteTest
 
 GRACE_S = 8.0
@@ -15,6 +15,9 @@
 # Longer than the grace time, as the caller's deadline and the replica's work are.
 LONG_TIMEOUT_MS = 20000
 LONG_WORK_S = 20.0
+SLOTS = 1
+# Until callers of waiting calls are refused; they have time left for another instance.
+MAX_WAITING_S = 6.5
 
 
 class StoppingTest(SiteTest):
@@ -132,6 +135,33 @@
                 self.assertGreater(elapsed_s, GRACE_S * 5 / 6)
         self.assert_ended_in_time(stopped_at)
 
+    def test_call_that_waits_is_refused_before_the_end(self):
+        for name in ("m0", "m1"):
+            self.site.write_entry(name, "models", slots=SLOTS)
+            self.site.set_replica_faults(name, event_s=LONG_WORK_S)
+        spec = make_config_spec(9)
+        for route in spec["routes"]:
+            route["timeout_ms"] = LONG_TIMEOUT_MS
+        spec["services"][0]["engine"]["slots"] = SLOTS
+        self.site.write_object("config", "main", spec)
+        node = self.site.node_by_name["n0"]
+        wait_until(lambda: node.dump()["config"] == 9, 5)
+        callers = {f"s{n}": self.start(make_stream(f"s{n}")) for n in range(12)}
+        time.sleep(1.0)
+        stopped_at = self.begin_stop()
+        time.sleep(1.5)
+        late = {f"t{n}": self.start(make_stream(f"t{n}")) for n in range(4)}
+        answers = {id: caller.join() for id, caller in (callers | late).items()}
+        self.assert_ended_in_time(stopped_at)
+        waiting = {id: a for id, a in answers.items() if not self.count_runs(id)}
+        self.assertGreaterEqual(len(waiting), 4)
+        for id, answer in waiting.items():
+            with self.subTest(id=id):
+                self.assertEqual(answer.status, 503, answer.received)
+                self.assertTrue(answer.is_complete)
+                self.assertIsNotNone(answer.find_header(b"retry-after"))
+                self.assertLess(answer.ended_at - stopped_at, MAX_WAITING_S)
+
 
 class JointStopTest(StoppingTest):
     def test_more_signals_during_joint_stops_cut_no_call(self):
--- a/testkit/raw_callers.py
+++ b/testkit/raw_callers.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from .fleet import HOST
-from .site import KEY
+from .site import KEY, PROMPT_HEADERS
 
 RECEIVE_SIZE_BYTES = 65536
 TIMEOUT_S = 30.0
@@ -118,3 +118,15 @@
         f"Content-Length: {len(body)}\r\n\r\n"
     )
     return head.encode() + body
+
+
+def make_stream(id: str, deadline_ms: int = 20000) -> bytes:
+    """Return a request for a stream; its prompt has a part of its own."""
+    fields = PROMPT_HEADERS | {"X-Prompt-Prefix": f"aa:800,{id}:300,cc:100"}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    head = (
+        f"POST /long/1 HTTP/1.1\r\nHost: h1.example\r\nX-Request-Id: {id}\r\n"
+        f"X-Credential: {KEY}\r\nX-Deadline-Ms: {deadline_ms}\r\n{lines}"
+        f"Content-Length: 2\r\n\r\n"
+    )
+    return head.encode() + b"{}"
