--- a/catkintrack/http/tests/test_late_requests.py
+++ b/catkintrack/http/tests/test_late_requests.py
@@ -1,6 +1,7 @@
 """Drain a server that takes requests until a given time only."""
 
 import contextlib
+import math
 import time
 import unittest
 
@@ -125,6 +126,16 @@
         self.assert_refused(answers[0])
         self.assertEqual(self.handled, [b"stream"])
 
+    def test_request_behind_a_stream_is_served_by_a_drain_without_an_end(self):
+        async def act(port):
+            sock = connect(port, make_request(b"stream") + make_request(b"next"))
+            await curio.sleep(0.1)
+            return [sock]
+
+        answers, _ = self.drain(act, accepting_s=math.inf)
+        self.assertEqual(answers[0].count(b"HTTP/1.1 200"), 2)
+        self.assertEqual(self.handled, [b"stream", b"next"])
+
     def test_idle_connections_do_not_hold_up_the_drain(self):
         async def act(port):
             sockets = [connect(port) for _ in range(20)]
--- a/catkintrack/tests/test_draining.py
+++ b/catkintrack/tests/test_draining.py
@@ -1,5 +1,6 @@
 """Drain upstreams and stop routers and agents gracefully while calls run."""
 
+import signal
 import threading
 import time
 import unittest
@@ -7,6 +8,7 @@
 from testkit.caller import BackgroundCall, call_http
 from testkit.cases import FleetTestCase, make_chat, make_long_answer_chat
 from testkit.fleet import wait_until
+from testkit.raw_callers import connect, open_callers
 
 CHAT = make_long_answer_chat()
 MAX_DRAIN_DELAY_S = 2.0
@@ -95,6 +97,32 @@
             self.assert_complete_answer(call.join(), CHAT, 48)
         self.assertEqual(slow.join().status, 200)
 
+    def test_router_stop_serves_a_request_that_arrives_slowly(self):
+        """A router's stop has no end, so that what has begun to arrive is served.
+
+        More signals meanwhile change nothing.
+        """
+        fields = "".join(f"{n}: {v}\r\n" for n, v in self.headers().items())
+        head = (
+            f"POST /app/slow HTTP/1.1\r\nhost: x\r\n{fields}content-length: 4\r\n\r\n"
+        )
+        self.fleet.set_service_faults("s0", delay_s=1.0)
+        with open_callers() as callers:
+            caller = connect(self.ports[0])
+            callers.append(caller)
+            caller.send(head.encode() + b"ab")
+            caller.read_in_background()
+            time.sleep(0.2)
+            router = self.nodes[0].router
+            for number in (signal.SIGTERM, signal.SIGTERM, signal.SIGHUP):
+                router.send_signal(number)
+                time.sleep(0.7)
+            caller.send(b"cd")
+            answer = caller.join()
+        self.assertEqual(answer.status, 200)
+        self.assertTrue(answer.received.endswith(b"0\r\n\r\n") or answer.is_complete)
+        self.assertEqual(router.wait(), 0)
+
     def test_agent_stop_cuts_no_stream(self):
         for name in self.fleet.engine_port_by_name:
             self.fleet.set_engine_faults(name, speed=0.1)
--- a/catkintrack/tests/test_late_in_the_grace.py
+++ b/catkintrack/tests/test_late_in_the_grace.py
@@ -81,6 +81,7 @@
                 request = request.replace(part.encode() + b"\r", id.encode() + b"\r")
                 caller = self.start(request[:cut])
                 late[id] = (caller, request[cut:], second)
+        unfinished = [self.start(request[:cut]) for request, cut in parts.values()]
         time.sleep(0.2)
         stopped_at = self.begin_stop()
         for caller, rest, second in late.values():
@@ -90,6 +91,9 @@
         for id, answer in answers.items():
             with self.subTest(id=id):
                 self.assert_refused(answer, id)
+        # Requests that never become whole do not hold up the end.
+        self.assertEqual([caller.join().status for caller in unfinished], [0, 0])
+        self.assertEqual([self.count_runs(id) for id in parts], [0, 0])
 
 
 class KeptConnectionTest(StoppingTest):
@@ -120,16 +124,19 @@
         for name in ("a0", "a1"):
             self.site.set_replica_faults(name, run_s=LONG_WORK_S)
         early = self.start(make_order("early"))
+        lookup = make_order("lookup").replace(b"/order/", b"/lookup/")
+        retryable = self.start(lookup)
         time.sleep(0.2)
         stopped_at = self.begin_stop()
         time.sleep(2.0)
         late = self.start(make_order("late"))
-        for id, caller in (("early", early), ("late", late)):
-            answer = caller.join()
+        callers = {"early": early, "late": late, "lookup": retryable}
+        answers = {id: caller.join() for id, caller in callers.items()}
+        for id, answer in answers.items():
             with self.subTest(id=id):
                 self.assertIn(answer.status, (502, 504))
                 self.assertTrue(answer.is_complete)
-                self.assertEqual(self.count_runs(id), 1)
+                self.assertEqual(self.count_runs(id), 2 if id == "lookup" else 1)
                 # The replica worked until the last sixth of the grace time.
                 elapsed_s = answer.ended_at - stopped_at
                 self.assertGreater(elapsed_s, GRACE_S * 5 / 6)
