Measure the end of a stopping instance when it ends

The time was taken after the test had asked the replicas for their counts, not when the process ended.

--- a/catkintrack/tests/test_late_in_the_grace.py
+++ b/catkintrack/tests/test_late_in_the_grace.py
@@ -1,6 +1,7 @@
 """Stop instances on a planned day: each request that was read gets an answer."""
 
 import signal
+import threading
 import time
 import unittest
 
@@ -25,6 +26,8 @@
 
     def setUp(self):
         super().setUp()
+        self.watcher_by_node = {}
+        self.end_by_node = {}
         context = open_callers()
         self.callers = context.__enter__()
         self.addCleanup(context.__exit__, None, None, None)
@@ -49,14 +52,24 @@
         return caller
 
     def begin_stop(self, node="n0"):
-        """Send the stop signal and return when."""
-        self.site.node_by_name[node].process.send_signal(signal.SIGTERM)
-        return time.monotonic()
+        """Send the stop signal, watch for the end of the process, and return when."""
+        process = self.site.node_by_name[node].process
+
+        def watch():
+            status = process.wait()
+            self.end_by_node[node] = (status, time.monotonic())
+
+        process.send_signal(signal.SIGTERM)
+        stopped_at = time.monotonic()
+        self.watcher_by_node[node] = threading.Thread(target=watch, daemon=True)
+        self.watcher_by_node[node].start()
+        return stopped_at
 
     def assert_ended_in_time(self, stopped_at, node="n0"):
-        status = self.site.node_by_name[node].process.wait()
+        self.watcher_by_node[node].join()
+        status, ended_at = self.end_by_node[node]
         self.assertEqual(status, 0)
-        self.assertLess(time.monotonic() - stopped_at, GRACE_S)
+        self.assertLess(ended_at - stopped_at, GRACE_S)
 
     def assert_refused(self, answer, id):
         """Check that a request has a true refusal: it did not run and will not."""
@@ -176,9 +189,9 @@
             self.site.set_replica_faults(name, run_s=4.0)
         callers = {id: self.start(make_order(id), id) for id in ("n0", "n1")}
         time.sleep(0.2)
-        stopped_at = time.monotonic()
-        for node in self.site.node_by_name.values():
-            node.process.send_signal(signal.SIGTERM)
+        stopped_at_by_node = {
+            name: self.begin_stop(name) for name in self.site.node_by_name
+        }
         time.sleep(0.5)
         for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
             for node in self.site.node_by_name.values():
@@ -192,7 +205,7 @@
             with self.subTest(id=id):
                 answer = caller.join()
                 self.assertEqual((answer.status, self.count_runs(id)), (200, 1))
-        for name in self.site.node_by_name:
+        for name, stopped_at in stopped_at_by_node.items():
             self.assert_ended_in_time(stopped_at, name)
 
 
