--- a/catkintrack/http/__init__.py
+++ b/catkintrack/http/__init__.py
@@ -1,9 +1,7 @@
 """Serve HTTP/1.1 to callers and send HTTP/1.1 requests to upstreams."""
 
 from .client import (
-    Address,
     ClientLimits,
-    Exchange,
     Pool,
     close_pool,
     fetch,
@@ -22,6 +20,7 @@
     UpstreamUnreachable,
 )
 from .event_streams import EventBuffer, drop_searched, split_events
+from .exchange import Address, Exchange
 from .messages import (
     Headers,
     Request,
