Count kept bodies until their call ends

A body is kept after its exchange: while the caller reads it, or as an error response that is forwarded if no other attempt succeeds. 60 callers that read nothing of answers of 4.5 MB kept 275.3 MB at an instance with a limit of 150 MB, also with the bound of the commit before, which ended with the exchange (test_endless_replicas).

The count moves from the exchange to the call, which releases it at its end: 13.4 MB, some calls are served and the others fail with ResponseMemoryExhausted. The router's calls that run at most once keep their response in the same way.

--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -12,12 +12,14 @@
 from catkintrack.http import (
     Connection,
     Exchange,
+    HeldBytes,
     ResponseHead,
     StreamBounds,
     UpstreamDisconnected,
     UpstreamExchangeError,
     UpstreamTimeout,
     find_remaining_s,
+    move_held,
     open_exchange,
     record_event,
     record_received,
@@ -85,7 +87,8 @@
     `connected_attempts` counts the attempts that reached a replica, `executions` those
     that a replica ran or may have run, `unreachable_attempts` those without a
     connection.  `software_version` is the one that the stream must go on at, None if any;
-    `is_version_confirmed` is set if the replica itself reported its incarnation.
+    `is_version_confirmed` is set if the replica itself reported its incarnation.  `held`
+    counts the bodies that are kept after their exchange, until the call ends.
     """
 
     arrived_at: float
@@ -101,6 +104,7 @@
     cached_tokens: int = 0
     attempts: list[dict[str, Any]] = field(default_factory=list)
     reason: str = ""
+    held: HeldBytes = field(default_factory=HeldBytes)
 
     def record_attempt(self, upstream: str, **inputs: Any) -> None:
         """Record an attempt and the inputs of its placement, for the log."""
@@ -204,6 +208,7 @@
                 f"status {head.status} instead of the stream's rest"
             )
         body = await exchange.read_body(_remaining_s(call))
+        move_held(exchange.held, progress.held, len(body))
         # A close alone does not say that the response is whole.
         if head.status == 200 and not head.is_close_delimited:
             await callbacks.on_answered()
--- a/catkintrack/instance/calls.py
+++ b/catkintrack/instance/calls.py
@@ -11,7 +11,7 @@
 
 from catkintrack.decisions.engine_priority import estimate_first_attempt_at
 from catkintrack.fleet import Call, Configuration, Route, Workspace, choose_service
-from catkintrack.http import CallerDisconnected, Connection, Request
+from catkintrack.http import CallerDisconnected, Connection, Request, hold_bytes
 from catkintrack.platform import RequestFields, parse_request_headers
 from catkintrack.pooling import refund, take
 from catkintrack.timeouts import timeout_after
@@ -52,15 +52,24 @@
     instance: Instance, request: Request, connection: Connection
 ) -> None:
     """Serve a request and log its outcome."""
-    now = time.monotonic()
-    progress = CallProgress(now)
+    with hold_bytes(instance.pool.budget) as held:
+        progress = CallProgress(time.monotonic(), held=held)
+        await _handle_call(instance, request, progress, connection)
+
+
+async def _handle_call(
+    instance: Instance,
+    request: Request,
+    progress: CallProgress,
+    connection: Connection,
+) -> None:
     call: Call | None = None
     request_id = b""
     outcome = "served"
     try:
         fields = _parse_request(request)
         request_id = fields.id
-        call = make_call(instance, request, fields, now)
+        call = make_call(instance, request, fields, progress.arrived_at)
         await _serve_before_deadline(instance, call, progress, connection)
     except CallError as error:
         outcome = error.code
--- a/catkintrack/instance/tests/test_endless_replicas.py
+++ b/catkintrack/instance/tests/test_endless_replicas.py
@@ -8,7 +8,12 @@
 
 import curio
 
-from catkintrack.http import UpstreamExchangeError, UpstreamResponseTooLarge
+from catkintrack.http import (
+    ResponseMemoryExhausted,
+    UpstreamExchangeError,
+    UpstreamResponseTooLarge,
+    hold_bytes,
+)
 from catkintrack.instance.attempts import (
     AttemptCallbacks,
     CallProgress,
@@ -17,8 +22,13 @@
 from catkintrack.instance.process import make_instance
 from catkintrack.platform import Dispatch, decode_site
 from testkit.instances import SETTINGS_LINES, make_call, make_prompt, make_route
-from testkit.raw_upstreams import make_chunk, open_raw_upstream, send_endless
-from testkit.recording import RecordingConnection
+from testkit.raw_upstreams import (
+    make_chunk,
+    open_raw_upstream,
+    send_endless,
+    send_once,
+)
+from testkit.recording import RecordingConnection, StalledConnection
 
 CALLS = 60
 MEMORY_MB = 150
@@ -31,6 +41,8 @@
 HEAD = HEAD_LINES + b"\r\n"
 END = b"0\r\n\r\n"
 LARGE_CHUNK = make_chunk(b"x" * 60_000)
+# Close to the largest body that one response may have.
+LARGE_BODY = HEAD + make_chunk(b"x" * 4_500_000) + END
 LOOKUP = make_route(is_stream=False, is_idempotent=True, has_prompt=False)
 DEADLINE_S = 30.0
 
@@ -56,16 +68,17 @@
             self.heads += 1
 
         try:
-            await run_attempt(
-                self.instance,
-                call,
-                CallProgress(now),
-                SimpleNamespace(id="i1", address=address),
-                Dispatch("i1", DEADLINE_S),
-                connection or RecordingConnection(),
-                AttemptCallbacks(count_head),
-                False,
-            )
+            with hold_bytes(self.instance.pool.budget) as held:
+                await run_attempt(
+                    self.instance,
+                    call,
+                    CallProgress(now, held=held),
+                    SimpleNamespace(id="i1", address=address),
+                    Dispatch("i1", DEADLINE_S),
+                    connection or RecordingConnection(),
+                    AttemptCallbacks(count_head),
+                    False,
+                )
         except UpstreamExchangeError as error:
             return error
         return None
@@ -95,6 +108,26 @@
             for error in self.run_measured(run, address):
                 self.assertIsInstance(error, UpstreamResponseTooLarge)
 
+    def test_large_bodies_for_callers_that_do_not_read(self):
+        async def run(address):
+            tasks = []
+            for _ in range(CALLS):
+                connection = StalledConnection()
+                task = await curio.spawn(self.run_call, address, LOOKUP, connection)
+                while not connection.has_response_started and not task.terminated:
+                    await curio.sleep(0.01)
+                tasks.append(task)
+            ended = [task.result for task in tasks if task.terminated]
+            for task in tasks:
+                await task.cancel()
+            return ended
+
+        with open_raw_upstream(send_once(LARGE_BODY)) as address:
+            ended = self.run_measured(run, address)
+        self.assertLess(len(ended), CALLS)
+        for error in ended:
+            self.assertIsInstance(error, ResponseMemoryExhausted)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/catkintrack/router/service_calls.py
+++ b/catkintrack/router/service_calls.py
@@ -11,7 +11,7 @@
 import sys
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TypeVar
 
 import msgspec
@@ -29,6 +29,7 @@
     EventBuffer,
     Exchange,
     Headers,
+    HeldBytes,
     Pool,
     Request,
     ResponseHead,
@@ -38,6 +39,8 @@
     drop_searched,
     find_header,
     find_remaining_s,
+    hold_bytes,
+    move_held,
     open_exchange,
     record_event,
     split_events,
@@ -79,7 +82,8 @@
 class ServiceCall:
     """Hold one call to a service without models.
 
-    `may_have_run` is set once a request may have been sent to a replica.
+    `may_have_run` is set once a request may have been sent to a replica.  `held` counts
+    a body that is kept after its exchange, until the call ends.
     """
 
     id: str
@@ -87,6 +91,7 @@
     route: Route
     is_repeatable: bool
     may_have_run: bool = False
+    held: HeldBytes = field(default_factory=HeldBytes)
 
 
 async def serve_service_call(
@@ -99,15 +104,23 @@
 ) -> None:
     """Serve one call on a route to a service without models."""
     is_repeatable = route.is_repeatable or request.method in IDEMPOTENT_METHODS
-    call = ServiceCall(call_id, request, route, is_repeatable)
-    idempotency_key = find_header(request.headers, IDEMPOTENCY_HEADER)
-    if is_repeatable or idempotency_key is None:
+    with hold_bytes(router.pool.budget) as held:
+        call = ServiceCall(call_id, request, route, is_repeatable, held=held)
+        await _serve_call(router, call, key, connection)
+
+
+async def _serve_call(
+    router: Router, call: ServiceCall, key: Key | None, connection: Connection
+) -> None:
+    """Serve a call, at most once if it has an idempotency key and is not repeatable."""
+    idempotency_key = find_header(call.request.headers, IDEMPOTENCY_HEADER)
+    if call.is_repeatable or idempotency_key is None:
         await _forward_call(router, call, connection)
         return
     if len(idempotency_key) > MAX_IDEMPOTENCY_KEY_BYTES or not idempotency_key:
         raise BadCall("invalid_idempotency_key", "the idempotency key is malformed")
     scope = key.workspace.name if key else ""
-    name = make_claim_name(scope, route.name, idempotency_key.decode("latin-1"))
+    name = make_claim_name(scope, call.route.name, idempotency_key.decode("latin-1"))
     await _run_claimed_call(router, call, name, connection)
 
 
@@ -174,6 +187,7 @@
         deadline_at = time.monotonic() + timeout_s
         head = await exchange.read_head(timeout_s)
         body = await exchange.read_body(deadline_at - time.monotonic())
+        move_held(exchange.held, call.held, len(body))
         return KeptResponse(head.status, _filter_response_headers(head), body)
 
     return await _try_replicas(router, call, read_response, lambda: False)
--- a/testkit/recording.py
+++ b/testkit/recording.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import curio
+
 from catkintrack.http import Headers
 
 
@@ -30,3 +32,11 @@
     async def finish_response(self) -> None:
         """Record that the response is complete."""
         self.is_finished = True
+
+
+class StalledConnection(RecordingConnection):
+    """Stand for a caller that reads nothing of its response."""
+
+    async def send_body(self, data: bytes) -> None:
+        """Wait until cancelled."""
+        await curio.Event().wait()
