Bound the fields of a response's head

A head was bounded on the wire only (16 KB and one read of 64 KB).

A head is now measured with the overhead of its fields (RFC 9113, section 6.5.2), bounded to 32 KB and counted among the held bytes.

--- a/catkintrack/http/exchange.py
+++ b/catkintrack/http/exchange.py
@@ -11,7 +11,12 @@
 
 from catkintrack.timeouts import call_within
 
-from .errors import UpstreamDisconnected, UpstreamExchangeError, UpstreamTimeout
+from .errors import (
+    UpstreamDisconnected,
+    UpstreamExchangeError,
+    UpstreamResponseTooLarge,
+    UpstreamTimeout,
+)
 from .held_bytes import (
     HeldBytes,
     add_held,
@@ -20,10 +25,13 @@
     drop_held,
     release_held,
 )
-from .messages import Headers, Request, ResponseHead, find_header
+from .messages import Headers, Request, ResponseHead, find_header, measure_headers
 from .turns import Turn, take_step
 
-READ_SIZE_BYTES = 65536
+# Bounds what h11 decodes in one step: a head or trailers of many fields take the event
+# loop while they are decoded.
+READ_SIZE_BYTES = 16384
+MAX_HEAD_BYTES = 32768
 DEFAULT_MAX_BODY_BYTES = 8 << 20
 # Idle connections are dropped this long before the peer's keep-alive timeout, so that
 # no request is sent while the peer closes the connection.
@@ -128,12 +136,20 @@
                 headers = tuple((k.lower(), v) for k, v in event.headers)
                 self._check_request_id_echo(headers)
                 self._record_keep_alive(headers)
+                self._hold_head(headers)
                 return ResponseHead(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise UpstreamDisconnected("connection closed before the response")
             if time.monotonic() > deadline_at:
                 raise UpstreamTimeout("only informational responses in time")
 
+    def _hold_head(self, headers: Headers) -> None:
+        """Hold a head until the exchange ends; raise UpstreamResponseTooLarge."""
+        size_bytes = measure_headers(headers)
+        if size_bytes > MAX_HEAD_BYTES:
+            raise UpstreamResponseTooLarge("the head exceeds the size limit")
+        add_held(self.held, size_bytes)
+
     def _check_request_id_echo(self, headers: Headers) -> None:
         """Raise UpstreamExchangeError if a response is not certainly to this request.
 
--- a/catkintrack/http/messages.py
+++ b/catkintrack/http/messages.py
@@ -20,6 +20,9 @@
     }
 )
 
+# What a field takes beside its name and value (RFC 9113, section 6.5.2).
+FIELD_OVERHEAD_BYTES = 32
+
 
 @dataclass(frozen=True, slots=True)
 class Request:
@@ -58,6 +61,11 @@
     return None
 
 
+def measure_headers(headers: Headers) -> int:
+    """Return what a list of fields takes in memory, in bytes."""
+    return sum(len(k) + len(v) + FIELD_OVERHEAD_BYTES for k, v in headers)
+
+
 def strip_hop_by_hop_headers(headers: Headers) -> Headers:
     """Return `headers` without hop-by-hop headers (RFC 9110, section 7.6.1)."""
     dropped = set(HOP_BY_HOP_HEADERS)
--- a/catkintrack/http/tests/test_client_bounds.py
+++ b/catkintrack/http/tests/test_client_bounds.py
@@ -20,10 +20,12 @@
     make_chunk,
     open_raw_upstream,
     send_endless,
+    send_once,
     send_slowly,
 )
 
 REQUEST = Request(b"GET", b"/", ((b"host", b"x"), (b"x-request-id", b"r1")))
+END = b"0\r\n\r\n"
 LARGE_CHUNK = make_chunk(b"x" * 60_000)
 MAX_BODY_BYTES = 1 << 20
 
@@ -57,6 +59,18 @@
                 with self.assertRaises(UpstreamExchangeError):
                     self.fetch(address)
 
+    def test_head_of_many_short_fields_is_too_large(self):
+        for fields in (1000, 3000):
+            head = HEAD + b"a:\r\n" * fields + b"\r\n"
+            with open_raw_upstream(send_once(head + END)) as address:
+                with self.assertRaises(UpstreamResponseTooLarge):
+                    self.fetch(address)
+
+    def test_head_of_usual_size_is_read(self):
+        head = HEAD + b"x-name: some value\r\n" * 300 + b"\r\n"
+        with open_raw_upstream(send_once(head + END)) as address:
+            self.assertEqual(len(self.fetch(address)[0].headers), 301)
+
     def test_informational_responses_without_end_fail_in_time(self):
         part = b"HTTP/1.1 102 Processing\r\n\r\n" * 50
         with open_raw_upstream(send_endless(b"", part)) as address:
--- a/catkintrack/instance/tests/test_endless_replicas.py
+++ b/catkintrack/instance/tests/test_endless_replicas.py
@@ -25,6 +25,7 @@
 from testkit.raw_upstreams import (
     make_chunk,
     open_raw_upstream,
+    send_and_wait,
     send_endless,
     send_once,
 )
@@ -41,6 +42,7 @@
 HEAD = HEAD_LINES + b"\r\n"
 END = b"0\r\n\r\n"
 LARGE_CHUNK = make_chunk(b"x" * 60_000)
+MANY_FIELDS = HEAD_LINES + b"a:\r\n" * 15_000 + b"\r\n"
 # Close to the largest body that one response may have.
 LARGE_BODY = HEAD + make_chunk(b"x" * 4_500_000) + END
 LOOKUP = make_route(is_stream=False, is_idempotent=True, has_prompt=False)
@@ -128,6 +130,22 @@
         for error in ended:
             self.assertIsInstance(error, ResponseMemoryExhausted)
 
+    def test_heads_of_many_fields(self):
+        async def run(address):
+            tasks = await self.spawn_calls(address)
+            while self.heads + sum(task.terminated for task in tasks) < CALLS:
+                await curio.sleep(0.05)
+            ended = [task.result for task in tasks if task.terminated]
+            for task in tasks:
+                await task.cancel()
+            return ended
+
+        with open_raw_upstream(send_and_wait(MANY_FIELDS, 1.0)) as address:
+            ended = self.run_measured(run, address)
+        self.assertEqual(len(ended), CALLS)
+        for error in ended:
+            self.assertIsInstance(error, UpstreamExchangeError)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/testkit/raw_upstreams.py
+++ b/testkit/raw_upstreams.py
@@ -107,6 +107,16 @@
     return lambda send: send(data)
 
 
+def send_and_wait(data: bytes, wait_s: float) -> Script:
+    """Return a script that sends `data` and closes the connection `wait_s` later."""
+
+    def script(send: Send) -> None:
+        send(data)
+        time.sleep(wait_s)
+
+    return script
+
+
 def send_and_reset(data: bytes, delay_s: float = 0.0) -> Script:
     """Return a script that resets the connection `delay_s` after sending `data`."""
 
