--- a/catkintrack/http/exchange.py
+++ b/catkintrack/http/exchange.py
@@ -32,6 +32,8 @@
 # loop while they are decoded.
 READ_SIZE_BYTES = 16384
 MAX_HEAD_BYTES = 32768
+# Reading more takes longer than a new connection.
+MAX_DISCARDED_BYTES = 65536
 DEFAULT_MAX_BODY_BYTES = 8 << 20
 # Idle connections are dropped this long before the peer's keep-alive timeout, so that
 # no request is sent while the peer closes the connection.
@@ -196,6 +198,21 @@
                     return bytes(body.data)
                 add_part(body, part)
 
+    async def discard_body(self, timeout_s: float) -> None:
+        """Read the rest of a short body, so that the connection can be used again.
+
+        Raise UpstreamExchangeError, UpstreamTimeout or UpstreamResponseTooLarge.
+        """
+        deadline_at = time.monotonic() + timeout_s
+        discarded_bytes = 0
+        while discarded_bytes <= MAX_DISCARDED_BYTES:
+            remaining_s = max(0.0, deadline_at - time.monotonic())
+            part = await self.read_body_part(remaining_s)
+            if part is None:
+                return
+            discarded_bytes += len(part)
+        raise UpstreamResponseTooLarge("the body is too large to be discarded")
+
     async def _next_event(self, deadline_at: float) -> h11.Event:
         while True:
             try:
--- a/catkintrack/http/tests/test_held_bytes.py
+++ b/catkintrack/http/tests/test_held_bytes.py
@@ -35,7 +35,8 @@
 REQUEST = Request(b"GET", b"/", ((b"host", b"x"), (b"x-request-id", b"r1")))
 CHUNK = make_chunk(b"x" * 10_000)
 BODY_START = HEAD + b"x-request-id: r1\r\n\r\n"
-WHOLE = BODY_START + CHUNK + b"0\r\n\r\n"
+WHOLE_BODY = CHUNK + b"0\r\n\r\n"
+WHOLE = BODY_START + WHOLE_BODY
 MAX_HELD_BYTES = 1 << 20
 CALLS = 40
 
@@ -98,6 +99,20 @@
         with open_raw_upstream(send_once(WHOLE)) as address:
             curio.run(run, address)
 
+    def test_discarded_body_is_not_held(self):
+        async def run(address):
+            async with open_exchange(self.pool, address) as exchange:
+                await exchange.send(REQUEST)
+                await exchange.read_head(5.0)
+                await exchange.discard_body(5.0)
+                # The last read only.
+                self.assertLess(self.pool.budget.held_bytes, 20_000)
+                self.assertTrue(exchange.is_complete())
+
+        script = send_once(BODY_START + CHUNK * 5 + WHOLE_BODY)
+        with open_raw_upstream(script) as address:
+            curio.run(run, address)
+
     def test_on_a_connection_that_is_used_again(self):
         async def run(address):
             async with open_exchange(self.pool, address) as exchange:
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -193,7 +193,7 @@
             progress.may_have_run = might_have_run
             # The head decides; a whole body lets the connection be used again.
             with contextlib.suppress(UpstreamExchangeError):
-                await exchange.read_body(REJECTION_BODY_TIMEOUT_S)
+                await exchange.discard_body(REJECTION_BODY_TIMEOUT_S)
             raise ReplicaRejected(head.status, fields)
         _check_response(call, fields)
         has_events = call.route.is_stream and call.method != b"HEAD"
--- a/catkintrack/instance/tests/test_endless_replicas.py
+++ b/catkintrack/instance/tests/test_endless_replicas.py
@@ -17,6 +17,7 @@
 from catkintrack.instance.attempts import (
     AttemptCallbacks,
     CallProgress,
+    ReplicaRejected,
     run_attempt,
 )
 from catkintrack.instance.process import make_instance
@@ -46,7 +47,12 @@
 # Close to the largest body that one response may have.
 LARGE_BODY = HEAD + make_chunk(b"x" * 4_500_000) + END
 LOOKUP = make_route(is_stream=False, is_idempotent=True, has_prompt=False)
+STREAM = make_route(target_s=0.1, max_event_gap_s=0.1)
 DEADLINE_S = 30.0
+# Lets a stream be larger than an event may be.
+MAX_OUTPUT_TOKENS = 4000
+# The input that is not decoded and the head.
+MAX_KEPT_OF_REJECTION = 40_000
 
 
 class EndlessReplicasTest(unittest.TestCase):
@@ -61,9 +67,12 @@
     async def run_call(self, address, route=LOOKUP, connection=None):
         """Run one attempt; return its failure, None if it was served."""
         now = time.monotonic()
-        prompt = make_prompt(100) if route.has_prompt else None
+        prompt = replace(make_prompt(100), max_output_tokens=MAX_OUTPUT_TOKENS)
         call = make_call(
-            route, prompt=prompt, arrived_at=now, deadline_at=now + DEADLINE_S
+            route,
+            prompt=prompt if route.has_prompt else None,
+            arrived_at=now,
+            deadline_at=now + DEADLINE_S,
         )
 
         async def count_head(fields):
@@ -81,7 +90,7 @@
                     AttemptCallbacks(count_head),
                     False,
                 )
-        except UpstreamExchangeError as error:
+        except (UpstreamExchangeError, ReplicaRejected) as error:
             return error
         return None
 
@@ -130,6 +139,32 @@
         for error in ended:
             self.assertIsInstance(error, ResponseMemoryExhausted)
 
+    def test_rejections_without_end(self):
+        most_bytes = 0
+
+        async def run(address):
+            nonlocal most_bytes
+            tasks = await self.spawn_calls(address)
+            while not all(task.terminated for task in tasks):
+                most_bytes = max(most_bytes, self.instance.pool.budget.held_bytes)
+                await curio.sleep(0.005)
+            return [await task.join() for task in tasks]
+
+        rejection = HEAD.replace(b"200 OK", b"503 Busy\r\nx-not-executed: 1")
+        with open_raw_upstream(send_endless(rejection, LARGE_CHUNK)) as address:
+            for error in self.run_measured(run, address):
+                self.assertIsInstance(error, ReplicaRejected)
+        self.assertLess(most_bytes, CALLS * MAX_KEPT_OF_REJECTION)
+
+    def test_events_without_end(self):
+        async def run(address):
+            calls = await self.spawn_calls(address, route=STREAM)
+            return [await task.join() for task in calls]
+
+        with open_raw_upstream(send_endless(HEAD, LARGE_CHUNK)) as address:
+            for error in self.run_measured(run, address):
+                self.assertIsInstance(error, UpstreamExchangeError)
+
     def test_heads_of_many_fields(self):
         async def run(address):
             tasks = await self.spawn_calls(address)
--- a/catkintrack/router/model_calls.py
+++ b/catkintrack/router/model_calls.py
@@ -312,7 +312,7 @@
         head = await exchange.read_head(timeout_s)
         if head.status in NOT_RUN_STATUSES:
             call.may_have_run = may_have_run_before
-            await exchange.read_body(REJECTION_BODY_TIMEOUT_S)
+            await exchange.discard_body(REJECTION_BODY_TIMEOUT_S)
             raise UpstreamRefused(f"upstream answered status {head.status}")
         if head.status >= 500:
             raise UpstreamExchangeError(f"upstream answered status {head.status}")
