--- a/catkintrack/http/tests/test_event_streams.py
+++ b/catkintrack/http/tests/test_event_streams.py
@@ -63,6 +63,27 @@
                 self.assertEqual(split_events(buffer, piece), [])
         self.assertLess(pattern.searched_bytes, 1.1 * len(piece) * count)
 
+    def test_bytes_without_an_empty_line_cost_one_plain_search(self):
+        """Guards against 0.1 s of the event loop for each endless event of 1 MB."""
+        pattern = CountingPattern()
+        piece, count = b"data: 0123456789\r\n" * 64, 400
+        find, searched_bytes = event_streams._find_line_end_pair, 0
+
+        def count_searched(data, position):
+            nonlocal searched_bytes
+            searched_bytes += len(data) - position
+            return find(data, position)
+
+        buffer = EventBuffer()
+        with (
+            mock.patch.object(event_streams, "_EVENT_END", pattern),
+            mock.patch.object(event_streams, "_find_line_end_pair", count_searched),
+        ):
+            for _ in range(count):
+                self.assertEqual(split_events(buffer, piece), [])
+        self.assertEqual(pattern.searched_bytes, 0)
+        self.assertLess(searched_bytes, 1.1 * len(piece) * count)
+
 
 if __name__ == "__main__":
     unittest.main()
