Bound the store's responses together

It is apart from the bound of the replicas' responses, so that faulty replicas take nothing from the store's.

--- a/catkintrack/platform/store.py
+++ b/catkintrack/platform/store.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import logging
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
@@ -22,6 +22,7 @@
 
 from catkintrack.http import (
     Address,
+    ByteBudget,
     ClientLimits,
     Pool,
     Request,
@@ -52,6 +53,10 @@
 CONNECT_TIMEOUT_S = 0.5
 # A full page takes 2 s on the slowest link.
 BODY_TIMEOUT_S = 5.0
+# All responses together; one may take a fifth.
+MAX_HELD_BYTES = 40 << 20
+# A full page comes from far away, at one window a round trip.
+RECEIVE_BUFFER_BYTES = 262144
 # A response of an earlier era and its repetition.
 MAX_READS = 2
 # Entries whose revision is remembered, so that it is logged once.
@@ -97,11 +102,15 @@
     era: int = 0
 
 
-def make_store_pool() -> Pool:
+def make_store_pool(budget: ByteBudget) -> Pool:
     """Return a pool for the store, which does not return request IDs."""
     return Pool(
-        ClientLimits(connect_timeout_s=CONNECT_TIMEOUT_S),
+        ClientLimits(
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            receive_buffer_bytes=RECEIVE_BUFFER_BYTES,
+        ),
         requires_request_id_echo=False,
+        budget=budget,
     )
 
 
@@ -112,13 +121,13 @@
     `era` is the highest one seen, 0 if none; `on_new_era` gets each new one and
     what showed it.
     Reads of different kinds share no connection: a response that comes late and twice
-    can then not be taken for one of another kind.
+    can then not be taken for one of another kind.  `budget` bounds the bytes of all
+    responses, apart from those of replicas, which are to take nothing from the store.
     """
 
     address: Address
-    pool_by_path: dict[str, Pool] = field(
-        default_factory=lambda: defaultdict(make_store_pool)
-    )
+    pool_by_path: dict[str, Pool] = field(default_factory=dict)
+    budget: ByteBudget = field(default_factory=lambda: ByteBudget(MAX_HELD_BYTES))
     count_by_call: Counter[str] = field(default_factory=Counter)
     era: int = 0
     unreadable_revision_by_name: dict[tuple[str, str], int] = field(
@@ -134,6 +143,14 @@
     era: int
 
 
+def find_pool(client: StoreClient, target: str) -> Pool:
+    """Return the pool for the path of a target."""
+    path = target.partition("?")[0]
+    if path not in client.pool_by_path:
+        client.pool_by_path[path] = make_store_pool(client.budget)
+    return client.pool_by_path[path]
+
+
 def observe_era(client: StoreClient, era: int, source: str) -> None:
     """Record an era of the store that `source` has shown; the highest one counts."""
     if era > client.era:
@@ -346,7 +363,7 @@
         client.count_by_call[operation] += 1
         try:
             head, response_body = await fetch(
-                client.pool_by_path[target.partition("?")[0]],
+                find_pool(client, target),
                 client.address,
                 request,
                 timeout_s,
