--- a/catkintrack/http/client.py
+++ b/catkintrack/http/client.py
@@ -134,6 +134,20 @@
     pool.idle_by_address.clear()
 
 
+async def close_unsolicited(pool: Pool) -> None:
+    """Close the idle connections on which bytes arrived, which the system keeps."""
+    unsolicited: list[Exchange] = []
+    for idle in pool.idle_by_address.values():
+        found = [exchange for exchange in idle if exchange.has_unread_data()]
+        unsolicited += found
+        # Nobody may take one while another is being closed.
+        for exchange in found:
+            idle.remove(exchange)
+    for exchange in unsolicited:
+        record_lost(pool, exchange.address)
+        await exchange.close()
+
+
 async def _pop_idle(pool: Pool, address: Address) -> Exchange | None:
     idle = pool.idle_by_address.get(address, [])
     now = time.monotonic()
--- a/catkintrack/http/exchange.py
+++ b/catkintrack/http/exchange.py
@@ -300,6 +300,14 @@
             max_idle_s = min(max_idle_s, self.keep_alive_s - KEEP_ALIVE_MARGIN_S)
         return now - self.idle_since > max_idle_s
 
+    def has_unread_data(self) -> bool:
+        """Report whether bytes arrived on the idle connection, which answer nothing."""
+        try:
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            return bool(self.sock._socket.recv(1, flags))
+        except OSError:
+            return False
+
     def has_unread_input(self) -> bool:
         """Report whether data, a close or an error arrived on the idle connection."""
         try:
--- a/catkintrack/http/tests/test_receive_buffers.py
+++ b/catkintrack/http/tests/test_receive_buffers.py
@@ -3,16 +3,30 @@
 import array
 import fcntl
 import termios
+import time
 import unittest
 
 import curio
 
-from catkintrack.http import Pool, Request, open_exchange
-from testkit.raw_upstreams import HEAD, make_chunk, open_raw_upstream, send_endless
+from catkintrack.http import (
+    Pool,
+    Request,
+    close_unsolicited,
+    fetch,
+    open_exchange,
+)
+from testkit.raw_upstreams import (
+    HEAD,
+    make_chunk,
+    open_raw_upstream,
+    send_and_wait,
+    send_endless,
+)
 
 REQUEST = Request(b"GET", b"/", ((b"host", b"x"), (b"x-request-id", b"r1")))
 CHUNK = make_chunk(b"x" * 60_000)
 BODY_START = HEAD + b"x-request-id: r1\r\n\r\n"
+WHOLE = BODY_START + CHUNK + b"0\r\n\r\n"
 READ_BYTES = 64 << 20
 MAX_UNREAD_BYTES = 65536
 SETTLED_S = 0.3
@@ -56,5 +70,31 @@
             self.assertLessEqual(curio.run(run, address), MAX_UNREAD_BYTES)
 
 
+class UnsolicitedBytesTest(unittest.TestCase):
+    async def make_idle(self, address):
+        self.pool = Pool()
+        await fetch(self.pool, address, REQUEST, 5.0)
+        self.assertEqual(len(self.pool.idle_by_address[address]), 1)
+        await curio.sleep(SETTLED_S)
+        await close_unsolicited(self.pool)
+        return len(self.pool.idle_by_address[address])
+
+    def test_idle_connection_with_bytes_without_end_is_closed(self):
+        def script(send):
+            send(WHOLE)
+            time.sleep(SETTLED_S / 2)
+            while True:
+                send(CHUNK)
+
+        with open_raw_upstream(script) as address:
+            self.assertEqual(curio.run(self.make_idle, address), 0)
+            self.assertIn(address, self.pool.lost_at_by_address)
+
+    def test_idle_connection_without_bytes_is_kept(self):
+        script = send_and_wait(WHOLE, 4 * SETTLED_S)
+        with open_raw_upstream(script) as address:
+            self.assertEqual(curio.run(self.make_idle, address), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -28,6 +28,7 @@
     Request,
     Server,
     ServerLimits,
+    close_unsolicited,
     disable_keep_alive,
     drain_server,
     open_server,
@@ -245,13 +246,14 @@
 
 
 async def keep_house(instance: Instance) -> None:
-    """Drop lapsed upstreams, probe silent ones, count live peers."""
+    """Drop lapsed upstreams, probe silent ones, close odd connections, count peers."""
     now = time.monotonic()
     limit_after_own_pause(instance, read_boot_clock(), now)
     remove_lapsed_upstreams(instance, now)
     await store_quarantine_of_new_era(instance)
     end_returned_rests(instance, now)
     await probe_suspects(instance)
+    await close_unsolicited(instance.pool)
     sharers = list_limit_sharers(instance, now)
     share_limits(instance, [peer.instance for peer in sharers], now)
     live_peers = [p for p in list_live_peers(instance, now) if not p.is_leaving]
