--- /dev/null
+++ b/catkintrack/http/requests.py
@@ -0,0 +1,113 @@
+"""Read a caller's request, within the limits of size and time."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import curio
+import h11
+
+from catkintrack.timeouts import call_within, timeout_after
+
+from .errors import BadRequest
+from .messages import Headers, Request
+from .turns import Turn, take_step
+
+if TYPE_CHECKING:
+    from .server import Connection, ServerLimits
+
+READ_SIZE_BYTES = 65536
+# A drained server closes connections on which no request arrives within this time.  A
+# request may be on its way when the drain begins.
+DRAIN_READ_S = 0.5
+
+
+async def read_request(connection: Connection) -> Request | None:
+    """Return the next request, or None if the caller is idle too long or has closed."""
+    limits = connection.server.limits
+    head = await _read_head(connection)
+    if head is None:
+        return None
+    connection.is_head_request = head.method == b"HEAD"
+    headers = tuple((key.lower(), value) for key, value in head.headers)
+    _check_head_size(head, limits)
+    _check_framing(headers, limits)
+    try:
+        async with timeout_after(limits.body_timeout_s):
+            body = await _read_body(connection, limits)
+    except curio.TaskTimeout as error:
+        raise BadRequest(408, "slow_body", "request body took too long") from error
+    return Request(head.method, head.target, headers, body)
+
+
+async def _read_head(connection: Connection) -> h11.Request | None:
+    limits = connection.server.limits
+    # The time limit runs from the first byte, however slowly the rest arrives.
+    deadline: float | None = None
+    while True:
+        try:
+            event = connection.h11.next_event()
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            raise BadRequest(status, "malformed_request", str(error)) from error
+        if isinstance(event, h11.Request):
+            return event
+        if event is not h11.NEED_DATA:
+            return None
+        timeout_s = limits.idle_timeout_s
+        if connection.server.is_draining:
+            timeout_s = DRAIN_READ_S
+        if deadline is not None:
+            timeout_s = max(0.0, deadline - time.monotonic())
+        try:
+            data = await call_within(timeout_s, connection.sock.recv, READ_SIZE_BYTES)
+        except curio.TaskTimeout as error:
+            if deadline is None:
+                return None
+            raise BadRequest(408, "slow_head", "headers took too long") from error
+        if data and deadline is None:
+            connection.is_receiving = True
+            deadline = time.monotonic() + limits.head_timeout_s
+        connection.h11.receive_data(data)
+
+
+def _check_head_size(head: h11.Request, limits: ServerLimits) -> None:
+    """Reject a head that is too large, also if it arrived in a single read."""
+    size = len(head.target) + sum(len(k) + len(v) for k, v in head.headers)
+    if size > limits.max_head_bytes:
+        raise BadRequest(431, "malformed_request", "headers are too large")
+
+
+def _check_framing(headers: Headers, limits: ServerLimits) -> None:
+    """Reject ambiguous or excessive body lengths (RFC 9112, section 6.3)."""
+    lengths = [value for key, value in headers if key == b"content-length"]
+    is_chunked = any(key == b"transfer-encoding" for key, _ in headers)
+    if is_chunked and lengths or len(lengths) > 1:
+        raise BadRequest(400, "conflicting_lengths", "conflicting body lengths")
+    if lengths and int(lengths[0]) > limits.max_body_bytes:
+        raise BadRequest(413, "body_too_large", "request body is too large")
+
+
+async def _read_body(connection: Connection, limits: ServerLimits) -> bytes:
+    if connection.h11.they_are_waiting_for_100_continue:
+        continue_response = h11.InformationalResponse(status_code=100, headers=[])
+        await connection._send(continue_response)
+    parts: list[bytes] = []
+    size = 0
+    turn = Turn()
+    while True:
+        await take_step(turn)
+        try:
+            event = connection.h11.next_event()
+        except h11.RemoteProtocolError as error:
+            raise BadRequest(400, "malformed_body", str(error)) from error
+        if event is h11.NEED_DATA:
+            connection.h11.receive_data(await connection.sock.recv(READ_SIZE_BYTES))
+        elif isinstance(event, h11.Data):
+            size += len(event.data)
+            if size > limits.max_body_bytes:
+                raise BadRequest(413, "body_too_large", "request body is too large")
+            parts.append(bytes(event.data))
+        else:
+            return b"".join(parts)
--- a/catkintrack/http/server.py
+++ b/catkintrack/http/server.py
@@ -4,7 +4,6 @@
 
 import socket as std_socket
 import struct
-import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -15,17 +14,13 @@
 from curio.io import Socket
 from curio.traps import _read_wait
 
-from catkintrack.timeouts import call_within, timeout_after
+from catkintrack.timeouts import call_within
 
 from .errors import BadRequest, CallerDisconnected
 from .messages import Headers, Request, find_header
-from .turns import Turn, take_step
+from .requests import DRAIN_READ_S, read_request
 
-READ_SIZE_BYTES = 65536
 LISTEN_BACKLOG = 512
-# A drained server closes connections on which no request arrives within this time.  A
-# request may be on its way when the drain begins.
-DRAIN_READ_S = 0.5
 DRAIN_POLL_INTERVAL_S = 0.02
 # Value of SO_LINGER that makes a close reset the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -288,7 +283,7 @@
     try:
         while True:
             try:
-                request = await _read_request(connection)
+                request = await read_request(connection)
             except BadRequest as error:
                 connection.is_busy = True
                 await on_bad_request(error, connection)
@@ -337,93 +332,3 @@
     # Data that arrives early belongs to the next request and is read later.
     if connection.has_caller_disconnected():
         await task.cancel(blocking=False)
-
-
-async def _read_request(connection: Connection) -> Request | None:
-    """Return the next request, or None if the caller is idle too long or has closed."""
-    limits = connection.server.limits
-    head = await _read_head(connection)
-    if head is None:
-        return None
-    connection.is_head_request = head.method == b"HEAD"
-    headers = tuple((key.lower(), value) for key, value in head.headers)
-    _check_head_size(head, limits)
-    _check_framing(headers, limits)
-    try:
-        async with timeout_after(limits.body_timeout_s):
-            body = await _read_body(connection, limits)
-    except curio.TaskTimeout as error:
-        raise BadRequest(408, "slow_body", "request body took too long") from error
-    return Request(head.method, head.target, headers, body)
-
-
-async def _read_head(connection: Connection) -> h11.Request | None:
-    limits = connection.server.limits
-    # The time limit runs from the first byte, however slowly the rest arrives.
-    deadline: float | None = None
-    while True:
-        try:
-            event = connection.h11.next_event()
-        except h11.RemoteProtocolError as error:
-            status = error.error_status_hint
-            raise BadRequest(status, "malformed_request", str(error)) from error
-        if isinstance(event, h11.Request):
-            return event
-        if event is not h11.NEED_DATA:
-            return None
-        timeout_s = limits.idle_timeout_s
-        if connection.server.is_draining:
-            timeout_s = DRAIN_READ_S
-        if deadline is not None:
-            timeout_s = max(0.0, deadline - time.monotonic())
-        try:
-            data = await call_within(timeout_s, connection.sock.recv, READ_SIZE_BYTES)
-        except curio.TaskTimeout as error:
-            if deadline is None:
-                return None
-            raise BadRequest(408, "slow_head", "headers took too long") from error
-        if data and deadline is None:
-            connection.is_receiving = True
-            deadline = time.monotonic() + limits.head_timeout_s
-        connection.h11.receive_data(data)
-
-
-def _check_head_size(head: h11.Request, limits: ServerLimits) -> None:
-    """Reject a head that is too large, also if it arrived in a single read."""
-    size = len(head.target) + sum(len(k) + len(v) for k, v in head.headers)
-    if size > limits.max_head_bytes:
-        raise BadRequest(431, "malformed_request", "headers are too large")
-
-
-def _check_framing(headers: Headers, limits: ServerLimits) -> None:
-    """Reject ambiguous or excessive body lengths (RFC 9112, section 6.3)."""
-    lengths = [value for key, value in headers if key == b"content-length"]
-    is_chunked = any(key == b"transfer-encoding" for key, _ in headers)
-    if is_chunked and lengths or len(lengths) > 1:
-        raise BadRequest(400, "conflicting_lengths", "conflicting body lengths")
-    if lengths and int(lengths[0]) > limits.max_body_bytes:
-        raise BadRequest(413, "body_too_large", "request body is too large")
-
-
-async def _read_body(connection: Connection, limits: ServerLimits) -> bytes:
-    if connection.h11.they_are_waiting_for_100_continue:
-        continue_response = h11.InformationalResponse(status_code=100, headers=[])
-        await connection._send(continue_response)
-    parts: list[bytes] = []
-    size = 0
-    turn = Turn()
-    while True:
-        await take_step(turn)
-        try:
-            event = connection.h11.next_event()
-        except h11.RemoteProtocolError as error:
-            raise BadRequest(400, "malformed_body", str(error)) from error
-        if event is h11.NEED_DATA:
-            connection.h11.receive_data(await connection.sock.recv(READ_SIZE_BYTES))
-        elif isinstance(event, h11.Data):
-            size += len(event.data)
-            if size > limits.max_body_bytes:
-                raise BadRequest(413, "body_too_large", "request body is too large")
-            parts.append(bytes(event.data))
-        else:
-            return b"".join(parts)
