--- a/catkintrack/http/held_bytes.py
+++ b/catkintrack/http/held_bytes.py
@@ -1,6 +1,6 @@
-"""Bound the bytes that the responses of all upstreams hold together.
+"""Bound the bytes that all responses of upstreams, or all requests, hold together.
 
-Each response may hold a share of the bytes that are free, so that n responses without
+Each may hold a share of the bytes that are free, so that n responses without
 end leave four parts of n + 4 to the others, and a short one among them is not refused
 (A. K. Choudhury and E. L. Hahne, "Dynamic queue length thresholds for shared-memory
 packet switches", IEEE/ACM Transactions on Networking 6, 1998).
@@ -15,13 +15,15 @@
 from .errors import ResponseMemoryExhausted, UpstreamResponseTooLarge
 
 DEFAULT_MAX_HELD_BYTES = 64 << 20
+# Bodies of the largest size for which there is room at once.
+MIN_LARGEST_BODIES = 5
 # A response may hold one byte for this many free ones, so a fifth of all at most.
 FREE_BYTES_PER_HELD_BYTE = 4
 
 
 @dataclass(slots=True)
 class ByteBudget:
-    """Bound the bytes that are held for all responses of a process."""
+    """Bound the bytes that are held for all responses, or all requests, of a process."""
 
     max_bytes: int = DEFAULT_MAX_HELD_BYTES
     held_bytes: int = 0
@@ -29,12 +31,17 @@
 
 @dataclass(slots=True)
 class HeldBytes:
-    """Count the bytes that are held for one response or call."""
+    """Count the bytes that are held for one response, request or call."""
 
     budget: ByteBudget = field(default_factory=ByteBudget)
     size_bytes: int = 0
 
 
+def find_max_held_bytes(max_body_bytes: int) -> int:
+    """Return a bound for a process without a memory limit, in bytes."""
+    return max(DEFAULT_MAX_HELD_BYTES, MIN_LARGEST_BODIES * max_body_bytes)
+
+
 @contextmanager
 def hold_bytes(budget: ByteBudget) -> Iterator[HeldBytes]:
     """Yield a count of held bytes; release them when the block ends."""
@@ -45,15 +52,19 @@
         release_held(held)
 
 
-def add_held(held: HeldBytes, size_bytes: int) -> None:
-    """Hold more bytes; raise ResponseMemoryExhausted if that is more than the share."""
+def may_hold(held: HeldBytes, size_bytes: int) -> bool:
+    """Report whether more bytes are within the share of what is free."""
     budget = held.budget
-    needed_bytes = held.size_bytes + size_bytes
     free_bytes = budget.max_bytes - budget.held_bytes - size_bytes
-    if needed_bytes * FREE_BYTES_PER_HELD_BYTE > free_bytes:
+    return (held.size_bytes + size_bytes) * FREE_BYTES_PER_HELD_BYTE <= free_bytes
+
+
+def add_held(held: HeldBytes, size_bytes: int) -> None:
+    """Hold more bytes; raise ResponseMemoryExhausted beyond the share of what is free."""
+    if not may_hold(held, size_bytes):
         raise ResponseMemoryExhausted(
-            f"the response needs {needed_bytes} bytes, while all responses "
-            f"hold {budget.held_bytes} of {budget.max_bytes}"
+            f"the response needs {held.size_bytes + size_bytes} bytes, while all "
+            f"responses hold {held.budget.held_bytes} of {held.budget.max_bytes}"
         )
     _change(held, size_bytes)
 
--- a/catkintrack/http/requests.py
+++ b/catkintrack/http/requests.py
@@ -11,6 +11,7 @@
 from catkintrack.timeouts import call_within, timeout_after
 
 from .errors import BadRequest
+from .held_bytes import BodyBuffer, add_part, collect_body, may_hold
 from .messages import Headers, Request
 from .turns import Turn, take_step
 
@@ -21,6 +22,8 @@
 # A drained server closes connections on which no request arrives within this time.  A
 # request may be on its way when the drain begins.
 DRAIN_READ_S = 0.5
+# A field's colon and the end of its line.
+FIELD_WIRE_BYTES = 3
 
 
 async def read_request(connection: Connection) -> Request | None:
@@ -74,7 +77,8 @@
 
 def _check_head_size(head: h11.Request, limits: ServerLimits) -> None:
     """Reject a head that is too large, also if it arrived in a single read."""
-    size = len(head.target) + sum(len(k) + len(v) for k, v in head.headers)
+    size = len(head.target)
+    size += sum(len(k) + len(v) + FIELD_WIRE_BYTES for k, v in head.headers)
     if size > limits.max_head_bytes:
         raise BadRequest(431, "malformed_request", "headers are too large")
 
@@ -93,21 +97,26 @@
     if connection.h11.they_are_waiting_for_100_continue:
         continue_response = h11.InformationalResponse(status_code=100, headers=[])
         await connection._send(continue_response)
-    parts: list[bytes] = []
-    size = 0
     turn = Turn()
-    while True:
-        await take_step(turn)
-        try:
-            event = connection.h11.next_event()
-        except h11.RemoteProtocolError as error:
-            raise BadRequest(400, "malformed_body", str(error)) from error
-        if event is h11.NEED_DATA:
-            connection.h11.receive_data(await connection.sock.recv(READ_SIZE_BYTES))
-        elif isinstance(event, h11.Data):
-            size += len(event.data)
-            if size > limits.max_body_bytes:
-                raise BadRequest(413, "body_too_large", "request body is too large")
-            parts.append(bytes(event.data))
-        else:
-            return b"".join(parts)
+    with collect_body(connection.held, limits.max_body_bytes) as body:
+        while True:
+            await take_step(turn)
+            try:
+                event = connection.h11.next_event()
+            except h11.RemoteProtocolError as error:
+                raise BadRequest(400, "malformed_body", str(error)) from error
+            if event is h11.NEED_DATA:
+                connection.h11.receive_data(await connection.sock.recv(READ_SIZE_BYTES))
+            elif isinstance(event, h11.Data):
+                _check_part(body, len(event.data))
+                add_part(body, event.data)
+            else:
+                return bytes(body.data)
+
+
+def _check_part(body: BodyBuffer, size_bytes: int) -> None:
+    """Raise BadRequest if a part exceeds the body's limit or its share of the memory."""
+    if len(body.data) + size_bytes > body.max_bytes:
+        raise BadRequest(413, "body_too_large", "request body is too large")
+    if not may_hold(body.held, size_bytes):
+        raise BadRequest(503, "overloaded", "requests take too much memory")
--- a/catkintrack/http/server.py
+++ b/catkintrack/http/server.py
@@ -14,14 +14,18 @@
 from curio.io import Socket
 from curio.traps import _read_wait
 
-from catkintrack.timeouts import call_within
+from catkintrack.timeouts import call_within, ignore_after
 
 from .errors import BadRequest, CallerDisconnected
+from .held_bytes import ByteBudget, HeldBytes, hold_bytes
 from .messages import Headers, Request, find_header
-from .requests import DRAIN_READ_S, read_request
+from .requests import DRAIN_READ_S, READ_SIZE_BYTES, read_request
+from .turns import Turn, take_step
 
 LISTEN_BACKLOG = 512
 DRAIN_POLL_INTERVAL_S = 0.02
+# How long the rest of a rejected request is read.
+LINGER_S = 1.0
 # Value of SO_LINGER that makes a close reset the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -45,7 +49,10 @@
 
 @dataclass(slots=True)
 class Server:
-    """Hold the state and open connections of one listening socket."""
+    """Hold the state and open connections of one listening socket.
+
+    `budget` bounds the bodies of all requests together.
+    """
 
     limits: ServerLimits
     echoes_request_id: bool = False
@@ -56,6 +63,7 @@
     active_requests: int = 0
     connections: set[Connection] = field(default_factory=set)
     accept_task: curio.Task | None = None
+    budget: ByteBudget = field(default_factory=ByteBudget)
 
 
 class Connection:
@@ -73,6 +81,7 @@
         self.is_head_request = False
         self.request_id: bytes | None = None
         self.task: curio.Task | None = None
+        self.held = HeldBytes(server.budget)
 
     async def start_response(self, status: int, headers: Headers) -> None:
         """Send the status line and headers."""
@@ -177,13 +186,20 @@
     on_bad_request: BadRequestHandler = send_bad_request_response,
     echoes_request_id: bool = False,
     cancels_on_disconnect: bool = False,
+    budget: ByteBudget | None = None,
 ) -> AsyncIterator[Server]:
     """Serve requests at `host` and `port` until the block ends.
 
     Port 0 selects a free port. With `echoes_request_id` responses return the request
     ID. With `cancels_on_disconnect` a handler is cancelled once its caller disconnects.
+    `budget` bounds the bodies of all requests together.
     """
-    server = Server(limits or ServerLimits(), echoes_request_id, cancels_on_disconnect)
+    server = Server(
+        limits or ServerLimits(),
+        echoes_request_id,
+        cancels_on_disconnect,
+        budget=budget or ByteBudget(),
+    )
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((host, port))
@@ -281,33 +297,10 @@
 ) -> None:
     server = connection.server
     try:
-        while True:
-            try:
-                request = await read_request(connection)
-            except BadRequest as error:
-                connection.is_busy = True
-                await on_bad_request(error, connection)
-                return
-            if request is None:
-                return
-            connection.is_busy = True
-            connection.is_receiving = False
-            connection.request_id = find_header(request.headers, b"x-request-id")
-            server.active_requests += 1
-            try:
-                if server.cancels_on_disconnect:
-                    await _handle_until_disconnect(request, connection, handler)
-                else:
-                    await handler(request, connection)
-            finally:
-                server.active_requests -= 1
-            # A response that began before the drain promised to keep the connection.
-            if connection.h11.our_state is not h11.DONE or server.is_draining:
-                return
-            connection.is_busy = False
-            connection.has_response_started = False
-            connection.is_head_request = False
-            connection.h11.start_next_cycle()
+        is_kept = True
+        while is_kept:
+            with hold_bytes(server.budget) as connection.held:
+                is_kept = await _serve_request(connection, handler, on_bad_request)
     except (CallerDisconnected, OSError, curio.TaskTimeout, h11.ProtocolError):
         pass
     finally:
@@ -315,6 +308,54 @@
         await connection.close()
 
 
+async def _serve_request(
+    connection: Connection, handler: Handler, on_bad_request: BadRequestHandler
+) -> bool:
+    """Serve the next request; report whether another one may follow."""
+    server = connection.server
+    is_rejected = False
+    try:
+        request = await read_request(connection)
+    except BadRequest as error:
+        connection.is_busy = is_rejected = True
+        await on_bad_request(error, connection)
+    if is_rejected:
+        await ignore_after(LINGER_S, _discard_input, connection)
+        return False
+    if request is None:
+        return False
+    connection.is_busy = True
+    connection.is_receiving = False
+    connection.request_id = find_header(request.headers, b"x-request-id")
+    server.active_requests += 1
+    try:
+        if server.cancels_on_disconnect:
+            await _handle_until_disconnect(request, connection, handler)
+        else:
+            await handler(request, connection)
+    finally:
+        server.active_requests -= 1
+    # A response that began before the drain promised to keep the connection.
+    if connection.h11.our_state is not h11.DONE or server.is_draining:
+        return False
+    connection.is_busy = False
+    connection.has_response_started = False
+    connection.is_head_request = False
+    connection.h11.start_next_cycle()
+    return True
+
+
+async def _discard_input(connection: Connection) -> None:
+    """End the response, and read until the caller closes (RFC 9112, section 9.6).
+
+    Closing while a body arrives would reset the connection and lose the response.
+    """
+    await connection.sock.shutdown(socket.SHUT_WR)
+    turn = Turn()
+    while await connection.sock.recv(READ_SIZE_BYTES):
+        await take_step(turn)
+
+
 async def _handle_until_disconnect(
     request: Request, connection: Connection, handler: Handler
 ) -> None:
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -87,9 +87,9 @@
 CONNECT_TIMEOUT_S = 0.15
 # Share of the memory limit that one complete response may take.
 MAX_BODY_MEMORY_SHARE = 1 / 32
-# Share of the memory limit that all responses together may take.  A body is copied when
-# it is complete, and the system's buffers count too.
-MAX_RESPONSES_MEMORY_SHARE = 1 / 6
+# Share of the memory limit that all responses together may take, and all requests.  A
+# body is copied when it is complete, and the system's buffers count too.
+MAX_HELD_MEMORY_SHARE = 1 / 6
 HOUSEKEEPING_INTERVAL_S = 0.25
 LOG_SUMMARY_INTERVAL_S = 1.0
 # Fraction of the operators' slack over a limit that a bucket holds after a restart.
@@ -127,7 +127,7 @@
                 connect_timeout_s=CONNECT_TIMEOUT_S,
                 max_body_bytes=round(site.memory_mb * 1e6 * MAX_BODY_MEMORY_SHARE),
             ),
-            budget=ByteBudget(round(site.memory_mb * 1e6 * MAX_RESPONSES_MEMORY_SHARE)),
+            budget=_make_budget(site),
         ),
         rng=Random(name),
         metrics=make_instance_metrics(),
@@ -148,6 +148,11 @@
     return instance
 
 
+def _make_budget(site: Site) -> ByteBudget:
+    """Return a bound for all responses together, or for all requests."""
+    return ByteBudget(round(site.memory_mb * 1e6 * MAX_HELD_MEMORY_SHARE))
+
+
 def _initial_level(site: Site) -> float:
     """Return what the fleet may use at first of a limit whose past usage is unknown.
 
@@ -193,6 +198,7 @@
             ServerLimits(),
             respond_to_bad_request,
             cancels_on_disconnect=True,
+            budget=_make_budget(site),
         ) as server,
         open_readiness_server(instance),
         open_ops_server(
--- a/catkintrack/router/process.py
+++ b/catkintrack/router/process.py
@@ -13,12 +13,14 @@
 
 from catkintrack.calls import run_ticks
 from catkintrack.http import (
+    ByteBudget,
     ClientLimits,
     Connection,
     Pool,
     Request,
     ServerLimits,
     drain_server,
+    find_max_held_bytes,
     open_server,
 )
 from catkintrack.links import open_context
@@ -57,7 +59,12 @@
         incarnation=incarnation,
         context=context,
         keys=read_link_keys(settings),
-        pool=Pool(make_client_limits(settings)),
+        pool=Pool(
+            make_client_limits(settings),
+            budget=ByteBudget(
+                find_max_held_bytes(settings.router.upstreams.max_body_bytes)
+            ),
+        ),
         rng=Random(f"{name}/{settings.router.placement.seed}"),
         metrics=make_router_metrics(),
         pause_detector=PauseDetector(time.monotonic()),
@@ -101,6 +108,9 @@
                 handle,
                 make_server_limits(router.settings),
                 answer_malformed,
+                budget=ByteBudget(
+                    find_max_held_bytes(settings.router.callers.max_body_bytes)
+                ),
             ) as server:
                 router.server = server
                 logger.info("router ready", extra={"port": server.port})
@@ -113,10 +123,15 @@
 def apply_settings(router: Router, settings: Settings) -> None:
     """Apply changed settings to a running router; open calls keep their limits."""
     router.settings = settings
-    router.pool.limits = make_client_limits(settings)
+    limits = make_client_limits(settings)
+    router.pool.limits = limits
+    router.pool.budget.max_bytes = find_max_held_bytes(limits.max_body_bytes)
     router.call_queue.policy = settings.router.placement.policy
     if router.server is not None:
-        router.server.limits = make_server_limits(settings)
+        server_limits = make_server_limits(settings)
+        router.server.limits = server_limits
+        max_body_bytes = server_limits.max_body_bytes
+        router.server.budget.max_bytes = find_max_held_bytes(max_body_bytes)
 
 
 def make_client_limits(settings: Settings) -> ClientLimits:
