Take no event without an id into a stream that goes on elsewhere

Cause: EventSplitter checked the ids that events have and did not ask for one. An event without an id passed as the rest of any stream, and an attempt with an event may end the response.

Evidence: test_broken_streams serves a stream on a socket by handle_call and breaks it off; the next replicas play 89 answers (statuses with each framing, success with other bodies, error events, heads without end, 1xx, other ids, and so on), over HTTP/1.1 and 1.0, and 200 sequences of up to four of them with the break at any byte.

A stream that is gone on with needs an id on each event but comments and the reconnection time; the next event's id must then be the next number, which nothing but the stream's rest has. The first replica's own events are passed on as they are.

--- a/catkintrack/instance/stream_events.py
+++ b/catkintrack/instance/stream_events.py
@@ -7,16 +7,21 @@
 MAX_EVENT_BYTES = 1 << 20
 # Longer numbers exceed 64 bits.
 MAX_ID_DIGITS = 18
+# Fields that carry nothing of the stream: comments and the reconnection time.
+FIELDS_WITHOUT_CONTENT = (b"", b"retry")
 
 
 class EventSplitter:
     """Split received bytes into complete events and buffer an incomplete one.
 
-    `last_event_id` is the ID of the last complete event, or None before the first.
+    `last_event_id` is the ID of the last complete event, or None before the first.  A
+    stream that is gone on with, after an event that the caller has, needs IDs throughout:
+    without one, nothing shows that an event belongs to it.
     """
 
     def __init__(self, last_event_id: int | None = None) -> None:
         self.last_event_id = last_event_id
+        self._needs_ids = last_event_id is not None
         self._buffer = EventBuffer()
 
     @property
@@ -43,10 +48,14 @@
 
     def _check_id(self, event: bytes) -> None:
         """Require that event IDs increase by one."""
-        for line in event.splitlines():
+        has_id = False
+        has_content = False
+        for line in filter(None, event.splitlines()):
             name, _, value = line.partition(b":")
+            has_content |= name not in FIELDS_WITHOUT_CONTENT
             if name != b"id":
                 continue
+            has_id = True
             value = value.strip()
             if not value.isdigit() or len(value) > MAX_ID_DIGITS:
                 raise UpstreamExchangeError("an event's id is not a number")
@@ -56,3 +65,5 @@
                     f"event {number} follows {self.last_event_id}"
                 )
             self.last_event_id = number
+        if self._needs_ids and has_content and not has_id:
+            raise UpstreamExchangeError("an event of the stream's rest has no id")
