Cut a broken stream that had an event without an id

Callers could get the beginning of a stream twice (ORDER): events without an id were passed on, the replica broke off, and the next one was asked to begin again, or to go on after the last event that had an id.

Cause: only ids tell the next replica where to go on, and the retry did not ask whether all that the caller has is covered by one. The platform's streams have an id on each event; this concerns replicas that depart from that, and an error event of the first replica in the middle of its stream.

Evidence: UnnumberedEventTest, on a socket through handle_call: a stream cut after `data: text` alone, and after two numbered events and such a one.

A stream whose only unnumbered parts are comments goes on as before, and one without any ids is passed on whole, both tested.

--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -84,8 +84,10 @@
 
     `connected_attempts` counts the attempts that reached a replica, `executions` those
     that a replica ran or may have run, `unreachable_attempts` those without a
-    connection.  `software_version` is the one that the stream must go on at, None if any;
-    `is_version_confirmed` is set if the replica itself reported its incarnation.
+    connection.  `has_unnumbered_event` is set if the caller has an event without an ID,
+    which a replica would repeat.  `software_version` is the one that the stream must go on
+    at, None if any; `is_version_confirmed` is set if the replica itself reported its
+    incarnation.
     """
 
     arrived_at: float
@@ -96,6 +98,7 @@
     connected_attempts: int = 0
     unreachable_attempts: int = 0
     last_event_id: int | None = None
+    has_unnumbered_event: bool = False
     software_version: str | None = None
     is_version_confirmed: bool = True
     cached_tokens: int = 0
@@ -309,6 +312,7 @@
                 progress.first_byte_at = time.monotonic()
                 await connection.start_response(200, make_response_headers(head))
             progress.last_event_id = splitter.last_event_id
+            progress.has_unnumbered_event |= splitter.has_unnumbered_event
             await connection.send_body(events)
     if splitter.has_partial_event:
         raise UpstreamDisconnected("the stream ended inside an event")
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -133,6 +133,9 @@
             is_exhausted = progress.executions >= call.route.max_attempts
             if not call.route.is_retryable or is_exhausted:
                 break
+            if progress.has_unnumbered_event:
+                progress.reason = "an event without an id can't be gone on after"
+                break
             await _check_origin(instance, call, progress, decision.upstream)
         finally:
             record_end(instance.decisions, request.id, time.monotonic())
--- a/catkintrack/instance/stream_events.py
+++ b/catkintrack/instance/stream_events.py
@@ -14,13 +14,15 @@
 class EventSplitter:
     """Split received bytes into complete events and buffer an incomplete one.
 
-    `last_event_id` is the ID of the last complete event, or None before the first.  A
-    stream that is gone on with, after an event that the caller has, needs IDs throughout:
-    without one, nothing shows that an event belongs to it.
+    `last_event_id` is the ID of the last complete event, or None before the first;
+    `has_unnumbered_event` is set once an event had content and no ID.  A stream that is
+    gone on with, after an event that the caller has, needs IDs throughout: without one,
+    nothing shows that an event belongs to it.
     """
 
     def __init__(self, last_event_id: int | None = None) -> None:
         self.last_event_id = last_event_id
+        self.has_unnumbered_event = False
         self._needs_ids = last_event_id is not None
         self._buffer = EventBuffer()
 
@@ -65,5 +67,8 @@
                     f"event {number} follows {self.last_event_id}"
                 )
             self.last_event_id = number
-        if self._needs_ids and has_content and not has_id:
+        if has_id or not has_content:
+            return
+        self.has_unnumbered_event = True
+        if self._needs_ids:
             raise UpstreamExchangeError("an event of the stream's rest has no id")
--- a/catkintrack/instance/tests/test_broken_streams.py
+++ b/catkintrack/instance/tests/test_broken_streams.py
@@ -237,6 +237,17 @@
 
 
 class UnnumberedEventTest(BrokenStreamCase):
+    def test_stream_with_an_event_without_a_number_does_not_go_on_elsewhere(self):
+        """Another replica would repeat the event, or leave it out."""
+        event = b"data: text\n\n"
+        for body in (event, make_events(1, 2) + event):
+            with self.subTest(body):
+                cut = make_head() + CHUNKED + make_chunk(body)
+                received = self.receive([answer_with(cut), go_on])
+                self.assertEqual(received.body, body)
+                self.assertFalse(received.has_end)
+                self.assertEqual(len(self.replicas.requests), 1)
+
     def test_comment_is_not_an_event(self):
         for comment in (b": ping\n\n", b": ping\n: pong\n\n"):
             with self.subTest(comment):
