Check a peer's stream before it is passed on

A caller whose instance reaches no replica could get a cut stream as a whole one, or a success that is no replica's answer to it (MIXED, ORDER): the head of a peer's stream was passed on as it came. A stream that ends with its connection was finished at the close, wherever that was; one without a signature, without the request's id or with an encoding was passed on whole.

Peers answer in chunks, with the replica's signature and id, so this needs something else at a peer's address, or a peer that departs from that; no run of processes has shown it. Answers that are no streams were refused without a length already.

The check is the one of replicas' answers, on successes only: a peer's own refusals bear no signature.

--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -194,7 +194,7 @@
             with contextlib.suppress(UpstreamExchangeError):
                 await exchange.read_body(REJECTION_BODY_TIMEOUT_S)
             raise ReplicaRejected(head.status, fields)
-        _check_response(call, fields)
+        check_response(call, fields)
         has_events = call.route.is_stream and call.method != b"HEAD"
         if head.status == 200 and has_events:
             splitter = EventSplitter(find_last_event_id(call, progress))
@@ -264,7 +264,7 @@
                 raise
 
 
-def _check_response(call: Call, fields: ResponseFields) -> None:
+def check_response(call: Call, fields: ResponseFields) -> None:
     """Raise UpstreamExchangeError on a response to another call, encoded or unsigned."""
     if fields.request_id != call.id:
         raise UpstreamExchangeError("the answer is not to this request")
--- a/catkintrack/instance/relaying.py
+++ b/catkintrack/instance/relaying.py
@@ -23,9 +23,10 @@
     is_relayed,
     make_relayed_request,
     make_response_headers,
+    parse_response_headers,
 )
 
-from .attempts import CallProgress
+from .attempts import CallProgress, check_response
 from .peers import list_live_peers
 from .refusals import OutcomeUnknown
 from .state import Instance, Peer
@@ -107,9 +108,11 @@
 ) -> int:
     """Forward a peer's answer as it arrives, and return its status.
 
-    Raise UpstreamExchangeError if it is incomplete.
+    Raise UpstreamExchangeError if it is incomplete, or a success that is not to this call.
     """
     head = await exchange.read_head(_find_remaining_s(call) + DEADLINE_MARGIN_S)
+    if head.status < 300:
+        check_response(call, parse_response_headers(head))
     progress.first_byte_at = time.monotonic()
     headers = make_response_headers(head)
     if not call.route.is_stream or head.status != 200:
@@ -118,6 +121,8 @@
             raise UpstreamDisconnected("the answer has no length")
         await connection.respond(head.status, headers, body)
         return head.status
+    if head.is_close_delimited:
+        raise UpstreamDisconnected("the stream has no end of its own")
     await connection.start_response(head.status, headers)
     while True:
         part = await exchange.read_body_part(
--- a/catkintrack/instance/tests/test_broken_streams.py
+++ b/catkintrack/instance/tests/test_broken_streams.py
@@ -20,46 +20,24 @@
 from testkit.profiles import DETERMINISTIC
 from testkit.raw_upstreams import make_chunk
 from testkit.scripted_replicas import (
+    EVENTS,
+    PRINTABLE_ERROR,
+    REQUEST_ID,
     ScriptedReplicas,
     find_first_number,
+    frame,
+    make_events,
+    make_head,
+    make_stream_request,
     receive_response,
 )
 from testkit.states import make_instance
 
 REPLICAS = 5
-EVENTS = 5
-REQUEST = (
-    b"POST /long/1 HTTP/1.1\r\nhost: h1.example\r\nx-request-id: r1\r\n"
-    b"x-credential: key-1\r\nx-model: m1\r\nx-token-usage: 300,50\r\n"
-    b"x-prompt-prefix: aa:200,bb:100\r\nx-deadline-ms: 5000\r\n"
-    b"content-length: 2\r\n\r\n{}"
-)
-SIGNED = b"x-request-id: r1\r\nx-response-signature: s\r\n"
-CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
-ERROR_TEXT = b'{"error": "overloaded"}'
-LAST_CHUNK = b"0\r\n\r\n"
-
-
-def make_events(first=1, last=EVENTS):
-    numbers = range(first, last + 1)
-    return b"".join(b"id: %d\ndata: text %d\n\n" % (n, n) for n in numbers)
-
-
+REQUEST = make_stream_request()
+REQUEST_1_0 = make_stream_request(b"1.0")
 STREAM = make_events()
-
-
-def make_head(status=200, headers=SIGNED):
-    return b"HTTP/1.1 %d -\r\n%s" % (status, headers)
-
-
-def frame(head, body, framing):
-    """Return an answer whose body ends as `framing` says: length, chunks or close."""
-    if framing == "length":
-        return head + b"content-length: %d\r\n\r\n" % len(body) + body
-    if framing == "chunks":
-        chunk = make_chunk(body) if body else b""
-        return head + CHUNKED + chunk + LAST_CHUNK
-    return head + b"\r\n" + body
+CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
 
 
 def answer_with(data):
@@ -94,30 +72,29 @@
 
 
 NOT_RUN = b"x-not-executed: 1\r\n"
-OTHER_ID = b"x-request-id: r2\r\nx-response-signature: s\r\n"
-UNSIGNED = b"x-request-id: r1\r\n"
+OTHER_ID = b"x-request-id: r2\r\n"
 ERROR_EVENTS = (
-    b"event: error\ndata: " + ERROR_TEXT + b"\n\n",
-    b"data: " + ERROR_TEXT + b"\n\n",
-    ERROR_TEXT + b"\n\n",
+    b"event: error\ndata: " + PRINTABLE_ERROR + b"\n\n",
+    b"data: " + PRINTABLE_ERROR + b"\n\n",
+    PRINTABLE_ERROR + b"\n\n",
 )
 FRAMINGS = ("length", "chunks", "close")
 HEADS = {
     **{f"status {n}": make_head(n) for n in (400, 404, 408, 410, 413, 429)},
     **{f"status {n}": make_head(n) for n in (500, 502, 503, 504, 206, 301, 307)},
-    "busy": make_head(503, SIGNED + NOT_RUN),
-    "limited": make_head(429, SIGNED + NOT_RUN + b"retry-after: 0\r\n"),
+    "busy": make_head(503, REQUEST_ID + NOT_RUN),
+    "limited": make_head(429, REQUEST_ID + NOT_RUN + b"retry-after: 0\r\n"),
     "misdirected": make_head(421),
     "to another request": make_head(200, OTHER_ID),
-    "unsigned": make_head(200, UNSIGNED),
-    "encoded": make_head(200, SIGNED + b"content-encoding: gzip\r\n"),
+    "unsigned": make_head(200, is_signed=False),
+    "encoded": make_head(200, REQUEST_ID + b"content-encoding: gzip\r\n"),
     "plain": make_head(200),
-    "json": make_head(200, SIGNED + b"content-type: application/json\r\n"),
-    "not run with success": make_head(200, SIGNED + NOT_RUN),
+    "json": make_head(200, REQUEST_ID + b"content-type: application/json\r\n"),
+    "not run with success": make_head(200, REQUEST_ID + NOT_RUN),
 }
 ANSWERS = {
     **{
-        f"{name}, {framing}": answer_with(frame(head, ERROR_TEXT, framing))
+        f"{name}, {framing}": answer_with(frame(head, PRINTABLE_ERROR, framing))
         for name, head in HEADS.items()
         for framing in FRAMINGS
     },
@@ -129,10 +106,10 @@
     "no content": answer_with(make_head(204) + b"\r\n"),
     "closed": answer_with(b""),
     "head without end": answer_with(make_head() + b"x-more: "),
-    "not HTTP": answer_with(ERROR_TEXT),
+    "not HTTP": answer_with(PRINTABLE_ERROR),
     "1xx alone": answer_with(b"HTTP/1.1 102 -\r\n\r\n" * 3),
     "1xx, then an error": answer_with(
-        b"HTTP/1.1 100 -\r\n\r\n" + frame(make_head(500), ERROR_TEXT, "length")
+        b"HTTP/1.1 100 -\r\n\r\n" + frame(make_head(500), PRINTABLE_ERROR, "length")
     ),
     "switching protocols": answer_with(b"HTTP/1.1 101 -\r\nupgrade: x\r\n\r\nxx"),
     "empty, close": answer_with(make_head() + b"\r\n"),
@@ -141,7 +118,7 @@
     "skips": start_at(1),
     "number twice": answer_with(frame(make_head(), b"id: 1\nid: 1\n\n", "chunks")),
     "bytes after the end": lambda request: (
-        go_on(request) + frame(make_head(500), ERROR_TEXT, "length")
+        go_on(request) + frame(make_head(500), PRINTABLE_ERROR, "length")
     ),
     "goes on": go_on,
 }
@@ -197,7 +174,7 @@
     def test_each_answer_leaves_the_stream_as_it_is(self):
         begun = break_at(len(make_events(1, 2)) + 5)
         for name, answer in ANSWERS.items():
-            for request in (REQUEST, REQUEST.replace(b"HTTP/1.1", b"HTTP/1.0")):
+            for request in (REQUEST, REQUEST_1_0):
                 with self.subTest(name, version=request[13:21]):
                     received = self.receive([begun, answer], request)
                     self.assert_prefix(received)
@@ -227,7 +204,7 @@
         then = [
             break_at(name) if isinstance(name, int) else ANSWERS[name] for name in names
         ]
-        request = REQUEST.replace(b"1.1\r\n", b"1.0\r\n", 1) if is_old else REQUEST
+        request = REQUEST_1_0 if is_old else REQUEST
         received = self.receive([break_at(size, framing), *then], request)
         if size >= len(make_events(1, 1)):
             self.assert_prefix(received)
--- a/testkit/scripted_replicas.py
+++ b/testkit/scripted_replicas.py
@@ -22,9 +22,14 @@
 )
 from catkintrack.http.server import _serve_connection, send_bad_request_response
 
+from .raw_upstreams import make_chunk
+
 HOST = "127.0.0.1"
 # The start of each replica as its entry names it (`make_entry_spec`).
 BORN = 1000
+EVENTS = 5
+PRINTABLE_ERROR = b'{"error": "overloaded"}'
+REQUEST_ID = b"x-request-id: r1\r\n"
 Answer = Callable[[Request], bytes]
 Handler = Callable[[Request, Connection], Awaitable[None]]
 
@@ -142,3 +147,38 @@
 def find_first_number(request: Request) -> int:
     """Return the number of the first event that a request asks for, from 1."""
     return int(find_header(request.headers, b"last-event-id") or b"0") + 1
+
+
+def make_stream_request(version: bytes = b"1.1", has_prompt: bool = True) -> bytes:
+    """Return a caller's request for a stream, on the route `long` of `make_config_spec`."""
+    prompt = (
+        b"x-model: m1\r\nx-token-usage: 300,50\r\nx-prompt-prefix: aa:200,bb:100\r\n"
+    )
+    return (
+        b"POST /long/1 HTTP/%s\r\nhost: h1.example\r\n%sx-credential: key-1\r\n%s"
+        b"x-deadline-ms: 5000\r\ncontent-length: 2\r\n\r\n{}"
+    ) % (version, REQUEST_ID, prompt if has_prompt else b"")
+
+
+def make_events(first: int = 1, last: int = EVENTS) -> bytes:
+    """Return the events of a stream from `first` to `last`."""
+    numbers = range(first, last + 1)
+    return b"".join(b"id: %d\ndata: text %d\n\n" % (n, n) for n in numbers)
+
+
+def make_head(
+    status: int = 200, headers: bytes = REQUEST_ID, is_signed: bool = True
+) -> bytes:
+    """Return the head of a replica's answer, without its framing and its end."""
+    signature = b"x-response-signature: s\r\n" if is_signed else b""
+    return b"HTTP/1.1 %d -\r\n%s%s" % (status, headers, signature)
+
+
+def frame(head: bytes, body: bytes, framing: str) -> bytes:
+    """Return an answer whose body ends as `framing` says: length, chunks or close."""
+    if framing == "length":
+        return head + b"content-length: %d\r\n\r\n" % len(body) + body
+    if framing == "chunks":
+        chunk = make_chunk(body) if body else b""
+        return head + b"transfer-encoding: chunked\r\n\r\n" + chunk + b"0\r\n\r\n"
+    return head + b"\r\n" + body
