Test broken streams of calls without a prompt

No fault was found there; the tests passed at once, but for an answer of the test itself that was a stream of seven events.

--- a/catkintrack/instance/tests/test_broken_streams.py
+++ b/catkintrack/instance/tests/test_broken_streams.py
@@ -12,7 +12,7 @@
 import hypothesis.strategies as st
 from hypothesis import given, settings
 
-from catkintrack.instance import attempts, model_calls
+from catkintrack.instance import attempts, model_calls, service_calls
 from catkintrack.instance.calls import handle_call
 from catkintrack.instance.config_state import apply_configuration
 from catkintrack.instance.fleet_state import apply_upstream
@@ -20,7 +20,6 @@
 from testkit.profiles import DETERMINISTIC
 from testkit.raw_upstreams import make_chunk
 from testkit.scripted_replicas import (
-    EVENTS,
     PRINTABLE_ERROR,
     REQUEST_ID,
     ScriptedReplicas,
@@ -66,7 +65,7 @@
 
     def answer(request):
         first = max(1, find_first_number(request) + offset)
-        return frame(make_head(), make_events(first, EVENTS + 2), "chunks")
+        return frame(make_head(), make_events(first), "chunks")
 
     return answer
 
@@ -130,8 +129,9 @@
     def setUp(self):
         stack = self.enterContext(contextlib.ExitStack())
         # The retry budget and suspicions of lost replicas would hide later attempts.
-        stack.enter_context(mock.patch.object(model_calls, "may_retry", allow))
-        stack.enter_context(mock.patch.object(model_calls, "report_lost_replica", skip))
+        for module in (model_calls, service_calls):
+            stack.enter_context(mock.patch.object(module, "may_retry", allow))
+            stack.enter_context(mock.patch.object(module, "report_lost_replica", skip))
 
     def receive(self, answers, request=REQUEST, resumable=True):
         """Return what a caller receives while replicas give `answers` in turn."""
@@ -213,6 +213,35 @@
             self.assertEqual(len(received.statuses), 1, received)
 
 
+class StreamWithoutPromptTest(BrokenStreamCase):
+    """Such streams begin at any replica of the service and are not gone on with."""
+
+    request = make_stream_request(has_prompt=False)
+
+    def test_begun_stream_is_cut_where_it_breaks_off(self):
+        for name, answer in ANSWERS.items():
+            with self.subTest(name):
+                begun = break_at(len(make_events(1, 2)) + 5)
+                received = self.receive([begun, answer, go_on], self.request)
+                self.assert_prefix(received)
+                self.assertEqual(received.body, make_events(1, 2))
+                self.assertFalse(received.has_end)
+                self.assertEqual(len(self.replicas.requests), 1)
+
+    @given(
+        st.lists(st.sampled_from(sorted(ANSWERS)), max_size=3),
+        st.integers(0, len(STREAM)),
+    )
+    @settings(DETERMINISTIC)
+    def test_stream_after_failures_has_one_head(self, names, size):
+        """A failure that was kept for the end is not sent after a stream's begin."""
+        answers = [*(ANSWERS[name] for name in names), break_at(size)]
+        received = self.receive(answers, self.request)
+        self.assertEqual(len(received.statuses), 1, received)
+        if received.body.startswith(make_events(1, 1)):
+            self.assert_prefix(received)
+
+
 class UnnumberedEventTest(BrokenStreamCase):
     def test_stream_with_an_event_without_a_number_does_not_go_on_elsewhere(self):
         """Another replica would repeat the event, or leave it out."""
