Count an engine's tokens only once they are passed on (router)

A caller of the router could miss tokens in the middle of a stream that was gone on with (ORDER): EventReader counted the events of one read as relayed one by one, and when a later event of the same read was invalid or out of order, it raised and none of them was sent. The next engine was asked to go on after them, with their text as if delivered.

Evidence: the new test in test_events reads two tokens and a bad event at once. Before: next_index 3 where the caller has 1 token.

The progress is set back to where the read began, as nothing of that read was sent; the next engine sends those tokens again.

--- a/catkintrack/router/events.py
+++ b/catkintrack/router/events.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import msgspec
@@ -77,13 +79,15 @@
     def read(self, data: bytes) -> bytes:
         """Return the events to relay that `data` completes.
 
-        Raise UpstreamExchangeError if a token is missing or an event is invalid.
+        Raise UpstreamExchangeError if a token is missing or an event is invalid; then no
+        event of `data` counts as relayed.
         """
         events = split_events(self.buffer, data)
         if len(self.buffer.data) > MAX_EVENT_BYTES:
             raise UpstreamExchangeError("a server-sent event exceeds the size limit")
         texts = (b"\n".join(event.strip(b"\r\n").splitlines()) for event in events)
-        relayed = [body for text in texts if (body := self._read_event(text))]
+        with _undo_on_error(self.progress):
+            relayed = [body for text in texts if (body := self._read_event(text))]
         if not relayed:
             return b""
         return EVENT_SEPARATOR.join(relayed) + EVENT_SEPARATOR
@@ -132,6 +136,20 @@
         return event
 
 
+@contextmanager
+def _undo_on_error(progress: StreamProgress) -> Iterator[None]:
+    """Set the progress back if the events that it counts are not relayed."""
+    next_index, usage = progress.next_index, progress.usage
+    text_count, is_done = len(progress.texts), progress.is_done
+    try:
+        yield
+    except UpstreamExchangeError:
+        progress.next_index, progress.usage = next_index, usage
+        progress.is_done = is_done
+        del progress.texts[text_count:]
+        raise
+
+
 def _parse_index(text: bytes) -> int:
     if not text.isdigit():
         raise UpstreamExchangeError("a server-sent event has a non-numeric ID")
--- a/catkintrack/router/tests/test_events.py
+++ b/catkintrack/router/tests/test_events.py
@@ -82,6 +82,17 @@
         with self.assertRaises(UpstreamExchangeError):
             reader.read(make_event(2))
 
+    def test_tokens_read_with_a_bad_event_are_still_to_come(self):
+        """They were not passed on, so that the next engine has to send them."""
+        for bad in (b"data: no chunk\n\n", make_event(5), b"id: x\ndata: {}\n\n"):
+            progress = StreamProgress()
+            reader = EventReader(progress, False)
+            reader.read(make_event(0))
+            with self.assertRaises(UpstreamExchangeError):
+                reader.read(make_event(1) + make_event(2) + bad)
+            self.assertEqual(progress.next_index, 1)
+            self.assertEqual(progress.delivered, TOKENS[0])
+
     @given(st.binary(max_size=200))
     @settings(DETERMINISTIC)
     def test_malformed_event_never_ends_a_stream(self, data):
