Pass on no engine's error as a part of a stream (router)

`event: error`, `data:` without a space and bare text were dropped, and a [DONE] behind them ended the stream.

Evidence: test_events gives a reader such an event after a token, with and without [DONE] behind it. After: each raises, and the stream isn't done.

An event is now a chunk with choices or usage and no error, [DONE], or holds comments and the reconnection time only; all else is a failure of the engine, after which the next one goes on. If none can, the caller gets the router's own error event and no end, as before.

--- a/catkintrack/router/events.py
+++ b/catkintrack/router/events.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from typing import Any
 
 import msgspec
 
@@ -13,6 +14,8 @@
 EVENT_SEPARATOR = b"\n\n"
 DONE_EVENT = b"data: [DONE]"
 MAX_EVENT_BYTES = 1 << 20
+# Fields that carry nothing of the stream: comments and the reconnection time.
+FIELDS_WITHOUT_CONTENT = (b"", b"retry")
 
 
 class Delta(msgspec.Struct):
@@ -36,10 +39,14 @@
 
 
 class Chunk(msgspec.Struct):
-    """Represent the fields of a completion chunk that the router reads."""
+    """Represent the fields of a completion chunk that the router reads.
 
-    choices: list[Choice] = []
+    An error in place of a chunk has `error`, or neither choices nor usage.
+    """
+
+    choices: list[Choice] | None = None
     usage: Usage | None = None
+    error: Any = None
 
 
 _CHUNK_DECODER = msgspec.json.Decoder(Chunk)
@@ -105,6 +112,7 @@
             line, _, event = event.partition(b"\n")
             index = _parse_index(line[4:])
         if not event.startswith(b"data: "):
+            _require_no_content(event)
             return b""
         if index >= 0 and index < progress.next_index:
             return b""
@@ -123,13 +131,16 @@
             raise UpstreamExchangeError(
                 f"a server-sent event has an invalid chunk: {error}"
             ) from error
+        is_chunk = chunk.choices is not None or chunk.usage is not None
+        if chunk.error is not None or not is_chunk:
+            raise UpstreamExchangeError("the engine reports an error in its stream")
         if chunk.usage is not None:
             progress.usage = chunk.usage
             if not chunk.choices and not self.wants_usage:
                 return b""
         if is_token:
             progress.next_index += 1
-        for choice in chunk.choices:
+        for choice in chunk.choices or ():
             text = choice.delta.content if choice.delta else choice.text
             if text:
                 progress.texts.append(text)
@@ -150,6 +161,13 @@
         raise
 
 
+def _require_no_content(event: bytes) -> None:
+    """Raise UpstreamExchangeError if an event that is not passed on has content."""
+    for line in event.splitlines():
+        if line.partition(b":")[0] not in FIELDS_WITHOUT_CONTENT:
+            raise UpstreamExchangeError("a server-sent event is no chunk")
+
+
 def _parse_index(text: bytes) -> int:
     if not text.isdigit():
         raise UpstreamExchangeError("a server-sent event has a non-numeric ID")
--- a/catkintrack/router/tests/test_events.py
+++ b/catkintrack/router/tests/test_events.py
@@ -93,6 +93,36 @@
             self.assertEqual(progress.next_index, 1)
             self.assertEqual(progress.delivered, TOKENS[0])
 
+    def test_event_that_is_no_chunk_is_not_passed_on(self):
+        error = b'{"error": {"message": "overloaded"}}'
+        events = (
+            b"data: " + error,
+            b"event: error\ndata: " + error,
+            b"data:" + error,
+            error,
+            b'data: {"detail": "overloaded"}',
+            b"id: 1\ndata: " + error,
+        )
+        for event in events:
+            for end in (b"", b"\n\ndata: [DONE]"):
+                with self.subTest(event, end=end):
+                    progress = StreamProgress()
+                    reader = EventReader(progress, False)
+                    reader.read(make_event(0))
+                    with self.assertRaises(UpstreamExchangeError):
+                        reader.read(event + end + b"\n\n")
+                    self.assertFalse(progress.is_done)
+
+    def test_comment_and_reconnection_time_are_dropped(self):
+        reader = EventReader(StreamProgress(), False)
+        for event in (b": ping\n\n", b"retry: 500\n\n", b"retry: 5\n: ping\n\n"):
+            self.assertEqual(reader.read(event), b"")
+        self.assertIn(b"t0", reader.read(make_event(0)))
+
+    def test_chunk_without_choices_is_passed_on(self):
+        event = b'data: {"choices": [], "prompt_filter_results": []}\n\n'
+        self.assertEqual(EventReader(StreamProgress(), False).read(event), event)
+
     @given(st.binary(max_size=200))
     @settings(DETERMINISTIC)
     def test_malformed_event_never_ends_a_stream(self, data):
