Go on with a begun stream after an engine's 4xx (router)

A caller of the router whose stream broke off lost it for good when the next engine answered 400, 404, 408, 413, 421, a 3xx or a 2xx without events: the router answered with that status, on a response that had started. h11 refused the second head, so that none of its bytes reached the caller; the connection was closed without the router's error event, logged as caller_gone, and no further engine was asked.

A status other than 200 in place of a stream's rest is now a failure of the engine, as at the instance.

--- a/catkintrack/router/model_calls.py
+++ b/catkintrack/router/model_calls.py
@@ -316,6 +316,10 @@
             raise UpstreamRefused(f"upstream answered status {head.status}")
         if head.status >= 500:
             raise UpstreamExchangeError(f"upstream answered status {head.status}")
+        if head.status != 200 and call.progress.is_started:
+            raise UpstreamExchangeError(
+                f"status {head.status} instead of the stream's rest"
+            )
         await _record_first_token(router, call, decision, head)
         await run_tick(router.call_queue)
         if head.status != 200:
