Send nothing after a part that was not sent completely

Evidence: test_withdrawn_calls sends 16 MiB to a caller that reads only after the withdrawal. Before: the received part ended with `83\r\ndata: {"error":` after fewer bytes than the chunk's size. After: only the part's own bytes, then the close.

Connection notes that a part is being sent and refuses to send another one if that did not end; so it holds for whatever interrupts a send, in the router and in the instance, which closes in this case already.

--- a/catkintrack/http/server.py
+++ b/catkintrack/http/server.py
@@ -75,6 +75,8 @@
         self.is_busy = False
         self.is_receiving = False
         self.has_response_started = False
+        # Set while a part is being sent, and for good if that was interrupted.
+        self.has_partial_send = False
         self.is_head_request = False
         self.request_id: bytes | None = None
         self.task: curio.Task | None = None
@@ -139,6 +141,9 @@
             return True
 
     async def _send(self, event: h11.Event) -> None:
+        if self.has_partial_send:
+            # Any further byte would count as the rest of that part.
+            raise CallerDisconnected("an earlier part was not sent completely")
         try:
             data = self.h11.send(event)
         except h11.LocalProtocolError as error:
@@ -157,10 +162,12 @@
 
     async def _send_remaining(self, data: bytes) -> None:
         timeout_s = self.server.limits.write_timeout_s
+        self.has_partial_send = True
         try:
             await call_within(timeout_s, self.sock.sendall, data)
         except (OSError, curio.TaskTimeout) as error:
             raise CallerDisconnected(str(error)) from error
+        self.has_partial_send = False
 
 
 Handler = Callable[[Request, Connection], Awaitable[None]]
