Cut a service's response when its key is withdrawn, without an error event

Evidence: test_withdrawn_calls, on a socket: 100 of 1,000 bytes, and the first 5 bytes of an event. Before: both were followed by `data: {"error": ...}`. After: both are cut there. A model's stream, which consists of whole events, still ends with the error event and without an end.

--- a/catkintrack/router/calls.py
+++ b/catkintrack/router/calls.py
@@ -103,7 +103,7 @@
         except curio.CancelledError:
             if not call.is_cancelled:
                 raise
-            await _fail_withdrawn_call(connection)
+            await _fail_withdrawn_call(route, connection)
 
 
 @asynccontextmanager
@@ -126,9 +126,13 @@
         router.metrics.open_calls.set({}, len(router.open_calls))
 
 
-async def _fail_withdrawn_call(connection: Connection) -> None:
-    """Raise KeyWithdrawn, after an error event if the response has started."""
+async def _fail_withdrawn_call(route: Route, connection: Connection) -> None:
+    """Raise KeyWithdrawn, after an error event if a model's stream has started.
+
+    A service's response is only cut: an event would become a part of its body.
+    """
     error = KeyWithdrawn("the API key was withdrawn")
-    if connection.has_response_started:
+    is_model_stream = route.service is None and connection.has_response_started
+    if is_model_stream and not connection.has_partial_send:
         await end_stream_with_error(connection, error)
     raise error
--- a/catkintrack/router/tests/test_withdrawn_calls.py
+++ b/catkintrack/router/tests/test_withdrawn_calls.py
@@ -11,11 +11,22 @@
 from catkintrack.router import calls
 
 HOST = "127.0.0.1"
+LENGTH = 1000
 # More than the buffers of a connection hold.
 LARGE_PART = b"x" * (16 << 20)
 EVENT = b"data: {}\n\n"
 
 
+async def send_part_with_length(connection):
+    await connection.start_response(200, ((b"content-length", b"%d" % LENGTH),))
+    await connection.send_body(b"x" * 100)
+
+
+async def send_part_in_chunks(connection):
+    await connection.start_response(200, ((b"content-type", b"text/event-stream"),))
+    await connection.send_body(EVENT[:5])
+
+
 async def send_event(connection):
     await connection.start_response(200, ((b"content-type", b"text/event-stream"),))
     await connection.send_body(EVENT)
@@ -66,6 +77,15 @@
         with mock.patch.multiple(calls, **patches):
             return curio.run(run)
 
+    def test_response_of_a_service_is_cut_where_it_is(self):
+        for send, end in (
+            (send_part_with_length, b"x" * 100),
+            (send_part_in_chunks, b"\r\n5\r\ndata:\r\n"),
+        ):
+            with self.subTest(send.__name__):
+                received = self.receive(send)
+                self.assertTrue(received.endswith(end), received[-300:])
+
     def test_part_that_was_not_sent_whole_is_followed_by_nothing(self):
         for service in ("s1", None):
             received = self.receive(send_too_much, service)
