Hand shares over after a recount that was under way at a stop

Callers of a workspace could be refused below its limit after a planned stop of an agent: the agent ended with its shares, which were then missing until the next recount.

Cause, found by reading: hand_over_shares lends what it can and returns when no grant is unacknowledged. While a recount has frozen the shares nothing can be lent, so it returned after 0.25 s with all of them; and if the ledger did not yet have the peers, at once.

Evidence: test_handing_over. Before: 0 of 1,000,000 parts handed over in both cases (2 failures); after: all. The stop still takes 2 s at most, and a single agent waits for nothing.

--- a/catkintrack/agent/lending.py
+++ b/catkintrack/agent/lending.py
@@ -14,6 +14,7 @@
     LendRefusal,
     LendRequest,
 )
+from catkintrack.membership import list_alive
 
 from .borrowing import find_borrow_round, list_lenders, record_lender_answer
 from .mesh import MeshHandler, send_to_peer
@@ -126,17 +127,20 @@
     """Lend all shares to one peer before a planned shutdown.
 
     Shares that peers lent to this agent shortly before may arrive meanwhile; they are
-    passed on as well.
+    passed on as well.  A recount is waited for: until its end nothing can be lent, and
+    only then the ledger may have the peers.
     """
-    peers = list_lenders(agent)
-    if not peers:
+    if len(list_alive(agent.members)) < 2:
         return
     holder = agent.limits.holder
     started_at = time.monotonic()
     while (now := time.monotonic()) < started_at + HANDOVER_TIMEOUT_S:
-        for grant in limits.lend_all(holder, peers[0], now):
-            await send_to_peer(agent, peers[0], grant)
-        has_settled = now >= started_at + LATE_GRANT_S
+        peers = list_lenders(agent)
+        for peer in peers[:1]:
+            for grant in limits.lend_all(holder, peer, now):
+                await send_to_peer(agent, peer, grant)
+        can_lend = bool(peers) and holder.can_lend
+        has_settled = can_lend and now >= started_at + LATE_GRANT_S
         if has_settled and not limits.list_unacknowledged_grants(holder):
             return
         await curio.sleep(HANDOVER_POLL_INTERVAL_S)
