Let a router be ready only once it can link to another agent

Cause: only agents name other agents. A new agent may have keys and limits before it has met any other instance; its router was ready then, with a view that named its own agent alone. With that agent dead, nothing told it of another one.

The agent's view says that it is new and has met none of the listed instances, for 2 s at most; the router waits for another agent meanwhile. A single instance waits for nothing; one whose listed peers are all dead is ready 2 s after its agent's start. The dump shows each agent's members, and the log the choice of a backup.

--- a/catkintrack/agent/routers.py
+++ b/catkintrack/agent/routers.py
@@ -44,6 +44,7 @@
 
 ROUTER_SESSION_TIMEOUT_S = 5.0
 LIMITS_READY_TIMEOUT_S = 2.0
+MEETING_TIMEOUT_S = 2.0
 
 RouterHandler = Callable[[Agent, RouterSession, Envelope], Awaitable[None]]
 
@@ -96,9 +97,23 @@
         members,
         leaving,
         is_joining_blocked(agent, now),
+        is_meeting_others(agent, now),
     )
 
 
+def is_meeting_others(agent: Agent, now: float) -> bool:
+    """Report whether other instances exist, as far as known, and none has been met.
+
+    A list that has not been read may hold some.  A new agent waits for a limited time.
+    """
+    is_within_timeout = now - agent.started_at <= MEETING_TIMEOUT_S
+    if not is_within_timeout or len(list_alive(agent.members)) > 1:
+        return False
+    rows = agent.instance_row_by_id.values()
+    has_others = any(row.mesh_port and row.id != agent.instance for row in rows)
+    return has_others or not rows
+
+
 def are_limits_ready(agent: Agent, now: float) -> bool:
     """Report whether reservations can be served, or the startup timeout has passed.
 
--- a/catkintrack/links/messages.py
+++ b/catkintrack/links/messages.py
@@ -56,6 +56,7 @@
     """Send a router the members and whether its keys and limits can be relied on.
 
     With `is_joining_blocked` the agent can reserve no tokens before the platform is back.
+    With `is_meeting_others` it is new and has met none of the other instances yet.
     """
 
     agent_incarnation: int
@@ -65,6 +66,7 @@
     members: tuple[MemberRow, ...]
     leaving_instances: tuple[str, ...]
     is_joining_blocked: bool = False
+    is_meeting_others: bool = False
 
 
 class LoadReport(Message):
--- a/catkintrack/router/agent_links.py
+++ b/catkintrack/router/agent_links.py
@@ -147,6 +147,7 @@
     if not candidates:
         return
     member = router.rng.choice(candidates)
+    logger.info("backup agent chosen", extra={"agent": member.instance})
     backup = open_agent_link(
         router, member.instance, member.routers_host, member.routers_port
     )
--- a/catkintrack/router/dump.py
+++ b/catkintrack/router/dump.py
@@ -33,6 +33,9 @@
             {
                 "instance": agent.instance,
                 "heard_s_ago": round(now - agent.last_message_at, 3),
+                "members": [row.instance for row in agent.view.members]
+                if agent.view
+                else [],
             }
             for agent in router.agents
         ],
--- a/catkintrack/router/process.py
+++ b/catkintrack/router/process.py
@@ -147,14 +147,28 @@
 async def _wait_until_ready(router: Router, stop_task: curio.Task) -> None:
     """Wait until calls can be served, so that no early call is refused.
 
-    That needs configuration, current keys and token limits, all from an agent.
+    That needs configuration, current keys and token limits, all from an agent, and
+    another agent for when the own one ends.
     """
     while not stop_task.terminated:
-        if _are_limits_ready(router) and is_router_ready(router):
+        if (
+            _are_limits_ready(router)
+            and _is_other_agent_known(router)
+            and is_router_ready(router)
+        ):
             return
         await curio.sleep(READY_POLL_INTERVAL_S)
 
 
+def _is_other_agent_known(router: Router) -> bool:
+    """Report whether the router can link to another agent, if there is any.
+
+    Only agents name others: a router whose own agent ends before serves nobody.
+    """
+    views = [agent.view for agent in router.agents if agent.view is not None]
+    return len(router.agents) > 1 or not any(view.is_meeting_others for view in views)
+
+
 def _are_limits_ready(router: Router) -> bool:
     """Report whether the own agent can reserve tokens, or another one in its place."""
     views = [agent.view for agent in list_live_agents(router, time.monotonic())]
--- a/catkintrack/router/tests/test_readiness.py
+++ b/catkintrack/router/tests/test_readiness.py
@@ -14,8 +14,16 @@
 READY_WITHIN_S = 0.3
 
 
-def make_agent(instance, are_limits_ready, is_joining_blocked=False, is_heard=True):
-    view = FleetView(1, 1, True, are_limits_ready, (), (), is_joining_blocked)
+def make_agent(
+    instance,
+    are_limits_ready,
+    is_joining_blocked=False,
+    is_heard=True,
+    is_meeting_others=False,
+):
+    view = FleetView(
+        1, 1, True, are_limits_ready, (), (), is_joining_blocked, is_meeting_others
+    )
     heard_at = time.monotonic() + (60.0 if is_heard else -60.0)
     link = SimpleNamespace()
     return AgentLink(
@@ -59,6 +67,12 @@
         opened.view = None
         self.assertFalse(self.is_ready(own, opened))
 
+    def test_another_agent_must_be_known_if_there_is_one(self):
+        """Seen in test_restarts: an agent that ended at once had named no other one."""
+        own = make_agent("n0", True, is_meeting_others=True)
+        self.assertFalse(self.is_ready(own))
+        self.assertTrue(self.is_ready(own, make_agent("n1", True)))
+
 
 if __name__ == "__main__":
     unittest.main()
