Complete a CRLF that a broken stream left open before it goes on

A caller that looks for CRLF twice could take two events for one (ORDER): an event with such line ends is passed on at its last CR, which may end it; if the replica broke off before the LF, the next replica's event followed the CR.

Evidence: LineEndTest breaks streams with LF, CRLF and CR off at each byte after the first event and goes on elsewhere.

The call notes that the caller has CR LF CR, and puts the LF before the next bytes unless they bring it. By the standard (text/event-stream) both are the same events; the stand-ins send LF only.

--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -85,9 +85,9 @@
     `connected_attempts` counts the attempts that reached a replica, `executions` those
     that a replica ran or may have run, `unreachable_attempts` those without a
     connection.  `has_unnumbered_event` is set if the caller has an event without an ID,
-    which a replica would repeat.  `software_version` is the one that the stream must go on
-    at, None if any; `is_version_confirmed` is set if the replica itself reported its
-    incarnation.
+    which a replica would repeat, `lacks_line_feed` if it has only the CR of an event's last
+    CRLF.  `software_version` is the one that the stream must go on at, None if any;
+    `is_version_confirmed` is set if the replica itself reported its incarnation.
     """
 
     arrived_at: float
@@ -102,9 +102,17 @@
     software_version: str | None = None
     is_version_confirmed: bool = True
     cached_tokens: int = 0
+    lacks_line_feed: bool = False
     attempts: list[dict[str, Any]] = field(default_factory=list)
     reason: str = ""
 
+    def complete_line_end(self, data: bytes) -> bytes:
+        """Return a stream's next bytes, with the LF of a CRLF that the caller lacks."""
+        if self.lacks_line_feed and not data.startswith(b"\n"):
+            data = b"\n" + data
+        self.lacks_line_feed = data.endswith(b"\r\n\r")
+        return data
+
     def record_attempt(self, upstream: str, **inputs: Any) -> None:
         """Record an attempt and the inputs of its placement, for the log."""
         at_s = round(time.monotonic() - self.arrived_at, 4)
@@ -311,6 +319,7 @@
             if progress.first_byte_at is None:
                 progress.first_byte_at = time.monotonic()
                 await connection.start_response(200, make_response_headers(head))
+            events = progress.complete_line_end(events)
             progress.last_event_id = splitter.last_event_id
             progress.has_unnumbered_event |= splitter.has_unnumbered_event
             await connection.send_body(events)
@@ -322,6 +331,10 @@
         raise UpstreamDisconnected("the stream held no event")
     if not head.is_close_delimited:
         await callbacks.on_completed()
-    if splitter.line_ends:
-        await connection.send_body(splitter.line_ends)
+    line_ends = splitter.line_ends
+    if not has_event:
+        # The replica that broke off may have sent a part of its last line end only.
+        line_ends = progress.complete_line_end(line_ends)
+    if line_ends:
+        await connection.send_body(line_ends)
     await connection.finish_response()
--- a/catkintrack/instance/tests/test_broken_streams.py
+++ b/catkintrack/instance/tests/test_broken_streams.py
@@ -242,6 +242,25 @@
             self.assert_prefix(received)
 
 
+class LineEndTest(BrokenStreamCase):
+    """An event is passed on at the first byte that may end it."""
+
+    def test_stream_that_breaks_off_inside_a_line_end_is_joined_whole(self):
+        for line_end in (b"\n", b"\r\n", b"\r"):
+            stream = STREAM.replace(b"\n", line_end)
+
+            def go_on_alike(request, line_end=line_end):
+                body = make_events(find_first_number(request))
+                return frame(make_head(), body.replace(b"\n", line_end), "chunks")
+
+            first = len(make_events(1, 1).replace(b"\n", line_end))
+            for size in range(first - 1, len(stream) + 1):
+                cut = make_head() + CHUNKED + make_chunk(stream[:size])
+                received = self.receive([answer_with(cut), go_on_alike])
+                self.assertEqual(received.body, stream, (line_end, size))
+                self.assertTrue(received.has_end)
+
+
 class UnnumberedEventTest(BrokenStreamCase):
     def test_stream_with_an_event_without_a_number_does_not_go_on_elsewhere(self):
         """Another replica would repeat the event, or leave it out."""
