--- a/catkintrack/instance/stream_events.py
+++ b/catkintrack/instance/stream_events.py
@@ -16,6 +16,8 @@
 MAX_EVENT_BYTES = 1 << 20
 # Longer numbers exceed 64 bits.
 MAX_ID_DIGITS = 18
+# Fields that carry nothing of the stream: comments and the reconnection time.
+FIELDS_WITHOUT_CONTENT = (b"", b"retry")
 
 
 @contextmanager
@@ -33,8 +35,10 @@
 class EventSplitter:
     """Split received bytes into complete events and buffer an incomplete one.
 
-    `last_event_id` is the ID of the last complete event, or None before the first.
-    `held` counts the buffered bytes.
+    `last_event_id` is the ID of the last complete event, or None before the first;
+    `has_unnumbered_event` is set once an event had content and no ID.  A stream that is
+    gone on with, after an event that the caller has, needs IDs throughout: without one,
+    nothing shows that an event belongs to it.  `held` counts the buffered bytes.
     """
 
     def __init__(
@@ -42,6 +46,8 @@
     ) -> None:
         self.last_event_id = last_event_id
         self._held = held or HeldBytes()
+        self.has_unnumbered_event = False
+        self._needs_ids = last_event_id is not None
         self._buffer = EventBuffer()
 
     @property
@@ -74,10 +80,14 @@
 
     def _check_id(self, event: bytes) -> None:
         """Require that event IDs increase by one."""
-        for line in event.splitlines():
+        has_id = False
+        has_content = False
+        for line in filter(None, event.splitlines()):
             name, _, value = line.partition(b":")
+            has_content |= name not in FIELDS_WITHOUT_CONTENT
             if name != b"id":
                 continue
+            has_id = True
             value = value.strip()
             if not value.isdigit() or len(value) > MAX_ID_DIGITS:
                 raise UpstreamExchangeError("an event's id is not a number")
@@ -87,3 +97,8 @@
                     f"event {number} follows {self.last_event_id}"
                 )
             self.last_event_id = number
+        if has_id or not has_content:
+            return
+        self.has_unnumbered_event = True
+        if self._needs_ids:
+            raise UpstreamExchangeError("an event of the stream's rest has no id")
--- a/catkintrack/router/events.py
+++ b/catkintrack/router/events.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
+from typing import Any
 
 import msgspec
 
@@ -17,6 +20,8 @@
 EVENT_SEPARATOR = b"\n\n"
 DONE_EVENT = b"data: [DONE]"
 MAX_EVENT_BYTES = 1 << 20
+# Fields that carry nothing of the stream: comments and the reconnection time.
+FIELDS_WITHOUT_CONTENT = (b"", b"retry")
 
 
 class Delta(msgspec.Struct):
@@ -40,10 +45,14 @@
 
 
 class Chunk(msgspec.Struct):
-    """Represent the fields of a completion chunk that the router reads."""
+    """Represent the fields of a completion chunk that the router reads.
 
-    choices: list[Choice] = []
+    An error in place of a chunk has `error`, or neither choices nor usage.
+    """
+
+    choices: list[Choice] | None = None
     usage: Usage | None = None
+    error: Any = None
 
 
 _CHUNK_DECODER = msgspec.json.Decoder(Chunk)
@@ -84,7 +93,8 @@
     def read(self, data: bytes) -> bytes:
         """Return the events to relay that `data` completes.
 
-        Raise UpstreamExchangeError if a token is missing or an event is invalid.
+        Raise UpstreamExchangeError if a token is missing or an event is invalid; then no
+        event of `data` counts as relayed.
         """
         buffered_bytes = len(self.buffer.data)
         events = split_events(self.buffer, data)
@@ -92,7 +102,8 @@
         if len(self.buffer.data) > MAX_EVENT_BYTES:
             raise UpstreamExchangeError("a server-sent event exceeds the size limit")
         texts = (b"\n".join(event.strip(b"\r\n").splitlines()) for event in events)
-        relayed = [body for text in texts if (body := self._read_event(text))]
+        with _undo_on_error(self.progress):
+            relayed = [body for text in texts if (body := self._read_event(text))]
         if not relayed:
             return b""
         return EVENT_SEPARATOR.join(relayed) + EVENT_SEPARATOR
@@ -110,6 +121,7 @@
             line, _, event = event.partition(b"\n")
             index = _parse_index(line[4:])
         if not event.startswith(b"data: "):
+            _require_no_content(event)
             return b""
         if index >= 0 and index < progress.next_index:
             return b""
@@ -128,19 +140,43 @@
             raise UpstreamExchangeError(
                 f"a server-sent event has an invalid chunk: {error}"
             ) from error
+        is_chunk = chunk.choices is not None or chunk.usage is not None
+        if chunk.error is not None or not is_chunk:
+            raise UpstreamExchangeError("the engine reports an error in its stream")
         if chunk.usage is not None:
             progress.usage = chunk.usage
             if not chunk.choices and not self.wants_usage:
                 return b""
         if is_token:
             progress.next_index += 1
-        for choice in chunk.choices:
+        for choice in chunk.choices or ():
             text = choice.delta.content if choice.delta else choice.text
             if text:
                 progress.texts.append(text)
         return event
 
 
+@contextmanager
+def _undo_on_error(progress: StreamProgress) -> Iterator[None]:
+    """Set the progress back if the events that it counts are not relayed."""
+    next_index, usage = progress.next_index, progress.usage
+    text_count, is_done = len(progress.texts), progress.is_done
+    try:
+        yield
+    except UpstreamExchangeError:
+        progress.next_index, progress.usage = next_index, usage
+        progress.is_done = is_done
+        del progress.texts[text_count:]
+        raise
+
+
+def _require_no_content(event: bytes) -> None:
+    """Raise UpstreamExchangeError if an event that is not passed on has content."""
+    for line in event.splitlines():
+        if line.partition(b":")[0] not in FIELDS_WITHOUT_CONTENT:
+            raise UpstreamExchangeError("a server-sent event is no chunk")
+
+
 def _parse_index(text: bytes) -> int:
     if not text.isdigit():
         raise UpstreamExchangeError("a server-sent event has a non-numeric ID")
