--- a/catkintrack/router/model_calls.py
+++ b/catkintrack/router/model_calls.py
@@ -388,7 +388,7 @@
     timeout_s: float,
     on_event: Callable[[], None] = lambda: None,
 ) -> None:
-    """Relay events as they arrive, and call `on_event` at each part that has some.
+    """Relay events as they arrive, and call `on_event` at the first.
 
     Raise UpstreamExchangeError if the stream is incomplete.
     """
@@ -396,6 +396,7 @@
     reader = EventReader(progress, call.body.wants_usage, exchange.held)
     max_bytes = STREAM_BASE_BYTES + STREAM_BYTES_PER_TOKEN * call.body.max_tokens
     bounds = StreamBounds(timeout_s, max_bytes, last_event_at=time.monotonic())
+    has_event = False
     while True:
         remaining_s = find_remaining_s(bounds, time.monotonic())
         data = await exchange.read_body_part(remaining_s)
@@ -405,7 +406,9 @@
         relayed = reader.read(data)
         if relayed:
             record_event(bounds, time.monotonic())
-            on_event()
+            if not has_event:
+                has_event = True
+                on_event()
             await _start_stream(call, connection)
             await connection.send_body(relayed)
     if not progress.is_done:
