--- a/catkintrack/decisions/ejection.py
+++ b/catkintrack/decisions/ejection.py
@@ -14,7 +14,19 @@
     if now < row.ejected_until:
         return True
     # Half-open: a single trial request at a time until one succeeds.
-    return row.ejections > 0 and row.in_flight > 0 and row.consecutive_failures > 0
+    return row.consecutive_failures > 0 and row.trial_sent_at is not None
+
+
+def begin_trial(row: UpstreamRow, now: float) -> None:
+    """Record a request that is sent now, which is the trial if an ejection has ended."""
+    if row.ejections and now >= row.ejected_until:
+        row.trial_sent_at = now
+
+
+def end_trial(row: UpstreamRow, sent_at: float) -> None:
+    """Record that a request has ended; another one may be the trial if it was."""
+    if row.trial_sent_at == sent_at:
+        row.trial_sent_at = None
 
 
 def record_failure(
@@ -44,5 +56,6 @@
         row.ramp_started_at = now
     row.consecutive_failures = 0
     row.is_unreachable = False
+    row.trial_sent_at = None
     row.ejections = 0
     row.ejected_until = 0.0
--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -471,6 +471,7 @@
     row = placement.upstream
     is_alone = load.is_prefill_idle(tables, row)
     load.record_dispatch(tables, row, request, placement.uncached_tokens, now)
+    ejection.begin_trial(row, now)
     record_placed(row.rest, now)
     reserve_token(row.limit, now)
     tables.running_by_id[request.id] = RunningRow(
@@ -519,6 +520,7 @@
     row = tables.upstream_by_name.get(running.upstream) if running else None
     if running is not None and row is not None:
         load.release_request(tables, row, running, now)
+        ejection.end_trial(row, running.dispatched_at)
 
 
 def record_failure(
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -36,7 +36,8 @@
     of requests queued in this process for the replica.  `service_s` is the moving
     average of a request's duration there.  `is_leaving` is what discovery says,
     `has_announced_leaving`, `rest` and `limit` what the replica's answers say.
-    `is_unreachable` is set while the last failure was to connect.
+    `is_unreachable` is set while the last failure was to connect, `trial_sent_at` while the
+    request that was sent after an ejection is under way.
     `small_prefill_tokens` sums the prefills in progress that are too short to be
     announced to peers.
     """
@@ -75,6 +76,7 @@
     ejected_at: float = -math.inf
     ejected_until: float = 0.0
     is_unreachable: bool = False
+    trial_sent_at: float | None = None
     ramp_started_at: float = -1e9
     last_heard_at: float = 0.0
 
--- a/catkintrack/router/service_calls.py
+++ b/catkintrack/router/service_calls.py
@@ -254,6 +254,7 @@
         row = ensure_service_row(router.services, replica.name)
         row.in_flight += 1
         sent_at = time.monotonic()
+        ejection.begin_trial(row, sent_at)
         try:
             result = await _send_to_replica(router, call, replica, handle_exchange)
             ejection.record_success(row, time.monotonic())
@@ -270,6 +271,7 @@
                 raise OutcomeUnknown("the call may have run") from error
         finally:
             row.in_flight -= 1
+            ejection.end_trial(row, sent_at)
         excluded |= {replica.name}
     if call.may_have_run:
         raise OutcomeUnknown("every replica that was tried failed")
