--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -107,10 +107,12 @@
     return sorted(unsuspected or eligible, key=lambda row: row.name)
 
 
-def has_unsuspected(tables: Tables, request: ModelRequest, now: float) -> bool:
-    """Report whether an upstream that is not silent may get the request."""
+def has_healthy_upstream(tables: Tables, request: ModelRequest, now: float) -> bool:
+    """Report whether an upstream that is neither silent nor full may get the request."""
     return any(
-        is_eligible(tables, row, request, now) and not is_suspect(row, now)
+        is_eligible(tables, row, request, now)
+        and not is_suspect(row, now)
+        and estimate_running(row, now) < row.max_running
         for row in tables.upstream_by_name.values()
     )
 
--- a/catkintrack/decisions/retries.py
+++ b/catkintrack/decisions/retries.py
@@ -123,9 +123,14 @@
     budget.level = min(budget.cap, budget.level + budget.ratio)
 
 
+def may_take(budget: RetryBudget) -> bool:
+    """Report whether at least one retry is left."""
+    return budget.level >= 1.0
+
+
 def take_retry(budget: RetryBudget) -> bool:
     """Take one retry from the budget; return False if less than one is left."""
-    if budget.level < 1.0:
+    if not may_take(budget):
         return False
     budget.level -= 1.0
     return True
--- a/catkintrack/decisions/services.py
+++ b/catkintrack/decisions/services.py
@@ -17,9 +17,13 @@
 
 @dataclass(slots=True)
 class ServiceTables:
-    """Hold the replicas' state that concerns such calls, keyed by name."""
+    """Hold the replicas' state that concerns such calls, keyed by name.
+
+    `router_count` is the number of processes that share the replicas, this one included.
+    """
 
     row_by_name: dict[str, UpstreamRow] = field(default_factory=dict)
+    router_count: int = 1
 
 
 def choose_replica(
@@ -63,17 +67,25 @@
         row.name
         for row in rows
         if not row.is_unreachable
-        and estimate_running(row, now) < PANIC_FILL * max(1, row.max_running)
+        and estimate_running(row, now) < _find_panic_share(tables, row)
     ]
 
 
-def has_unsuspected_replica(
+def _find_panic_share(tables: ServiceTables, row: UpstreamRow) -> float:
+    """Return how many calls this process may send to an ejected replica at once."""
+    calls = PANIC_FILL * max(1, row.max_running)
+    return max(1.0, calls / max(1, tables.router_count))
+
+
+def has_healthy_replica(
     tables: ServiceTables, names: Iterable[str], now: float, silent_after_s: float
 ) -> bool:
-    """Report whether one is neither ejected nor was silent for `silent_after_s`."""
+    """Report whether one is not ejected, nor full, nor was silent for `silent_after_s`."""
     rows = (ensure_service_row(tables, name) for name in names)
     return any(
-        not is_ejected(row, now) and not is_suspect(row, now, silent_after_s)
+        not is_ejected(row, now)
+        and not is_suspect(row, now, silent_after_s)
+        and estimate_running(row, now) < max(1, row.max_running)
         for row in rows
     )
 
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -267,6 +267,7 @@
     share_limits(instance, [peer.instance for peer in sharers], now)
     live_peers = [p for p in list_live_peers(instance, now) if not p.is_leaving]
     instance.decisions.router_count = len(live_peers) + 1
+    instance.services.router_count = instance.decisions.router_count
     reporting_count, known_count = find_reporting(
         PeerReports(is_peer_live(peer, now), peer.is_leaving)
         for peer in instance.peer_by_address.values()
--- a/catkintrack/instance/retry_budgets.py
+++ b/catkintrack/instance/retry_budgets.py
@@ -7,11 +7,14 @@
 from catkintrack.decisions.retries import (
     RetryBudget,
     RetryShare,
+    add_retry_credit,
     apply_share,
+    may_take,
     open_retry_budget,
     take_retry,
 )
 from catkintrack.fleet import Call
+from catkintrack.platform import is_relayed
 
 from .attempts import CallProgress
 from .peers import PEER_REMOVAL_S, list_limit_sharers
@@ -27,6 +30,12 @@
     return budget
 
 
+def credit_request(instance: Instance, call: Call) -> None:
+    """Credit the budget of a call's service, unless the relaying peer has done so."""
+    if not is_relayed(call):
+        add_retry_credit(find_retry_budget(instance, call.service))
+
+
 def share_retry_budgets(instance: Instance, now: float) -> None:
     """Adapt this instance's budgets to the instances that share them now."""
     share = _find_share(instance, now)
@@ -46,12 +55,14 @@
 def take_next_attempt(instance: Instance, call: Call, progress: CallProgress) -> bool:
     """Report whether a call may be sent once more, and take a retry if that needs one.
 
-    It needs none if no attempt has reached a replica, or if one was taken in advance.
+    It needs none if no attempt has reached a replica.  A retry lasts until one has.
     """
-    if not progress.connected_attempts or progress.has_retry:
-        progress.has_retry = False
-        return True
-    return may_retry(instance, call.service)
+    return not progress.connected_attempts or reserve_retry(instance, call, progress)
+
+
+def has_retry_left(instance: Instance, call: Call, progress: CallProgress) -> bool:
+    """Report whether a call has a retry, or may take one."""
+    return progress.has_retry or may_take(find_retry_budget(instance, call.service))
 
 
 def reserve_retry(instance: Instance, call: Call, progress: CallProgress) -> bool:
--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -13,11 +13,10 @@
     record_bytes_received,
     record_request_sent,
 )
-from catkintrack.decisions.retries import add_retry_credit
 from catkintrack.decisions.services import (
     choose_replica,
     ensure_service_row,
-    has_unsuspected_replica,
+    has_healthy_replica,
 )
 from catkintrack.fleet import Call, Upstream
 from catkintrack.http import (
@@ -51,7 +50,12 @@
 )
 from .refusals import NotServed, OutcomeUnknown
 from .replica_signals import find_limit_wait_s, find_return_s, may_choose, record_chosen
-from .retry_budgets import find_retry_budget, reserve_retry, take_next_attempt
+from .retry_budgets import (
+    credit_request,
+    has_retry_left,
+    reserve_retry,
+    take_next_attempt,
+)
 from .state import Instance
 
 logger = logging.getLogger(__name__)
@@ -64,14 +68,14 @@
 # times the route's latency target.
 ATTEMPT_TIMEOUT_TARGETS = 2.0
 # Shorter than for streams: whole calls take some tens of milliseconds.
-ABANDON_CHECK_INTERVAL_S = 0.05
+CALL_CHECK_INTERVAL_S = 0.05
 
 
 async def serve_service_call(
     instance: Instance, call: Call, progress: CallProgress, connection: Connection
 ) -> None:
     """Serve a call, and retry it on other replicas after a rejection or failure."""
-    add_retry_credit(find_retry_budget(instance, call.service))
+    credit_request(instance, call)
     excluded: frozenset[str] = frozenset()
     error_response: ReplicaErrorResponse | None = None
     for _ in range(MAX_TRIES):
@@ -193,19 +197,18 @@
     connected_before = progress.connected_attempts
     is_last_attempt = executions >= call.route.max_attempts
 
-    def may_move() -> bool:
-        if not is_retryable or is_last_attempt:
+    def try_reserve_move() -> bool:
+        if not is_retryable or is_last_attempt or connection.has_response_started:
+            return False
+        if not has_retry_left(instance, call, progress):
             return False
         now = time.monotonic()
         others = _list_replicas(instance, call.service, excluded, now)
-        if not has_unsuspected_replica(
-            instance.services, others, now, attempt_timeout_s
-        ):
+        if not has_healthy_replica(instance.services, others, now, attempt_timeout_s):
             return False
         return reserve_retry(instance, call, progress)
 
     async def handle_response_head(fields: ResponseFields) -> None:
-        record_bytes_received(row, time.monotonic())
         if fields.load is not None:
             row.reported_running, row.reported_waiting = fields.load
             row.reported_at = time.monotonic()
@@ -227,12 +230,14 @@
     attempt_timeout_s = _find_attempt_timeout_s(call)
     callbacks = AttemptCallbacks(
         handle_response_head,
+        on_data=lambda: record_bytes_received(row, time.monotonic()),
         on_completed=handle_completion,
         should_abandon=lambda: time.monotonic() >= sent_at + attempt_timeout_s,
-        may_move=may_move,
-        check_interval_s=ABANDON_CHECK_INTERVAL_S,
+        try_reserve_move=try_reserve_move,
+        check_interval_s=CALL_CHECK_INTERVAL_S,
     )
     record_request_sent(row, sent_at)
+    ejection.begin_trial(row, sent_at)
     try:
         async with timeout_after(max(0.02, remaining_s)):
             await run_attempt(
@@ -270,3 +275,4 @@
         raise
     finally:
         row.in_flight -= 1
+        ejection.end_trial(row, sent_at)
--- /dev/null
+++ b/testkit/scripted_engine.py
@@ -0,0 +1,86 @@
+"""Serve an engine's reports and streams on a socket, silent for a time or full."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import socket
+import threading
+import time
+
+from .silent_replicas import STREAM_END, STREAM_HEAD, make_event
+
+MODELS = [{"name": "m1", "version": 1}]
+
+
+class Engine:
+    """Serve reports and streams; send nothing between the two times in `silent`."""
+
+    def __init__(self, events=4, gap_s=0.2, silent=(0.0, 0.0), is_full=False):
+        self.events, self.gap_s, self.silent, self.is_full = (
+            events,
+            gap_s,
+            silent,
+            is_full,
+        )
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        """Accept connections until the listener is closed."""
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self.listener.accept()
+                threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def keep_silence(self):
+        """Wait while the engine is silent."""
+        begin, end = self.silent
+        if begin <= time.monotonic() < end:
+            time.sleep(end - time.monotonic())
+
+    def serve(self, sock):
+        """Read requests from a connection and answer each."""
+        received = b""
+        with contextlib.suppress(OSError):
+            while True:
+                while b"\r\n\r\n" not in received:
+                    data = sock.recv(65536)
+                    if not data:
+                        return
+                    received += data
+                head, _, received = received.partition(b"\r\n\r\n")
+                rows = [row.partition(b":") for row in head.split(b"\r\n")[1:]]
+                fields = {key.strip().lower(): value.strip() for key, _, value in rows}
+                size = int(fields.get(b"content-length", b"0"))
+                while len(received) < size:
+                    received += sock.recv(65536)
+                received = received[size:]
+                self.keep_silence()
+                self.answer(sock, head, fields)
+
+    def answer(self, sock, head, fields):
+        """Send a report, a rejection, or a stream from the request's last event on."""
+        name = b"x-request-id: " + fields[b"x-request-id"]
+        if head.startswith(b"GET "):
+            body = json.dumps({"models": MODELS, "born": 1000}).encode()
+            sock.sendall(
+                b"HTTP/1.1 200 OK\r\n%s\r\nx-response-signature: s\r\n"
+                b"content-length: %d\r\n\r\n%s" % (name, len(body), body)
+            )
+            return
+        if self.is_full:
+            sock.sendall(
+                b"HTTP/1.1 503 Busy\r\n%s\r\nx-not-executed: 1\r\n"
+                b"content-length: 0\r\n\r\n" % name
+            )
+            return
+        sock.sendall(STREAM_HEAD.replace(b"x-request-id: r1", name))
+        for number in range(
+            int(fields.get(b"last-event-id", b"0")) + 1, self.events + 1
+        ):
+            self.keep_silence()
+            sock.sendall(make_event(number))
+            time.sleep(self.gap_s)
+        sock.sendall(STREAM_END)
