Cut the bytes that a failure quotes

h11's messages quote the line that is malformed. A replica's 15 KB of bytes that are no answer became a reason of 60 KB, which the attempt kept, the log wrote twice and the error response told the caller; a caller's malformed head of 10 KB came back as 40 KB.

--- a/catkintrack/http/errors.py
+++ b/catkintrack/http/errors.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+# Longer reasons quote what the peer sent.
+MAX_REASON_CHARS = 200
+
 
 class HttpError(Exception):
     """Report an error of the HTTP server or client."""
@@ -50,3 +53,11 @@
 
 class ResponseMemoryExhausted(UpstreamResponseTooLarge):
     """Report that the responses of all upstreams together hold too many bytes."""
+
+
+def describe_error(error: Exception) -> str:
+    """Return an error's message, cut where it quotes what the peer sent at length."""
+    text = str(error)
+    if len(text) <= MAX_REASON_CHARS:
+        return text
+    return f"{text[:MAX_REASON_CHARS]}..."
--- a/catkintrack/http/exchange.py
+++ b/catkintrack/http/exchange.py
@@ -16,6 +16,7 @@
     UpstreamExchangeError,
     UpstreamResponseTooLarge,
     UpstreamTimeout,
+    describe_error,
 )
 from .held_bytes import (
     HeldBytes,
@@ -219,8 +220,8 @@
                 event = self.h11.next_event()
             except h11.RemoteProtocolError as error:
                 if self.is_closed_by_peer:
-                    raise UpstreamDisconnected(str(error)) from error
-                raise UpstreamExchangeError(str(error)) from error
+                    raise UpstreamDisconnected(describe_error(error)) from error
+                raise UpstreamExchangeError(describe_error(error)) from error
             if event is not h11.NEED_DATA:
                 await take_step(self.turn)
                 return event
--- a/catkintrack/http/requests.py
+++ b/catkintrack/http/requests.py
@@ -10,7 +10,7 @@
 
 from catkintrack.timeouts import call_within, timeout_after
 
-from .errors import BadRequest
+from .errors import BadRequest, describe_error
 from .held_bytes import BodyBuffer, add_part, collect_body, may_hold
 from .messages import Headers, Request
 from .turns import Turn, take_step
@@ -53,7 +53,8 @@
             event = connection.h11.next_event()
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint
-            raise BadRequest(status, "malformed_request", str(error)) from error
+            reason = describe_error(error)
+            raise BadRequest(status, "malformed_request", reason) from error
         if isinstance(event, h11.Request):
             return event
         if event is not h11.NEED_DATA:
@@ -104,7 +105,8 @@
             try:
                 event = connection.h11.next_event()
             except h11.RemoteProtocolError as error:
-                raise BadRequest(400, "malformed_body", str(error)) from error
+                reason = describe_error(error)
+                raise BadRequest(400, "malformed_body", reason) from error
             if event is h11.NEED_DATA:
                 connection.h11.receive_data(await connection.sock.recv(READ_SIZE_BYTES))
             elif isinstance(event, h11.Data):
--- a/catkintrack/http/tests/test_client_bounds.py
+++ b/catkintrack/http/tests/test_client_bounds.py
@@ -82,6 +82,15 @@
             with self.assertRaises(UpstreamExchangeError):
                 self.fetch(address)
 
+    def test_failure_does_not_quote_the_bytes_at_length(self):
+        """Guards against logs and error responses that hold what a replica sent."""
+        junk = b"\x01" * 15_000
+        for first in (b"", b"HTTP/1.1 200 OK\r\n", HEAD + b"\r\n"):
+            with open_raw_upstream(send_once(first + junk + b"\r\n\r\n")) as address:
+                with self.assertRaises(UpstreamExchangeError) as caught:
+                    self.fetch(address)
+            self.assertLess(len(str(caught.exception)), 300)
+
     def test_head_that_trickles_ends_in_time(self):
         parts = [b"a"] * 40
         with open_raw_upstream(send_slowly(HEAD, parts, 0.1)) as address:
--- a/catkintrack/http/tests/test_endless_requests.py
+++ b/catkintrack/http/tests/test_endless_requests.py
@@ -71,6 +71,12 @@
         self.assertIn(b"431", self.send(data)[0])
         self.assertEqual(self.bodies, [])
 
+    def test_answer_does_not_quote_a_malformed_head_at_length(self):
+        data = HEAD + b"\x01" * 10_000 + b"\r\n\r\n"
+        response = self.send(data)[0]
+        self.assertIn(b"400", response)
+        self.assertLess(len(response), 500)
+
     def test_large_bodies_of_many_callers(self):
         length = b"content-length: %d\r\n\r\n" % LARGE_BODY_BYTES
         data = HEAD + length + b"x" * LARGE_BODY_BYTES
