End a body in time also while its next bytes are at hand

read_body's timeout was checked only when no data was at hand. A body in chunks of one byte that arrive as fast as they are read went on to its size, some 30 us of processor time a byte: 60 of them were not over after 10 minutes, when the trial was stopped. Calls of callers have a timeout of their own around that; reports, cache events and rejections had none.

--- a/catkintrack/http/exchange.py
+++ b/catkintrack/http/exchange.py
@@ -35,6 +35,8 @@
 MAX_HEAD_BYTES = 32768
 # Reading more takes longer than a new connection.
 MAX_DISCARDED_BYTES = 65536
+# What the receive buffer may hold of a response that came in time.
+MAX_LATE_BYTES = 65536
 DEFAULT_MAX_BODY_BYTES = 8 << 20
 # Idle connections are dropped this long before the peer's keep-alive timeout, so that
 # no request is sent while the peer closes the connection.
@@ -69,6 +71,7 @@
         # The bytes of the current response; whoever opens the exchange releases them.
         self.held = HeldBytes()
         self.input_bytes = 0
+        self.late_bytes = 0
         self.turn = Turn()
         self.h11 = h11.Connection(h11.CLIENT)
         self.requires_request_id_echo = requires_request_id_echo
@@ -93,6 +96,7 @@
         headers = list(request.headers)
         self.request_id = find_header(request.headers, REQUEST_ID_HEADER)
         self.has_request_id_echo = False
+        self.late_bytes = 0
         head = h11.Request(
             method=request.method, target=request.target, headers=headers
         )
@@ -254,6 +258,7 @@
         except OSError as error:
             raise UpstreamDisconnected(str(error)) from error
         else:
+            self._count_late(len(data), deadline_at)
             await take_step(self.turn)
             return data
         self.turn.steps = 0
@@ -267,6 +272,14 @@
         except OSError as error:
             raise UpstreamDisconnected(str(error)) from error
 
+    def _count_late(self, size_bytes: int, deadline_at: float) -> None:
+        """Raise UpstreamTimeout if more arrives late than can have come before."""
+        if time.monotonic() <= deadline_at:
+            return
+        self.late_bytes += size_bytes
+        if self.late_bytes > MAX_LATE_BYTES:
+            raise UpstreamTimeout("no end within the time limit")
+
     def is_reusable(self) -> bool:
         """Report whether the next response can be safely matched to its request.
 
--- a/catkintrack/http/tests/test_turns.py
+++ b/catkintrack/http/tests/test_turns.py
@@ -11,6 +11,7 @@
     Request,
     ServerLimits,
     UpstreamExchangeError,
+    UpstreamTimeout,
     open_server,
 )
 from testkit.raw_upstreams import HEAD, make_chunk
@@ -68,6 +69,19 @@
         data = HEAD + b"\r\n" + PART * (BODY_BYTES // 64)
         self.assertGreater(self.count_turns_while_reading(data), MIN_TURNS)
 
+    def test_body_of_small_chunks_that_are_at_hand_ends_in_time(self):
+        """Guards against a timeout that applied only while no data was at hand."""
+        data = HEAD + b"\r\n" + make_chunk(b"x") * 200_000
+
+        async def read():
+            exchange = Exchange(Address("127.0.0.1", 1), ReadySocket(data))
+            await exchange.send(REQUEST)
+            await exchange.read_head(30.0)
+            await exchange.read_body(0.2)
+
+        with self.assertRaises(UpstreamTimeout):
+            curio.run(read)
+
     def test_other_tasks_run_while_informational_responses_arrive(self):
         data = b"HTTP/1.1 102 Processing\r\n\r\n" * 100 * MAX_PARTS_A_TURN
         self.assertGreater(self.count_turns_while_reading(data), 100)
