--- a/testkit/drill_faults.py
+++ b/testkit/drill_faults.py
@@ -166,6 +166,10 @@
     return f"{name} {where}", make_faulty(service, share, for_s, **faults)
 
 
+# A kill excuses what is lost beside it, so that it is the least frequent.
+BESIDE = (*CHANGES, *CHANGES, stop, stop, lose_store, lose_store, make_joint_kill(0.3))
+
+
 def make_mixed_plan(rng: Random, seconds: float) -> list[Step]:
     """Return faults of replicas beside changes, stops, kills and faults of the store."""
     steps = []
@@ -173,7 +177,7 @@
     while at_s < seconds:
         text, disruption = choose_replica_fault(rng)
         steps.append(Step(at_s, text, disruption))
-        beside = rng.choice((*CHANGES, stop, make_joint_kill(0.3), lose_store))
+        beside = rng.choice(BESIDE)
         beside_s = at_s + rng.uniform(-0.6, 0.6)
         steps.append(Step(beside_s, beside.__name__, beside))
         at_s += rng.uniform(1.5, 4.0)
