--- a/catkintrack/tests/test_drill.py
+++ b/catkintrack/tests/test_drill.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from testkit.drill import DrillSize, run_drill
-from testkit.drill_checks import find_violations
+from testkit.drill_checks import find_violations, summarize
 from testkit.drill_faults import make_incident_plan, make_mixed_plan
 
 
@@ -12,7 +12,8 @@
     def assert_drill_passes(self, seed, plan, size):
         run = run_drill(seed, plan, size)
         steps = [step.text for step in plan]
-        self.assertEqual(find_violations(run), [], f"seed {seed}, {steps}")
+        lines = "\n".join([f"seed {seed}, {steps}", *summarize(run)])
+        self.assertEqual(find_violations(run), [], lines)
 
     def test_silent_engines_lose_no_stream_with_slow_events(self):
         """Guards against streams cut shortly before their replicas go on (issue 48)."""
--- a/testkit/drill_checks.py
+++ b/testkit/drill_checks.py
@@ -39,6 +39,7 @@
     lost = list_lost(run)
     if len(lost) > MAX_LOST:
         violations.append(f"LOST {len(lost)} answers, {MAX_LOST} allowed")
+        violations += [f"LOST {describe(run, outcome)}" for outcome in lost]
     violations += check_budget(run) + check_timeouts(run)
     violations += check_abandoned(run)
     sent_ids = {outcome.id for outcome in run.outcomes}
@@ -217,7 +218,8 @@
     lines.append(f"lost {len(lost)}: {begun} begun, {beside} beside a change")
     excuses = Counter(f"{o.kind} {excuse}" for o, excuse in list_cut(run) if excuse)
     lines.append(f"cut with an excuse: {dict(sorted(excuses.items()))}")
-    lines += [f"LOST {describe(run, outcome)}" for outcome in lost]
+    if len(lost) <= MAX_LOST:
+        lines += [f"lost {describe(run, outcome)}" for outcome in lost]
     lines.append(f"peak memory {max(run.peak_mb_by_node.values()):.0f} MB")
     return lines
 
