Bound the fields of informational responses

The head was bounded, not the informational responses before it: 60 calls at replicas that send ones of 4,000 fields without end kept other tasks from running for 11.1 s (a trial with sockets that are always readable, load average 23), since one head counts as one step.

--- a/catkintrack/http/exchange.py
+++ b/catkintrack/http/exchange.py
@@ -72,6 +72,7 @@
         self.held = HeldBytes()
         self.input_bytes = 0
         self.late_bytes = 0
+        self.head_bytes = 0
         self.turn = Turn()
         self.h11 = h11.Connection(h11.CLIENT)
         self.requires_request_id_echo = requires_request_id_echo
@@ -97,6 +98,7 @@
         self.request_id = find_header(request.headers, REQUEST_ID_HEADER)
         self.has_request_id_echo = False
         self.late_bytes = 0
+        self.head_bytes = 0
         head = h11.Request(
             method=request.method, target=request.target, headers=headers
         )
@@ -147,13 +149,18 @@
                 return ResponseHead(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise UpstreamDisconnected("connection closed before the response")
+            self._hold_head(tuple(event.headers))
             if time.monotonic() > deadline_at:
                 raise UpstreamTimeout("only informational responses in time")
 
     def _hold_head(self, headers: Headers) -> None:
-        """Hold a head until the exchange ends; raise UpstreamResponseTooLarge."""
+        """Hold a head until the exchange ends; raise UpstreamResponseTooLarge.
+
+        Informational responses before it count too: decoding their fields takes time.
+        """
         size_bytes = measure_headers(headers)
-        if size_bytes > MAX_HEAD_BYTES:
+        self.head_bytes += size_bytes
+        if self.head_bytes > MAX_HEAD_BYTES:
             raise UpstreamResponseTooLarge("the head exceeds the size limit")
         add_held(self.held, size_bytes)
 
--- a/catkintrack/http/tests/test_client_bounds.py
+++ b/catkintrack/http/tests/test_client_bounds.py
@@ -77,6 +77,13 @@
             with self.assertRaises(UpstreamTimeout):
                 self.fetch(address, 0.3)
 
+    def test_informational_responses_of_many_fields_are_too_large(self):
+        """Guards against heads whose decoding took the event loop for 11 s."""
+        part = b"HTTP/1.1 102 Processing\r\n" + b"a:\r\n" * 100 + b"\r\n"
+        with open_raw_upstream(send_endless(b"", part)) as address:
+            with self.assertRaises(UpstreamResponseTooLarge):
+                self.fetch(address)
+
     def test_bytes_that_are_no_response_fail(self):
         with open_raw_upstream(send_endless(b"", b"\x00" * 60_000)) as address:
             with self.assertRaises(UpstreamExchangeError):
