--- a/testkit/drill.py
+++ b/testkit/drill.py
@@ -9,6 +9,7 @@
 import threading
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 from copy import deepcopy
 from dataclasses import dataclass, field
@@ -29,6 +30,7 @@
 from .soak_faults import SoakState, supervise_processes
 
 SETTLE_S = 4.0
+MAX_STARTING = 4
 MEMORY_INTERVAL_S = 0.5
 # How long a replica that was frozen takes to read what has come meanwhile.
 THAW_S = 0.5
@@ -230,17 +232,23 @@
 
 def _start_replicas(site: Site, size: DrillSize) -> dict[str, str]:
     """Start the replicas of all services and return the service of each."""
-    service_by_replica = {}
+    slots_by_id, service_by_id = {}, {}
     for service, count, slots in (
         ("models", size.models, size.model_slots),
         ("app", size.apps, size.app_slots),
         ("spare", size.spares, size.app_slots),
     ):
-        options = ("--slots", str(slots), "--queue", str(2 * slots))
         for number in range(count):
             id = f"{service[0]}{number}"
-            entry = {"zone": f"z{number % 2}", "slots": slots}
-            site.start_replica(id, service, options, **entry)
-            site.set_replica_faults(id, run_s=size.run_s, event_s=size.event_s)
-            service_by_replica[id] = service
-    return service_by_replica
+            slots_by_id[id], service_by_id[id] = slots, service
+
+    def start(id: str) -> None:
+        slots = slots_by_id[id]
+        options = ("--slots", str(slots), "--queue", str(2 * slots))
+        entry = {"zone": f"z{int(id[1:]) % 2}", "slots": slots}
+        site.start_replica(id, service_by_id[id], options, **entry)
+        site.set_replica_faults(id, run_s=size.run_s, event_s=size.event_s)
+
+    with ThreadPoolExecutor(MAX_STARTING) as pool:
+        list(pool.map(start, slots_by_id))
+    return service_by_id
