--- a/catkintrack/decisions/tests/test_named_limits.py
+++ b/catkintrack/decisions/tests/test_named_limits.py
@@ -30,6 +30,7 @@
 from catkintrack.decisions.rest import Rest
 from testkit.decision_tables import make_request, make_tables
 from testkit.limit_rule import SPAN_S, compute_allowed
+from testkit.profiles import DETERMINISTIC
 from testkit.upstreams import make_upstream
 
 NAMES = tuple(f"n{number}" for number in range(200))
@@ -44,6 +45,7 @@
 
 
 class ShareTest(unittest.TestCase):
+    @DETERMINISTIC
     @given(per_s=st.floats(0.0, 500.0), count=st.integers(1, 200))
     def test_shares_make_up_the_limit_and_may_all_be_used_at_once(self, per_s, count):
         names = NAMES[:count]
--- a/catkintrack/decisions/tests/test_rest.py
+++ b/catkintrack/decisions/tests/test_rest.py
@@ -30,6 +30,7 @@
     record_placed,
 )
 from testkit.decision_tables import make_request, make_tables
+from testkit.profiles import DETERMINISTIC
 from testkit.upstreams import make_upstream
 
 STEP_S = 0.01
@@ -60,6 +61,7 @@
         self.assertFalse(is_held(self.find(), over_at))
         self.assertTrue(has_returned(self.find(), over_at))
 
+    @DETERMINISTIC
     @given(st.floats(allow_nan=True, allow_infinity=True), st.integers(0, 99))
     def test_no_time_shuts_a_replica_out_for_good(self, seconds, seed):
         table = RestTable()
@@ -68,6 +70,7 @@
         over_at = 10.0 + REST_MAX_S + SPREAD_MAX_S + RETURN_TRIAL_S
         self.assertFalse(is_held(rest, over_at))
 
+    @DETERMINISTIC
     @given(st.floats(0.001, REST_MAX_S), st.integers(0, 99))
     def test_nothing_is_sent_before_the_stated_end(self, seconds, seed):
         table = RestTable()
@@ -146,6 +149,7 @@
         self.assertIsNone(find_earliest_return([first, second], 11.3))
         self.assertIsNone(find_earliest_return([], 10.0))
 
+    @DETERMINISTIC
     @given(st.floats(0.0, 60.0), st.floats(0.0, 60.0), st.integers(0, 99))
     def test_callers_come_back_after_the_return_within_their_deadline(
         self, wait_s, left_s, seed
--- a/catkintrack/instance/tests/test_unanswered_watches.py
+++ b/catkintrack/instance/tests/test_unanswered_watches.py
@@ -16,6 +16,7 @@
 )
 from catkintrack.platform import UPSTREAM_KIND
 from testkit.instances import make_config_spec, make_entry_spec
+from testkit.profiles import DETERMINISTIC
 from testkit.silent_store import EndOfRun, SilentStore, patched_store
 from testkit.states import make_instance
 
@@ -58,6 +59,7 @@
         known_at = run_discovery(store)
         self.assertLessEqual(known_at["i1"], 25.8 + self.bounds.drain_s)
 
+    @DETERMINISTIC
     @given(
         first_change_s=st.floats(0.0, 8.0),
         start_s=st.floats(5.0, 20.0),
@@ -84,6 +86,7 @@
         )
         self.assertLessEqual(known_at.get("i1", store.ends_at), due_at)
 
+    @DETERMINISTIC
     @given(
         start_s=st.floats(5.0, 20.0),
         duration_s=st.floats(0.05, 12.0),
