--- a/catkintrack/decisions/retries.py
+++ b/catkintrack/decisions/retries.py
@@ -102,10 +102,13 @@
 
 def _count_instances(share: RetryShare) -> int | None:
     """Return how many instances may share the budget, None if that is unknown."""
-    if share.heard_peers is None or share.age_s < JOIN_S:
-        return None
-    if share.age_s < SETTLE_S:
+    is_joining = share.age_s < SETTLE_S
+    # At the fleet's first start nothing has been spent yet.
+    is_unknown = share.heard_peers is None or share.age_s < JOIN_S
+    if is_joining and (share.is_first_start or not is_unknown):
         return JOINING_FACTOR * (share.known_peers + 1)
+    if share.heard_peers is None or is_unknown:
+        return None
     return share.heard_peers + 1
 
 
--- a/catkintrack/instance/tests/test_retry_shares.py
+++ b/catkintrack/instance/tests/test_retry_shares.py
@@ -49,6 +49,13 @@
         self.assertLessEqual(self.find_cap(), 1.0)
         self.assertEqual(find_retry_budget(self.instance, "app").level, 0.0)
 
+    def test_first_start_has_retries_before_the_first_gossip(self):
+        """Refused: replicas that rejected its first calls left it without a retry."""
+        self.instance.started_at = time.monotonic()
+        for seed in self.instance.site.seeds:
+            get_or_add_peer(self.instance, "", "", seed.host, seed.port)
+        self.assertGreaterEqual(find_retry_budget(self.instance, "app").level, 2.0)
+
     def test_silent_peers_keep_their_shares_until_they_are_removed(self):
         self.hear_peers()
         share = self.find_cap()
--- a/testkit/retry_fleet.py
+++ b/testkit/retry_fleet.py
@@ -17,6 +17,8 @@
 
 TICK_S = 0.25
 GOSSIP_S = 0.5
+# Peers whose addresses an instance learns from its settings.
+SEEDS = 3
 
 
 @dataclass
@@ -102,7 +104,7 @@
             self.extra,
             self.window_s,
             None if is_unknown else len(heard),
-            len(member.heard_at_by_name),
+            max(len(member.heard_at_by_name), SEEDS),
             age_s,
             member.is_first_start,
         )
