--- a/catkintrack/decisions/retries.py
+++ b/catkintrack/decisions/retries.py
@@ -18,8 +18,8 @@
 BUDGET_SAFETY_FACTOR = 0.9
 # Capacity of an instance that does not know yet with how many others it shares.
 MIN_CAP = 1.0
-# From its start until an instance has learned the addresses of its peers, and until it
-# has heard them and they know it.
+# From an instance's start until it has the addresses of its peers, and until each of them
+# has exchanged messages with it.
 JOIN_S = 0.5
 SETTLE_S = 3.0
 # Instances that a joining one assumes for each address that it knows.
@@ -102,14 +102,13 @@
 
 def _count_instances(share: RetryShare) -> int | None:
     """Return how many instances may share the budget, None if that is unknown."""
-    is_joining = share.age_s < SETTLE_S
-    # At the fleet's first start nothing has been spent yet.
-    is_unknown = share.heard_peers is None or share.age_s < JOIN_S
-    if is_joining and (share.is_first_start or not is_unknown):
-        return JOINING_FACTOR * (share.known_peers + 1)
-    if share.heard_peers is None or is_unknown:
+    joining_count = JOINING_FACTOR * (share.known_peers + 1)
+    if share.is_first_start and share.age_s < SETTLE_S:
+        # Nothing has been spent yet, so an estimate that is too small does no harm.
+        return joining_count
+    if share.heard_peers is None or share.age_s < JOIN_S:
         return None
-    return share.heard_peers + 1
+    return joining_count if share.age_s < SETTLE_S else share.heard_peers + 1
 
 
 def _compute_cap(extra: float, instances: int) -> float:
--- a/catkintrack/decisions/services.py
+++ b/catkintrack/decisions/services.py
@@ -56,8 +56,8 @@
 def _list_eligible(tables: ServiceTables, names: list[str], now: float) -> list[str]:
     """Return the replicas that may get a call.
 
-    A service whose replicas are all ejected still gets calls, within its capacity, as with
-    Envoy's panic threshold: what befell all of them together tells nothing of each.
+    A service whose replicas are all ejected still gets calls, within its capacity (Envoy's
+    panic threshold): an ejection only helps while other replicas serve.
     """
     rows = [ensure_service_row(tables, name) for name in names]
     eligible = [row.name for row in rows if not is_ejected(row, now)]
