Drop a constructor of retry budgets that only a test called

open_retry_budget makes every budget of an instance since the shares follow the fleet; make_retry_budget had the same rule a second time.

--- a/catkintrack/decisions/retries.py
+++ b/catkintrack/decisions/retries.py
@@ -61,15 +61,6 @@
     is_first_start: bool
 
 
-def make_retry_budget(ratio: float, extra: float, instances: int) -> RetryBudget:
-    """Return the budget of one of `instances` for a service, half full.
-
-    The fleet may send `ratio` retries per request and `extra` retries.
-    """
-    cap = _compute_cap(extra, instances)
-    return RetryBudget(ratio * BUDGET_SAFETY_FACTOR, cap, cap / 2, True)
-
-
 def open_retry_budget(share: RetryShare) -> RetryBudget:
     """Return an instance's budget for a service that it has not called before."""
     level = MIN_CAP if share.is_first_start else 0.0
--- a/catkintrack/decisions/tests/test_load_patterns.py
+++ b/catkintrack/decisions/tests/test_load_patterns.py
@@ -28,8 +28,9 @@
 from catkintrack.decisions.placement import place_by_cost
 from catkintrack.decisions.residency import add_cached_blocks
 from catkintrack.decisions.retries import (
+    RetryShare,
     add_retry_credit,
-    make_retry_budget,
+    open_retry_budget,
     take_retry,
 )
 from catkintrack.decisions.scheduler import Dispatch, record_remote_prefill
@@ -433,7 +434,8 @@
         Half of the replicas refuse the requests of all instances.
         """
         instances = 8
-        budgets = [make_retry_budget(0.2, 56.0, instances) for _ in range(instances)]
+        share = RetryShare(0.2, 56.0, 10.0, instances - 1, instances - 1, 60.0, False)
+        budgets = [open_retry_budget(share) for _ in range(instances)]
         requests = retries = 0
         for _ in range(200):
             for budget in budgets:
--- a/catkintrack/http/client.py
+++ b/catkintrack/http/client.py
@@ -140,7 +140,7 @@
     for idle in pool.idle_by_address.values():
         found = [exchange for exchange in idle if exchange.has_unread_data()]
         unsolicited += found
-        # Nobody may take one while another is being closed.
+        # They leave the pool before the first one is closed, since closing gives way.
         for exchange in found:
             idle.remove(exchange)
     for exchange in unsolicited:
--- a/catkintrack/http/exchange.py
+++ b/catkintrack/http/exchange.py
@@ -68,7 +68,7 @@
         self.address = address
         self.sock = sock
         self.max_body_bytes = max_body_bytes
-        # The bytes of the current response; whoever opens the exchange releases them.
+        # The bytes of the current response, released by open_exchange.
         self.held = HeldBytes()
         self.input_bytes = 0
         self.late_bytes = 0
--- a/catkintrack/instance/retry_budgets.py
+++ b/catkintrack/instance/retry_budgets.py
@@ -44,7 +44,7 @@
         instance.metrics.retry_budget.set({"service": service}, budget.level)
 
 
-def may_retry(instance: Instance, service: str) -> bool:
+def _take_retry(instance: Instance, service: str) -> bool:
     """Take one retry from a service's budget; report False if none is left."""
     is_allowed = take_retry(find_retry_budget(instance, service))
     outcome = "allowed" if is_allowed else "refused"
@@ -67,7 +67,7 @@
 
 def reserve_retry(instance: Instance, call: Call, progress: CallProgress) -> bool:
     """Take a retry for the next attempt of a call; report False if none is left."""
-    progress.has_retry = progress.has_retry or may_retry(instance, call.service)
+    progress.has_retry = progress.has_retry or _take_retry(instance, call.service)
     return progress.has_retry
 
 
