Look at a connection's input in one place

The callers' side and two checks of idle upstream connections each peeked at a socket with the same flags and errors. They call http.peeking.peek now; what each reports is unchanged (no input, bytes, and the end or an error are told apart as before).

--- a/catkintrack/http/connections.py
+++ b/catkintrack/http/connections.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import socket as std_socket
 import struct
 from dataclasses import dataclass, field
 
@@ -16,6 +15,7 @@
 from .errors import CallerDisconnected
 from .held_bytes import ByteBudget, HeldBytes
 from .messages import Headers
+from .peeking import peek
 
 # Value of SO_LINGER that makes a close reset the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -140,21 +140,11 @@
     @property
     def has_unread_data(self) -> bool:
         """Report whether bytes of another request have arrived."""
-        return bool(self.h11.trailing_data[0] or self._peek())
+        return bool(self.h11.trailing_data[0] or peek(self.sock))
 
     def has_caller_disconnected(self) -> bool:
         """Report whether the caller has closed its side of the connection."""
-        return self._peek() == b""
-
-    def _peek(self) -> bytes | None:
-        """Return a byte that has arrived, b"" after the end, None if there is neither."""
-        flags = std_socket.MSG_PEEK | std_socket.MSG_DONTWAIT
-        try:
-            return self.sock._socket.recv(1, flags)
-        except BlockingIOError:
-            return None
-        except OSError:
-            return b""
+        return peek(self.sock) == b""
 
     async def send_event(self, event: h11.Event) -> None:
         """Send a part of a response; raise CallerDisconnected if that fails."""
--- a/catkintrack/http/exchange.py
+++ b/catkintrack/http/exchange.py
@@ -27,6 +27,7 @@
     resize_held,
 )
 from .messages import Headers, Request, ResponseHead, find_header, measure_headers
+from .peeking import peek
 from .turns import Turn, take_step
 
 # Bounds what h11 decodes in one step: a head or trailers of many fields take the event
@@ -323,18 +324,8 @@
 
     def has_unread_data(self) -> bool:
         """Report whether bytes arrived on the idle connection, which answer nothing."""
-        try:
-            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-            return bool(self.sock._socket.recv(1, flags))
-        except OSError:
-            return False
+        return bool(peek(self.sock))
 
     def has_unread_input(self) -> bool:
         """Report whether data, a close or an error arrived on the idle connection."""
-        try:
-            self.sock._socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return True
+        return peek(self.sock) is not None
