--- a/catkintrack/decisions/__init__.py
+++ b/catkintrack/decisions/__init__.py
@@ -4,11 +4,7 @@
 from .prefix import CacheScope, estimate_tokens, hash_prefix
 from .residency import Residency
 from .scheduler import (
-    Decision,
-    Dispatch,
     LoadRow,
-    Refusal,
-    RefusalReason,
     apply_cache_events,
     apply_load,
     record_answer,
@@ -23,6 +19,7 @@
     tick,
 )
 from .tables import ModelRequest, RunningRow, Tables, UpstreamRow, WorkspaceRow
+from .verdicts import Decision, Dispatch, Refusal, RefusalReason
 
 __all__ = [
     "POLICY_BY_NAME",
--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -5,10 +5,8 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
-from enum import Enum
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -18,7 +16,7 @@
 from . import ejection, load
 from .deadlines import bound_deadline
 from .fairness import charge_workspace, compute_cost, order_workspaces
-from .named_limits import TokenSupply, compute_wait_s, find_supply, reserve_token
+from .named_limits import reserve_token
 from .placement import POLICY_BY_NAME, WINDOWED_POLICIES, Placement, may_run
 from .prefills import (
     Prefill,
@@ -28,15 +26,19 @@
     end_prefill,
     expire_prefills,
 )
+from .refusing import (
+    is_late,
+    is_leaving,
+    predict_wait_s,
+    refuse_beyond_limits,
+    refuse_expired,
+    refuse_while_resting,
+    shed_late_requests,
+)
 from .residency import add_cached_blocks, clear_cached_blocks, remove_cached_blocks
-from .rest import choose_return_s, find_earliest_return, record_placed
+from .rest import record_placed
 from .retries import add_retry_credit, take_retry
-from .shedding import (
-    choose_retry_after_s,
-    find_requests_to_shed,
-    record_late_dispatch,
-    update_late_queue,
-)
+from .shedding import record_late_dispatch
 from .tables import (
     ModelRequest,
     RunningRow,
@@ -46,56 +48,16 @@
     add_upstream,
     ensure_workspace,
 )
+from .verdicts import MIN_RETRY_AFTER_S, Decision, Dispatch, Refusal, RefusalReason
 
 # Requests of a workspace that are tried before the next workspace's.
 LOOKAHEAD_REQUESTS = 16
-# Lower bound of the time from dispatch to first token: a queued request that is due
-# sooner is late.  instance/model_calls.py has a smaller one for priorities in engines.
-MIN_FIRST_TOKEN_S = 0.03
 MAX_WAITING_PER_WORKSPACE = 512
-MIN_RETRY_AFTER_S = 1.0
 INTERVAL_SMOOTHING = 0.2
 # A report or peer message may name an incarnation that ended up to this long before.
 REPORT_LAG_MAX_S = 2.0
 
 
-class RefusalReason(Enum):
-    """Name the reason for a refusal; the values are sent to callers and logged."""
-
-    NO_UPSTREAM = "no_upstream"
-    QUEUE_FULL = "queue_full"
-    DEADLINE = "deadline"
-    RETRY_BUDGET = "retry_budget"
-    RESTING = "resting"
-    LIMITED = "limited"
-
-
-@dataclass(frozen=True, slots=True)
-class Dispatch:
-    """Direct a request to an upstream.
-
-    `fetch_from` names the upstream or cache store to fetch cached blocks from.
-    """
-
-    request: ModelRequest
-    upstream: str
-    uncached_tokens: int
-    best_cached_tokens: int
-    fetch_from: str | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """Refuse a request that has not run; it may be retried after `retry_after_s`."""
-
-    request: ModelRequest
-    reason: RefusalReason
-    retry_after_s: float
-
-
-Decision = Dispatch | Refusal
-
-
 @dataclass(frozen=True, slots=True)
 class LoadRow:
     """Hold one load report; `at` is when the upstream measured it, in seconds."""
@@ -192,13 +154,6 @@
     return None
 
 
-def predict_wait_s(row: WorkspaceRow, now: float) -> float:
-    """Return the estimated queueing time of a request that is submitted now."""
-    if not row.waiting:
-        return 0.0
-    return len(row.waiting) * row.dispatch_interval_s
-
-
 def remove_waiting(tables: Tables, request_id: str) -> None:
     """Remove a request whose caller has disconnected from its queue."""
     for row in tables.workspace_by_name.values():
@@ -225,109 +180,6 @@
     return decisions
 
 
-def refuse_expired(tables: Tables, now: float) -> list[Refusal]:
-    """Refuse the queued requests whose deadline has passed."""
-    refusals = []
-    for row in tables.workspace_by_name.values():
-        due = [request for request in row.waiting if request.deadline <= now]
-        for request in due:
-            row.waiting.remove(request)
-            retry_after_s = max(MIN_RETRY_AFTER_S, predict_wait_s(row, now))
-            refusals.append(Refusal(request, RefusalReason.DEADLINE, retry_after_s))
-    return refusals
-
-
-def refuse_while_resting(tables: Tables, now: float, rng: Random) -> list[Refusal]:
-    """Refuse the queued requests whose model is served by resting replicas only.
-
-    A started response waits for one that returns before its deadline.
-    """
-    if not tables.rests.rest_by_upstream:
-        return []
-    queues = [row.waiting for row in tables.workspace_by_name.values()]
-    refusals = []
-    for queue in (*queues, tables.retries):
-        for request in list(queue):
-            returns_at = _find_earliest_return(tables, request.model, now)
-            if returns_at is None:
-                continue
-            if request.has_started and returns_at < request.deadline:
-                continue
-            queue.remove(request)
-            wait_s = choose_return_s(returns_at, request.deadline, now, rng)
-            refusals.append(Refusal(request, RefusalReason.RESTING, wait_s))
-    return refusals
-
-
-def _find_earliest_return(tables: Tables, model: str, now: float) -> float | None:
-    rows = tables.upstream_by_name.values()
-    return find_earliest_return(
-        (row.rest for row in rows if model in row.models and not _is_leaving(row)), now
-    )
-
-
-def refuse_beyond_limits(tables: Tables, now: float, rng: Random) -> list[Refusal]:
-    """Refuse the queued requests that limited replicas take only after their deadline.
-
-    That concerns models of which each replica has named a limit or rests.
-    """
-    if not tables.named_limits.limit_by_upstream:
-        return []
-    queues = [row.waiting for row in tables.workspace_by_name.values()]
-    places = [
-        (request, queue) for queue in (tables.retries, *queues) for request in queue
-    ]
-    supplies = {
-        model: _find_supply(tables, model, now)
-        for model in {request.model for request, _ in places}
-    }
-    supply_by_model = {
-        m: supply for m, supply in supplies.items() if supply is not None
-    }
-    places = [place for place in places if place[0].model in supply_by_model]
-    places.sort(key=lambda place: (not place[0].is_retry, place[0].target_at))
-    count_by_model: Counter[str] = Counter()
-    refusals = []
-    for request, queue in places:
-        count = count_by_model[request.model] + 1
-        wait_s = compute_wait_s(supply_by_model[request.model], count)
-        if now + wait_s <= request.deadline:
-            count_by_model[request.model] = count
-            continue
-        queue.remove(request)
-        # The caller comes back to another instance, which has a share of its own.
-        retry_after_s = min(wait_s, MIN_RETRY_AFTER_S) * (0.5 + rng.random() / 2)
-        refusals.append(Refusal(request, RefusalReason.LIMITED, retry_after_s))
-    return refusals
-
-
-def _find_supply(tables: Tables, model: str, now: float) -> TokenSupply | None:
-    rows = tables.upstream_by_name.values()
-    serving = (row for row in rows if model in row.models and not _is_leaving(row))
-    return find_supply(((row.limit, row.rest) for row in serving), now)
-
-
-def _is_leaving(row: UpstreamRow) -> bool:
-    return row.is_leaving or row.has_announced_leaving
-
-
-def shed_late_requests(tables: Tables, now: float) -> list[Refusal]:
-    """Refuse the late requests that would be dispatched after their deadline."""
-    queue = tables.late_queue
-    if queue is None:
-        return []
-    rows = tables.workspace_by_name.values()
-    late = [r for row in rows for r in row.waiting if is_late(r, now)]
-    update_late_queue(queue, not late, now)
-    late.sort(key=lambda request: request.target_at)
-    refusals = []
-    for request in find_requests_to_shed(queue, late, now):
-        ensure_workspace(tables, request.workspace).waiting.remove(request)
-        wait_s = choose_retry_after_s(request, now)
-        refusals.append(Refusal(request, RefusalReason.DEADLINE, wait_s))
-    return refusals
-
-
 def dispatch_retries(
     tables: Tables, now: float, rng: Random, policy: str
 ) -> list[Decision]:
@@ -395,11 +247,6 @@
     return None
 
 
-def is_late(request: ModelRequest, now: float) -> bool:
-    """Report whether the request can no longer meet its first-token target."""
-    return now + MIN_FIRST_TOKEN_S > request.target_at
-
-
 def _dispatch_one(
     tables: Tables,
     row: WorkspaceRow,
@@ -442,7 +289,7 @@
 def _is_served_anywhere(tables: Tables, request: ModelRequest) -> bool:
     """Report whether an upstream may run the request, even if it is not eligible now."""
     return any(
-        may_run(row, request) and not _is_leaving(row)
+        may_run(row, request) and not is_leaving(row)
         for row in tables.upstream_by_name.values()
     )
 
