--- a/catkintrack/fleet/__init__.py
+++ b/catkintrack/fleet/__init__.py
@@ -15,7 +15,7 @@
     build_configuration,
     choose_service,
 )
-from .site import Bounds, Site
+from .site import Bounds, Feature, Site
 from .upstreams import (
     ModelWeights,
     SwapMode,
@@ -33,6 +33,7 @@
     "CallerLimits",
     "Configuration",
     "EngineProfile",
+    "Feature",
     "ModelWeights",
     "Prompt",
     "PromptPart",
--- a/catkintrack/fleet/site.py
+++ b/catkintrack/fleet/site.py
@@ -3,10 +3,23 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 from catkintrack.http import Address
 
 
+class Feature(Enum):
+    """Name a part of the product that a deployment's settings switch on.
+
+    ADMISSION bounds what engines hold to what they can finish, SLOW_READERS what is held
+    for peers that read slowly; VERSION_ROLLOUTS moves services between software versions.
+    """
+
+    ADMISSION = "admission"
+    SLOW_READERS = "slow_readers"
+    VERSION_ROLLOUTS = "version_rollouts"
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Hold the operators' bounds on times, retries and limits; times in seconds.
@@ -56,3 +69,4 @@
     link_mbps: float
     metrics_port: int
     bounds: Bounds
+    features: frozenset[Feature] = frozenset()
--- a/catkintrack/platform/settings.py
+++ b/catkintrack/platform/settings.py
@@ -9,7 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from catkintrack.fleet import Bounds, Site
+from catkintrack.fleet import Bounds, Feature, Site
 from catkintrack.http import Address
 
 from .addresses import parse_address
@@ -18,6 +18,12 @@
 SETTINGS_PATH_VARIABLE = "CATKINTRACK_SETTINGS"
 DEFAULT_SETTINGS_PATH = "/etc/catkintrack/settings.conf"
 
+# Features by the part of the operators' contract that calls for them.
+_FEATURES_BY_CONTRACT = {
+    "pressure": (Feature.ADMISSION, Feature.SLOW_READERS),
+    "rollout": (Feature.VERSION_ROLLOUTS,),
+}
+
 
 class _Listen(msgspec.Struct, frozen=True):
     front: str
@@ -67,6 +73,8 @@
     # First and last port available to the process, separated by a comma.
     port_range: str
     seeds: str = ""
+    # Parts of the operators' contract that are in force, separated by commas.
+    contracts: str = ""
     bootstrap: bool = False
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
@@ -127,6 +135,13 @@
     return root
 
 
+def _find_features(contracts: str) -> frozenset[Feature]:
+    names = (name.strip() for name in contracts.split(","))
+    return frozenset(
+        feature for name in names for feature in _FEATURES_BY_CONTRACT.get(name, ())
+    )
+
+
 def _make_site(settings: _Settings) -> Site:
     bounds = settings.bounds
     listen = settings.listen
@@ -159,4 +174,5 @@
             limit_window_s=bounds.quota_window_s,
             limit_slack=bounds.quota_slack,
         ),
+        features=_find_features(settings.contracts),
     )
--- a/catkintrack/platform/tests/test_formats.py
+++ b/catkintrack/platform/tests/test_formats.py
@@ -5,7 +5,14 @@
 
 from returns.result import Failure, Success
 
-from catkintrack.fleet import ModelWeights, SwapMode, Upstream, WeightsOrder, Workspace
+from catkintrack.fleet import (
+    Feature,
+    ModelWeights,
+    SwapMode,
+    Upstream,
+    WeightsOrder,
+    Workspace,
+)
 from catkintrack.http import Address, Request, ResponseHead, UpstreamExchangeError
 from catkintrack.instance.stream_events import EventSplitter
 from catkintrack.platform import (
@@ -33,6 +40,11 @@
 
 
 class SettingsTest(unittest.TestCase):
+    def test_contracts_switch_features_on(self):
+        site = decode_site(SETTINGS_LINES + "\ncontracts=base,pressure,odd\n").unwrap()
+        self.assertEqual(site.features, {Feature.ADMISSION, Feature.SLOW_READERS})
+        self.assertEqual(decode_site(SETTINGS_LINES).unwrap().features, frozenset())
+
     def test_settings_are_decoded_and_unknown_fields_ignored(self):
         site = decode_site(SETTINGS_LINES).unwrap()
         self.assertEqual(site.instance, "n1")
