--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -186,6 +186,16 @@
     )
 
 
+def record_load_result(
+    instance: Instance, id: str, weights: ModelWeights, now: float
+) -> None:
+    """Record that a replica has ended a load of weights, and which ones it runs."""
+    apply_replica_weights(instance, id, weights, now)
+    row = instance.decisions.upstream_by_name.get(id)
+    if row is not None and row.weights_version <= weights.version:
+        row.loading_until = min(row.loading_until, now)
+
+
 def apply_target_weights(
     instance: Instance, weights: ModelWeights, age_s: float, now: float, source: str
 ) -> bool:
--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -41,6 +41,7 @@
 from .fleet_state import (
     apply_replica_weights,
     apply_target_weights,
+    record_load_result,
 )
 from .gossip import make_gossip, send_gossip
 from .hubs import (
@@ -59,6 +60,7 @@
     GossipMessage,
     HubRelay,
     LoadBegun,
+    LoadEnded,
     PartsServed,
     PrefillBegun,
     PrefillEnded,
@@ -273,6 +275,11 @@
         row.loading_until = time.monotonic() + message.ready_in_s
 
 
+async def _handle_load_ended(instance: Instance, message: LoadEnded) -> None:
+    weights = ModelWeights(message.model, message.version)
+    record_load_result(instance, message.upstream, weights, time.monotonic())
+
+
 async def _handle_prefill_begun(instance: Instance, message: PrefillBegun) -> None:
     record_remote_prefill(
         instance.decisions,
@@ -323,6 +330,7 @@
     StoredUpstreams: handle_stored_upstreams,
     UpstreamsChanged: handle_upstream_changes,
     LoadBegun: _handle_load_begun,
+    LoadEnded: _handle_load_ended,
     PrefillBegun: _handle_prefill_begun,
     PrefillEnded: _handle_prefill_ended,
     ReplicaLost: handle_replica_lost,
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -164,7 +164,10 @@
 
 
 class LoadBegun(PeerMessage, frozen=True):
-    """Announce that a replica will be ordered to load weights, and how long it takes."""
+    """Announce that a replica will be ordered to load weights.
+
+    It takes no calls until LoadEnded, or for `ready_in_s` if that message is lost.
+    """
 
     upstream: str
     model: str
@@ -172,6 +175,14 @@
     ready_in_s: float
 
 
+class LoadEnded(PeerMessage, frozen=True):
+    """Announce that a replica takes calls again, and the weights that it runs."""
+
+    upstream: str
+    model: str
+    version: int
+
+
 class PrefillBegun(PeerMessage, frozen=True):
     """Announce that a long prefill was sent to a replica."""
 
@@ -239,6 +250,7 @@
     | StoredUpstreams
     | UpstreamsChanged
     | LoadBegun
+    | LoadEnded
     | PrefillBegun
     | PrefillEnded
     | ReplicaLost
--- a/catkintrack/instance/tests/test_weights_rollout.py
+++ b/catkintrack/instance/tests/test_weights_rollout.py
@@ -6,12 +6,12 @@
 
 import curio
 
-from catkintrack.fleet import ModelWeights, SwapMode
-from catkintrack.instance import weights_rollout
+from catkintrack.fleet import ModelWeights, SwapMode, UpstreamReport
+from catkintrack.instance import mesh, weights_rollout
 from catkintrack.instance.config_state import apply_configuration
-from catkintrack.instance.fleet_state import apply_upstream
-from catkintrack.instance.messages import LoadBegun
-from catkintrack.weights.plan import PlannedLoad
+from catkintrack.instance.fleet_state import apply_replica_weights, apply_upstream
+from catkintrack.instance.messages import LoadBegun, LoadEnded
+from catkintrack.weights.plan import INITIAL_LOAD_S, PlannedLoad
 from testkit.instances import make_config_spec, make_entry_spec
 from testkit.states import make_instance
 
@@ -73,6 +73,64 @@
         self.run_load(holds_lease=lambda instance: next(answers))
         self.assertEqual([recipient for recipient, *_ in self.events], ["peers"])
 
+    def test_load_that_takes_longer_than_usual_keeps_calls_away(self):
+        """Replays loads of 0.8 s, of which instances had assumed 0.3 s.
+
+        Calls were sent to replicas that still loaded, which rejected them, until the
+        retry budget was used up.
+        """
+        self.run_load()
+        row = self.instance.decisions.upstream_by_name["i1"]
+        begun_at = self.events[0][2]
+        self.assertGreater(row.loading_until, begun_at + 1.2)
+        ended = LoadEnded("i1", "m1", 2)
+        curio.run(mesh._handle_load_ended, self.instance, ended)
+        self.assertLessEqual(row.loading_until, time.monotonic())
+        self.assertEqual(row.weights_version, 2)
+
+    def run_polls(self, reports):
+        """Await a load whose replica sends `reports` and return the broadcasts."""
+        sent = []
+
+        async def record_broadcast(instance, message):
+            sent.append(message)
+
+        async def send_report(instance, upstream):
+            report = reports.pop(0)
+            for weights in report.weights if report else ():
+                apply_replica_weights(instance, "i1", weights, time.monotonic())
+            return report
+
+        upstream = self.instance.upstream_by_id["i1"]
+        with (
+            patch.object(weights_rollout, "broadcast", record_broadcast),
+            patch.object(weights_rollout, "refresh_report", send_report),
+        ):
+            curio.run(
+                weights_rollout._await_load,
+                self.instance,
+                upstream,
+                self.planned,
+                True,
+            )
+        return sent
+
+    def make_report(self, version, is_busy):
+        return UpstreamReport((ModelWeights("m1", version),), is_busy, 1, 0, 0, 0)
+
+    def test_end_of_a_load_is_announced_at_once(self):
+        reports = [self.make_report(1, True), self.make_report(2, False)]
+        self.assertEqual(self.run_polls(reports), [LoadEnded("i1", "m1", 2)])
+        self.assertEqual(reports, [])
+        self.assertNotEqual(self.instance.weights.load_time_s, INITIAL_LOAD_S)
+
+    def test_load_without_effect_lets_calls_go_on(self):
+        row = self.instance.decisions.upstream_by_name["i1"]
+        row.loading_until = time.monotonic() + 5
+        reports = [self.make_report(1, False)]
+        self.assertEqual(self.run_polls(reports), [LoadEnded("i1", "m1", 1)])
+        self.assertLessEqual(row.loading_until, time.monotonic())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/catkintrack/instance/weights_rollout.py
+++ b/catkintrack/instance/weights_rollout.py
@@ -7,7 +7,7 @@
 
 import curio
 
-from catkintrack.fleet import Upstream, WeightsOrder
+from catkintrack.fleet import ModelWeights, Upstream, WeightsOrder
 from catkintrack.leases import mark_fencing_refused
 from catkintrack.platform import make_order_request
 from catkintrack.timeouts import ignore_after
@@ -15,13 +15,15 @@
     plan_loads,
     record_load_ended,
     record_load_sent,
+    record_load_time,
 )
-from catkintrack.weights.plan import PlannedLoad, find_version
+from catkintrack.weights.plan import LOAD_TIMEOUT_S, PlannedLoad, find_version
 
 from .broadcasting import broadcast
+from .fleet_state import record_load_result
 from .hubs import has_hubs
 from .lease_keeper import holds_lease
-from .messages import LoadBegun
+from .messages import LoadBegun, LoadEnded
 from .peers import list_live_peers
 from .replica_signals import may_send
 from .reports import exchange_with, make_request_id, refresh_report
@@ -30,13 +32,13 @@
 logger = logging.getLogger(__name__)
 
 TICK_S = 0.1
-# Assumed time to load weights. A replica that reports the new weights earlier gets
-# requests again at once.
-EXPECTED_LOAD_S = 0.3
+# Part of the usual time of a load after which the replica's report is polled.
+FIRST_POLL_SHARE = 0.9
 REPORT_POLL_INTERVAL_S = 0.1
 # Time for a message to reach all instances: the batching delay of two hubs and transit.
 HUB_RELAY_S = 0.12
 MAX_REPORT_POLLS = 10
+ACCEPTED_STATUS = 202
 
 
 async def run_weights_rollout(instance: Instance, wake: curio.Event) -> None:
@@ -100,7 +102,7 @@
         },
     )
     _apply_order_status(instance, upstream, status)
-    await _await_load(instance, upstream, planned)
+    await _await_load(instance, upstream, planned, status == ACCEPTED_STATUS)
 
 
 def _has_weights(instance: Instance, planned: PlannedLoad) -> bool:
@@ -112,7 +114,7 @@
 def _apply_order_status(instance: Instance, upstream: Upstream, status: int) -> None:
     """Update the order count; drop the lease if its fencing token was refused."""
     counts = instance.weights.order_count_by_upstream
-    if status == 202:
+    if status == ACCEPTED_STATUS:
         counts[upstream.id] = counts.get(upstream.id, 0) + 1
     elif status != 200:
         counts.pop(upstream.id, None)
@@ -142,11 +144,12 @@
 async def _announce_load(instance: Instance, planned: PlannedLoad) -> None:
     """Tell all instances to stop sending to a replica, before it is ordered to load.
 
-    A replica rejects all requests while it loads.
+    A replica rejects all requests while it loads.  How long that takes is not known
+    before, so the announcement holds until LoadEnded.
     """
     row = instance.decisions.upstream_by_name.get(planned.upstream)
     relay_s = HUB_RELAY_S if has_hubs(instance) else 0.0
-    load_s = relay_s + EXPECTED_LOAD_S
+    load_s = relay_s + LOAD_TIMEOUT_S
     if row is not None:
         row.loading_until = time.monotonic() + load_s
     weights = planned.weights
@@ -157,16 +160,32 @@
 
 
 async def _await_load(
-    instance: Instance, upstream: Upstream, planned: PlannedLoad
+    instance: Instance, upstream: Upstream, planned: PlannedLoad, accepted: bool
 ) -> None:
-    """Poll the replica's report until the load has succeeded or failed."""
-    await curio.sleep(EXPECTED_LOAD_S)
+    """Poll the replica's report until the load has succeeded or failed; announce that."""
+    ordered_at = time.monotonic()
+    if accepted:
+        await curio.sleep(FIRST_POLL_SHARE * instance.weights.load_time_s)
     for _ in range(MAX_REPORT_POLLS):
         if _has_weights(instance, planned):
-            return
+            break
         report = await refresh_report(instance, upstream)
         if report is not None and not report.is_busy:
             break
         await curio.sleep(REPORT_POLL_INTERVAL_S)
     if not _has_weights(instance, planned):
         record_load_ended(instance.weights, upstream.id)
+    elif accepted:
+        record_load_time(instance.weights, time.monotonic() - ordered_at)
+    await _announce_load_end(instance, upstream, planned)
+
+
+async def _announce_load_end(
+    instance: Instance, upstream: Upstream, planned: PlannedLoad
+) -> None:
+    """Let all instances send to a replica again, with the weights that it runs."""
+    model = planned.weights.model
+    version = find_version(instance.weights, upstream.id, model)
+    weights = ModelWeights(model, version)
+    record_load_result(instance, upstream.id, weights, time.monotonic())
+    await broadcast(instance, LoadEnded(upstream.id, model, version))
--- a/catkintrack/weights/__init__.py
+++ b/catkintrack/weights/__init__.py
@@ -11,6 +11,7 @@
     plan_loads,
     record_load_ended,
     record_load_sent,
+    record_load_time,
     record_replica_version,
     record_target_weights,
 )
@@ -25,6 +26,7 @@
     "forget_replica",
     "record_load_ended",
     "record_load_sent",
+    "record_load_time",
     "record_target_weights",
     "record_replica_version",
     "plan_loads",
--- a/catkintrack/weights/plan.py
+++ b/catkintrack/weights/plan.py
@@ -17,6 +17,9 @@
 MAX_LOADING_FRACTION = 0.4
 # Time after which a load without a reported outcome no longer counts as in progress.
 LOAD_TIMEOUT_S = 1.5
+# Assumed time of a load until one has been measured, and the weight of each measurement.
+INITIAL_LOAD_S = 0.3
+LOAD_TIME_SMOOTHING = 0.3
 # Time from an order whose load failed to the next one to the same replica.
 RETRY_INTERVAL_S = 0.3
 # Far more versions than operators set before the last replica catches up.
@@ -66,13 +69,14 @@
     """Hold the target weights, the replicas' weights and the loads in progress.
 
     `order_count_by_upstream` counts the orders that a replica's current incarnation
-    has accepted.
+    has accepted.  `load_time_s` is the moving average of the time of a load.
     """
 
     target_by_model: dict[str, TargetWeights] = field(default_factory=dict)
     replica_by_upstream: dict[str, ReplicaWeights] = field(default_factory=dict)
     load_by_upstream: dict[str, WeightsLoad] = field(default_factory=dict)
     order_count_by_upstream: dict[str, int] = field(default_factory=dict)
+    load_time_s: float = INITIAL_LOAD_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +145,12 @@
     tables.load_by_upstream[upstream] = WeightsLoad(weights, now, previous_orders=count)
 
 
+def record_load_time(tables: WeightsTables, duration_s: float) -> None:
+    """Update the moving average of the time from an order to the new weights."""
+    duration_s = min(duration_s, LOAD_TIMEOUT_S)
+    tables.load_time_s += LOAD_TIME_SMOOTHING * (duration_s - tables.load_time_s)
+
+
 def record_load_ended(tables: WeightsTables, upstream: str) -> None:
     """Record that a load ended without effect; it is retried after a delay."""
     load = tables.load_by_upstream.get(upstream)
