--- a/catkintrack/decisions/engine_priority.py
+++ b/catkintrack/decisions/engine_priority.py
@@ -13,6 +13,8 @@
 LATE_PRIORITY_OFFSET = 5
 MAX_ON_TIME_PRIORITY = 4
 MAX_PRIORITY = 9
+# Urgencies of one paid priority.
+URGENCIES_PER_PRIORITY = 2
 # Relative spread of the first timeouts that callers of one route set.
 TIMEOUT_SPREAD = 0.3
 
@@ -42,6 +44,17 @@
     return now - (usual_s - deadline_s)
 
 
+def compute_urgency(workspace_priority: int | None, route_priority: int) -> int:
+    """Return the urgency of a call, 0 first: by paid priority, then by its route's.
+
+    Answers the load of one workspace whose urgent short calls and long drafts compete
+    for too little room: at equal paid priority the drafts would take most of it.
+    """
+    if workspace_priority is None:
+        return route_priority
+    return URGENCIES_PER_PRIORITY * workspace_priority + (route_priority > 0)
+
+
 def compute_engine_priority(
     priority: int, target_at: float, wait_s: float, now: float
 ) -> int:
--- a/catkintrack/decisions/tests/test_load_patterns.py
+++ b/catkintrack/decisions/tests/test_load_patterns.py
@@ -17,6 +17,7 @@
 from catkintrack.decisions.engine_priority import (
     MaxTimeoutTable,
     compute_engine_priority,
+    compute_urgency,
     estimate_first_attempt_at,
 )
 from catkintrack.decisions.failure_detection import (
@@ -415,6 +416,14 @@
             at = float(number)
             self.assertEqual(estimate_first_attempt_at(table, "r", deadline_s, at), at)
 
+    def test_urgent_routes_go_first_within_a_paid_priority(self):
+        """Replays urgent short calls beside long drafts of workspaces of one priority."""
+        urgent, draft = compute_urgency(1, 0), compute_urgency(1, 2)
+        self.assertLess(urgent, draft)
+        self.assertLess(compute_urgency(0, 2), urgent)
+        self.assertGreater(compute_urgency(2, 0), draft)
+        self.assertEqual(compute_urgency(None, 2), 2)
+
     def test_late_requests_get_lower_priority_than_those_that_can_be_on_time(self):
         """Guards against late requests that make others late.
 
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -19,7 +19,10 @@
     record_first_token,
 )
 from catkintrack.decisions.cache_store import add_stored_blocks, should_store_prefix
-from catkintrack.decisions.engine_priority import compute_engine_priority
+from catkintrack.decisions.engine_priority import (
+    compute_engine_priority,
+    compute_urgency,
+)
 from catkintrack.decisions.failure_detection import (
     record_bytes_received,
     should_fail_over,
@@ -27,7 +30,7 @@
 from catkintrack.decisions.placement import has_healthy_upstream, may_run
 from catkintrack.decisions.prefills import ANNOUNCED_MIN_TOKENS
 from catkintrack.decisions.tables import UpstreamRow
-from catkintrack.fleet import Call, ModelWeights, Prompt
+from catkintrack.fleet import Call, Feature, ModelWeights, Prompt
 from catkintrack.http import (
     Address,
     Connection,
@@ -100,7 +103,7 @@
     assert prompt is not None
     credit_request(instance, call)
     progress.software_version = await find_resumption_version(instance, call)
-    request = _make_request(call, prompt)
+    request = _make_request(instance, call, prompt)
     for _ in range(MAX_TRIES):
         if not take_next_attempt(instance, call, progress):
             progress.reason = "the retry budget is used up"
@@ -182,7 +185,14 @@
         await learn_weights(instance, upstream)
 
 
-def _make_request(call: Call, prompt: Prompt) -> ModelRequest:
+def _find_priority(instance: Instance, call: Call) -> int:
+    """Return the priority by which a call competes with others for room."""
+    if Feature.ADMISSION not in instance.site.features or call.workspace is None:
+        return call.priority
+    return compute_urgency(call.workspace.priority, call.route.priority)
+
+
+def _make_request(instance: Instance, call: Call, prompt: Prompt) -> ModelRequest:
     blocks, block_ends = hash_prompt_blocks(call, prompt)
     return ModelRequest(
         id=call.id.decode("latin-1"),
@@ -191,7 +201,7 @@
         blocks=blocks,
         prompt_tokens=prompt.prompt_tokens,
         max_tokens=prompt.max_output_tokens,
-        priority=call.priority,
+        priority=_find_priority(instance, call),
         arrived_at=call.arrived_at,
         deadline=call.deadline_at - MIN_SERVICE_S,
         block_ends=block_ends,
@@ -290,7 +300,7 @@
         save_to=instance.cache_store_address if saved_blocks else None,
         last_event_id=find_last_event_id(call, progress),
         rank=compute_engine_priority(
-            call.priority, call.target_at, MIN_FIRST_TOKEN_S, time.monotonic()
+            request.priority, call.target_at, MIN_FIRST_TOKEN_S, time.monotonic()
         ),
     )
     progress.record_attempt(
