--- a/catkintrack/decisions/cache_store.py
+++ b/catkintrack/decisions/cache_store.py
@@ -1,8 +1,11 @@
-"""Track the blocks in the KV cache store and decide which prefixes to save there.
+"""Track the blocks in the KV cache stores and decide which prefixes to save where.
 
 Under load a replica evicts its whole cache within seconds, sooner than long shared
 prompts recur.  A prefix that no replica caches any more is then fetched from the store
 instead of being recomputed.
+
+With several stores each shared prompt has one of them, the same for all instances: so
+their capacity and their links add up.
 """
 
 from __future__ import annotations
@@ -11,7 +14,8 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from .tables import ModelRequest
+from .rendezvous import compute_affinity_key, score_rendezvous
+from .tables import ModelRequest, Tables
 
 # A replica also sends the private part of a prompt, so storing short shared prefixes
 # would evict long ones.
@@ -38,6 +42,22 @@
     is_absent: bool = False
 
 
+def choose_store(tables: Tables, request: ModelRequest) -> CacheStoreIndex | None:
+    """Return the store that keeps the prompt's shared prefix, if any is in use."""
+    usable = [s for s in tables.cache_stores if not (s.is_leaving or s.is_absent)]
+    if len(usable) < 2 or not request.blocks:
+        return usable[0] if usable else None
+    key = compute_affinity_key(request)
+    return max(usable, key=lambda store: score_rendezvous(key, store.name))
+
+
+def find_store(tables: Tables, name: str) -> CacheStoreIndex | None:
+    """Return the store of that name; without a name the first one, if any."""
+    if not name:
+        return tables.cache_store
+    return next((s for s in tables.cache_stores if s.name == name), None)
+
+
 def add_stored_blocks(
     store: CacheStoreIndex, version: int, blocks: Iterable[int]
 ) -> None:
--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -2,20 +2,19 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from random import Random
 
 from catkintrack.weights import find_replaced_at
 
-from .cache_store import count_stored_prefix
+from .cache_store import choose_store, count_stored_prefix
 from .ejection import is_ejected
 from .failure_detection import is_suspect
 from .load import estimate_running, estimate_wait_s
 from .named_limits import has_token
 from .prefills import find_pending
-from .prefix import find_affinity_depth
+from .rendezvous import compute_affinity_key, score_rendezvous
 from .residency import find_cached_depths
 from .rest import is_held
 from .tables import ModelRequest, Tables, UpstreamRow
@@ -117,24 +116,6 @@
     )
 
 
-def compute_affinity_key(request: ModelRequest) -> int:
-    """Return the block hash by which all instances rank the upstreams alike."""
-    if request.block_ends:
-        # The last part is private to the request, the one before is shared.
-        return request.blocks[max(0, len(request.blocks) - 2)]
-    depth = find_affinity_depth(len(request.blocks))
-    return request.blocks[depth - 1] if depth else 0
-
-
-def score_rendezvous(key: int, name: str) -> int:
-    """Return the score of an upstream for `key` in rendezvous hashing.
-
-    Thaler and Ravishankar, "A name-based mapping scheme for rendezvous", 1996.
-    """
-    data = key.to_bytes(8, "big") + name.encode()
-    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest(), "big")
-
-
 def place_by_cost(
     tables: Tables, request: ModelRequest, now: float, rng: Random
 ) -> Placement | None:
@@ -155,9 +136,10 @@
     fleet_cached = max(
         [request.count_tokens(d) for d in depth_by_bit_index.values()], default=0
     )
-    if tables.cache_store is not None:
+    store = choose_store(tables, request)
+    if store is not None:
         version = max(row.weights_version for row in eligible)
-        stored_depth = count_stored_prefix(tables.cache_store, version, request.blocks)
+        stored_depth = count_stored_prefix(store, version, request.blocks)
         fleet_cached = max(fleet_cached, request.count_tokens(stored_depth))
     if pending is not None:
         fleet_cached = max(fleet_cached, request.count_tokens(pending[1]))
@@ -173,7 +155,7 @@
             depth = max(depth, pending[1])
         cached = request.count_tokens(depth)
         source = find_fetch_source(
-            tables, request, row, cached, holders, depth_by_bit_index
+            tables, request, row, cached, holders, depth_by_bit_index, store
         )
         if source is not None and source.tokens:
             is_awaiting = False
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -172,11 +172,21 @@
     target_by_model: dict[str, TargetWeights] = field(default_factory=dict)
     zone: str = ""
     transfer_rates: TransferRates | None = None
-    cache_store: CacheStoreIndex | None = None
+    cache_stores: list[CacheStoreIndex] = field(default_factory=list)
     leaving: LeavingTable = field(default_factory=LeavingTable)
     rests: RestTable = field(default_factory=RestTable)
     named_limits: NamedLimitTable = field(default_factory=NamedLimitTable)
 
+    @property
+    def cache_store(self) -> CacheStoreIndex | None:
+        """Return the first cache store, if any."""
+        return self.cache_stores[0] if self.cache_stores else None
+
+    @cache_store.setter
+    def cache_store(self, store: CacheStoreIndex | None) -> None:
+        """Use one cache store, or none."""
+        self.cache_stores = [] if store is None else [store]
+
     @property
     def waiting_count(self) -> int:
         """Return the number of queued requests, retries included."""
--- a/catkintrack/decisions/tests/test_load_patterns.py
+++ b/catkintrack/decisions/tests/test_load_patterns.py
@@ -1,14 +1,16 @@
 """Test each scheduling mechanism under the load pattern that it is made for."""
 
 import unittest
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from dataclasses import replace
 from math import inf
 from random import Random
 
 from catkintrack.decisions import record_end, record_first_token, submit, tick
 from catkintrack.decisions.cache_store import (
+    CacheStoreIndex,
     add_stored_blocks,
+    choose_store,
     clear_stored_blocks,
     count_stored_prefix,
     remove_stored_blocks,
@@ -395,6 +397,52 @@
         self.assertTrue(should_fail_over(row, 102.1))
 
 
+class SeveralStoresTest(unittest.TestCase):
+    """Replays long shared prompts that exceed one store's capacity and link."""
+
+    def setUp(self):
+        self.tables = make_site_tables(has_store=True)
+        self.tables.cache_stores = [
+            CacheStoreIndex(name, zone, 1e-6)
+            for name, zone in (("s1", "z1"), ("s2", "z2"), ("s3", "z3"))
+        ]
+        self.requests = [
+            replace(
+                make_long_request(f"r{number}", number),
+                blocks=(1, 1000 + number, 9_000_000 + number),
+            )
+            for number in range(600)
+        ]
+
+    def count_by_store(self):
+        return Counter(choose_store(self.tables, r).name for r in self.requests)
+
+    def test_prompts_spread_over_all_stores(self):
+        counts = self.count_by_store()
+        self.assertEqual(set(counts), {"s1", "s2", "s3"})
+        self.assertGreater(min(counts.values()), 150)
+
+    def test_prompt_of_another_session_part_has_the_same_store(self):
+        for request in self.requests[:20]:
+            other = replace(request, blocks=(*request.blocks[:2], 77))
+            store = choose_store(self.tables, request)
+            self.assertIs(choose_store(self.tables, other), store)
+
+    def test_only_prompts_of_a_store_that_leaves_move(self):
+        before = {r.blocks: choose_store(self.tables, r).name for r in self.requests}
+        self.tables.cache_stores[1].is_leaving = True
+        for request in self.requests:
+            name = choose_store(self.tables, request).name
+            if before[request.blocks] != "s2":
+                self.assertEqual(name, before[request.blocks])
+            self.assertNotEqual(name, "s2")
+
+    def test_without_a_usable_store_nothing_is_kept(self):
+        for store in self.tables.cache_stores:
+            store.is_absent = True
+        self.assertIsNone(choose_store(self.tables, self.requests[0]))
+
+
 class EnginePriorityTest(unittest.TestCase):
     def test_retry_is_detected_from_its_shorter_deadline(self):
         table = MaxTimeoutTable()
--- a/catkintrack/decisions/transfers.py
+++ b/catkintrack/decisions/transfers.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from .cache_store import count_stored_prefix
+from .cache_store import CacheStoreIndex, count_stored_prefix
 from .tables import ModelRequest, Tables, UpstreamRow
 
 # Fetching fewer tokens is not worth the round trip and the risk of a miss.
@@ -47,6 +47,7 @@
     cached_tokens: int,
     holders: Sequence[UpstreamRow],
     depth_by_bit_index: Mapping[int, int],
+    store: CacheStoreIndex | None,
 ) -> FetchSource | None:
     """Return the source with the longest prefix beyond `cached_tokens`, if any.
 
@@ -67,22 +68,21 @@
             seconds *= OTHER_ZONE_FACTOR
         if best is None or (-tokens, seconds) < (-best.tokens, best.seconds):
             best = FetchSource(row.name, tokens, seconds)
-    return _prefer_store(tables, request, target, cached_tokens, best)
+    return _prefer_store(store, request, target, cached_tokens, best)
 
 
 def _prefer_store(
-    tables: Tables,
+    store: CacheStoreIndex | None,
     request: ModelRequest,
     target: UpstreamRow,
     cached_tokens: int,
     best: FetchSource | None,
 ) -> FetchSource | None:
-    """Return the cache store if it holds at least as much as the best replica.
+    """Return the prompt's cache store if it holds at least as much as the best replica.
 
     Return it also when the target is believed to cache the prefix: the prefix may have
     been evicted, and a replica fetches only the blocks that it lacks.
     """
-    store = tables.cache_store
     if store is None:
         return best
     depth = count_stored_prefix(store, target.weights_version, request.blocks)
--- a/catkintrack/fleet/configuration.py
+++ b/catkintrack/fleet/configuration.py
@@ -63,11 +63,15 @@
 
 @dataclass(frozen=True, slots=True)
 class CacheStore:
-    """Describe a store of KV cache outside the engines; its capacity is in tokens."""
+    """Describe a store of KV cache outside the engines; its capacity is in tokens.
+
+    `link_mbps` is 0 if the configuration does not name it.
+    """
 
     address: Address
     zone: str
     kv_cache_tokens: int
+    link_mbps: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/catkintrack/instance/config_state.py
+++ b/catkintrack/instance/config_state.py
@@ -10,6 +10,7 @@
 
 from catkintrack.decisions.cache_store import CacheStoreIndex
 from catkintrack.decisions.transfers import TransferRates
+from catkintrack.fleet import CacheStore, EngineProfile
 from catkintrack.platform import decode_configuration
 
 from .config_history import is_superseded, record_superseded
@@ -150,24 +151,31 @@
     services = instance.config.service_by_name.values() if instance.config else ()
     profiles = [s.engine for s in services if s.engine and s.engine.link_mbps > 0]
     if profiles:
-        token_s = max(p.kv_bytes_per_token * 8 / (p.link_mbps * 1e6) for p in profiles)
+        slowest = max(profiles, key=lambda p: _find_token_s(p, p.link_mbps))
+        token_s = _find_token_s(slowest, slowest.link_mbps)
         instance.decisions.transfer_rates = TransferRates(TRANSFER_SETUP_S, token_s)
-        _update_cache_store(instance, token_s)
+        _update_cache_stores(instance, slowest)
 
 
-def _update_cache_store(instance: Instance, token_s: float) -> None:
-    """Use the cache store that the configuration names."""
+def _find_token_s(profile: EngineProfile, link_mbps: float) -> float:
+    """Return the seconds that a link takes for one cached token."""
+    return profile.kv_bytes_per_token * 8 / (link_mbps * 1e6)
+
+
+def _update_cache_stores(instance: Instance, profile: EngineProfile) -> None:
+    """Use the cache stores that the configuration names."""
     services = instance.config.service_by_name.values() if instance.config else ()
-    known = instance.decisions.cache_store
-    for service in services:
-        store = service.cache_store
-        if store is None:
-            continue
-        if known is None or known.name != str(store.address):
-            # Each transfer crosses two links, one after the other.
-            index = CacheStoreIndex(str(store.address), store.zone, 2 * token_s)
-            instance.decisions.cache_store = index
-        instance.cache_store_address = store.address
-        return
-    instance.decisions.cache_store = None
-    instance.cache_store_address = None
+    stores = [s.cache_store for s in services if s.cache_store is not None]
+    known_by_name = {index.name: index for index in instance.decisions.cache_stores}
+    instance.decisions.cache_stores = [
+        known_by_name.get(str(store.address)) or _make_index(store, profile)
+        for store in sorted(stores, key=lambda store: str(store.address))
+    ]
+    instance.store_address_by_name = {str(s.address): s.address for s in stores}
+
+
+def _make_index(store: CacheStore, profile: EngineProfile) -> CacheStoreIndex:
+    """Return an empty index; each transfer crosses two links, one after the other."""
+    token_s = _find_token_s(profile, profile.link_mbps)
+    token_s += _find_token_s(profile, store.link_mbps or profile.link_mbps)
+    return CacheStoreIndex(str(store.address), store.zone, token_s)
--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -11,6 +11,7 @@
 from catkintrack.decisions.cache_store import (
     add_stored_blocks,
     clear_stored_blocks,
+    find_store,
     remove_stored_blocks,
 )
 from catkintrack.decisions.named_limits import confirm_limits
@@ -295,7 +296,7 @@
 async def _handle_prefill_ended(instance: Instance, message: PrefillEnded) -> None:
     now = time.monotonic()
     record_remote_prefill_end(instance.decisions, message.id, message.incarnation, now)
-    store = instance.decisions.cache_store
+    store = find_store(instance.decisions, message.store)
     if store is not None:
         add_stored_blocks(store, message.version, message.kept)
 
@@ -303,7 +304,7 @@
 async def _handle_cache_store_cleared(
     instance: Instance, message: CacheStoreCleared
 ) -> None:
-    store = instance.decisions.cache_store
+    store = find_store(instance.decisions, message.store)
     if store is not None:
         clear_stored_blocks(store)
         store.is_absent = message.is_absent
@@ -312,7 +313,7 @@
 async def _handle_cache_store_changed(
     instance: Instance, message: CacheStoreChanged
 ) -> None:
-    store = instance.decisions.cache_store
+    store = find_store(instance.decisions, message.store)
     if store is not None:
         apply_change = add_stored_blocks if message.is_stored else remove_stored_blocks
         apply_change(store, message.version, message.blocks)
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -196,14 +196,15 @@
 class PrefillEnded(PeerMessage, frozen=True):
     """Announce that a prefill has ended; `incarnation` is empty if it failed.
 
-    `kept` are the blocks that the replica saves to the cache store, `version` is that of
-    the weights that computed them.
+    `kept` are the blocks that the replica saves to the cache store `store`, `version` is
+    that of the weights that computed them.
     """
 
     id: str
     incarnation: str
     version: int = 0
     kept: tuple[int, ...] = ()
+    store: str = ""
 
 
 class ReplicaLost(PeerMessage, frozen=True):
@@ -225,17 +226,19 @@
 
 
 class CacheStoreCleared(PeerMessage, frozen=True, tag="StoreEmptied"):
-    """Announce that the cache store has restarted empty, or is gone from its address."""
+    """Announce that a cache store has restarted empty, or is gone from its address."""
 
     is_absent: bool = False
+    store: str = ""
 
 
 class CacheStoreChanged(PeerMessage, frozen=True, tag="StoreChanged"):
-    """Announce which blocks the cache store has gained or lost."""
+    """Announce which blocks a cache store has gained or lost."""
 
     version: int
     is_stored: bool
     blocks: tuple[int, ...]
+    store: str = ""
 
 
 AnyPeerMessage = (
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -18,7 +18,12 @@
     record_failure,
     record_first_token,
 )
-from catkintrack.decisions.cache_store import add_stored_blocks, should_store_prefix
+from catkintrack.decisions.cache_store import (
+    CacheStoreIndex,
+    add_stored_blocks,
+    choose_store,
+    should_store_prefix,
+)
 from catkintrack.decisions.engine_priority import (
     compute_engine_priority,
     compute_urgency,
@@ -230,7 +235,8 @@
     has_response_head = False
     version = row.weights_version
     connected_before = progress.connected_attempts
-    saved_blocks = _find_blocks_to_save(instance, request, version)
+    store = choose_store(tables, request)
+    saved_blocks = _find_blocks_to_save(instance, store, request, version)
 
     async def handle_response_head(fields: ResponseFields) -> None:
         nonlocal has_response_head
@@ -248,7 +254,7 @@
             record_first_token(tables, request.id, row.incarnation, now)
             if is_long_prefill or saved_blocks:
                 await _broadcast_prefill_ended(
-                    instance, request, row, version, saved_blocks
+                    instance, request, row, version, saved_blocks, store
                 )
 
     has_event = False
@@ -297,7 +303,9 @@
         cache_salt=make_cache_salt(call, prompt.model, row.weights_version),
         weights_version=row.weights_version or None,
         fetch_from=_find_address(instance, decision.fetch_from),
-        save_to=instance.cache_store_address if saved_blocks else None,
+        save_to=_find_address(instance, store.name)
+        if store is not None and saved_blocks
+        else None,
         last_event_id=find_last_event_id(call, progress),
         rank=compute_engine_priority(
             request.priority, call.target_at, MIN_FIRST_TOKEN_S, time.monotonic()
@@ -353,22 +361,24 @@
 
 
 def _find_address(instance: Instance, name: str | None) -> Address | None:
-    store = instance.decisions.cache_store
-    if store is not None and name == store.name:
-        return instance.cache_store_address
+    address = instance.store_address_by_name.get(name or "")
+    if address is not None:
+        return address
     upstream = instance.upstream_by_id.get(name or "")
     return upstream.address if upstream else None
 
 
 def _find_blocks_to_save(
-    instance: Instance, request: ModelRequest, version: int
+    instance: Instance,
+    store: CacheStoreIndex | None,
+    request: ModelRequest,
+    version: int,
 ) -> tuple[int, ...]:
     """Return the blocks that the replica should save to the cache store, if any.
 
     Return none while the weights are being replaced: a prefill during which the replica
     changes weights would be stored under the old version.
     """
-    store = instance.decisions.cache_store
     target = instance.weights.target_by_model.get(request.model)
     if store is None or (target is not None and target.version != version):
         return ()
@@ -383,13 +393,14 @@
     row: UpstreamRow,
     version: int,
     saved_blocks: tuple[int, ...],
+    store: CacheStoreIndex | None,
 ) -> None:
-    store = instance.decisions.cache_store
     if row.weights_version != version:
         saved_blocks = ()
     if store is not None:
         add_stored_blocks(store, version, saved_blocks)
-    message = PrefillEnded(request.id, row.incarnation, version, saved_blocks)
+    name = store.name if store is not None else ""
+    message = PrefillEnded(request.id, row.incarnation, version, saved_blocks, name)
     await broadcast(instance, message)
 
 
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -243,7 +243,7 @@
     retry_budget_by_service: dict[str, RetryBudget] = field(default_factory=dict)
     feed_by_kind: dict[str, Feed] = field(default_factory=dict)
     peer_by_address: dict[tuple[str, int], Peer] = field(default_factory=dict)
-    cache_store_address: Address | None = None
+    store_address_by_name: dict[str, Address] = field(default_factory=dict)
     max_timeouts: MaxTimeoutTable = field(default_factory=MaxTimeoutTable)
     gossiped_tables: dict[str, dict[str, Any]] = field(default_factory=dict)
     full_gossip_at: float = -1e9
--- a/catkintrack/platform/configuration.py
+++ b/catkintrack/platform/configuration.py
@@ -74,6 +74,7 @@
     kv_store_addr: str = ""
     zone: str = ""
     kv_capacity: int = 0
+    link_mbps: float = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -166,7 +167,8 @@
             tuple(model.name for model in engine.models),
             engine.max_concurrency,
         ),
-        cache_store=address and CacheStore(address, row.zone, row.kv_capacity),
+        cache_store=address
+        and CacheStore(address, row.zone, row.kv_capacity, row.link_mbps),
     )
 
 
