--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -20,6 +20,12 @@
 from .rest import is_held
 from .tables import ModelRequest, Tables, UpstreamRow
 from .transfers import FETCH_EVICTION_WEIGHT, FetchSource, find_fetch_source
+from .zones import (
+    compute_draw,
+    estimate_moved_bytes,
+    estimate_zone_cost_s,
+    observe_model_waits,
+)
 
 # Caching a prefix on one more replica evicts as many tokens of other prefixes, which
 # costs as much as the prefill itself.
@@ -28,7 +34,8 @@
 FIRST_CHOICE_CREDIT = 0.1
 # Prefers a better rendezvous rank at nearly equal cost.
 RANK_COST_S = 0.001
-# Traffic between zones costs operators more than a short wait costs callers.
+# Traffic between zones costs operators more than a short wait costs callers.  Where the
+# tables hold the state of zones, it replaces this.
 OTHER_ZONE_COST_S = 0.03
 # Recomputing fewer tokens is faster than waiting for another request's prefill.
 AWAITED_PREFILL_MIN_TOKENS = 64
@@ -142,6 +149,8 @@
     eligible = list_eligible(tables, request, now)
     if not eligible:
         return None
+    if tables.zones is not None:
+        observe_model_waits(tables, tables.zones, request, eligible, now)
     depth_by_bit_index = find_cached_depths(tables.residency, request.blocks)
     if request.blocks:
         key = compute_affinity_key(request)
@@ -239,11 +248,29 @@
         estimate_wait_s(tables, row, now, request.priority)
         + prefill_s * (1 + DUPLICATION_WEIGHT)
         + recompute_s * RECOMPUTE_WEIGHT
-        + (OTHER_ZONE_COST_S if tables.zone not in ("", row.zone) else 0.0)
+        + _estimate_leaving_s(tables, request, row, now)
         + rank * RANK_COST_S
     )
 
 
+def _estimate_leaving_s(
+    tables: Tables, request: ModelRequest, row: UpstreamRow, now: float
+) -> float:
+    """Return the cost in seconds of leaving the zone, if the upstream is in another."""
+    if tables.zone in ("", row.zone):
+        return 0.0
+    if tables.zones is None:
+        return OTHER_ZONE_COST_S
+    return estimate_zone_cost_s(
+        tables.zones,
+        row.zone,
+        now,
+        request.model,
+        estimate_moved_bytes(request),
+        compute_draw(request.id),
+    )
+
+
 def _pick_candidates(
     ranked: list[UpstreamRow], depth_by_bit_index: dict[int, int], rng: Random
 ) -> list[tuple[int, UpstreamRow]]:
--- a/catkintrack/decisions/services.py
+++ b/catkintrack/decisions/services.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -10,9 +10,22 @@
 from .failure_detection import SUSPECT_AFTER_S, is_suspect
 from .load import estimate_running
 from .tables import UpstreamRow
+from .zones import (
+    ZoneTable,
+    estimate_service_wait_s,
+    estimate_zone_cost_s,
+    observe_service_waits,
+)
 
 # Running and waiting calls per slot up to which a replica of an ejected service is tried.
 PANIC_FILL = 2.0
+# Duration of plain calls to a service until one has ended.
+DEFAULT_SERVICE_S = 0.05
+SERVICE_TIME_SMOOTHING = 0.1
+# Fill of a replica from which on its room is left to the calls of its own zone.
+REMOTE_FULL_FILL = 0.75
+# About a kilobyte each way, with the heads.
+PLAIN_CALL_BYTES = 2000
 
 
 @dataclass(slots=True)
@@ -20,10 +33,14 @@
     """Hold the replicas' state that concerns such calls, keyed by name.
 
     `router_count` is the number of processes that share the replicas, this one included.
+    `zones` is set where calls leave their zone by its load; `service_s_by_service` holds
+    the moving average of a call's duration.
     """
 
     row_by_name: dict[str, UpstreamRow] = field(default_factory=dict)
     router_count: int = 1
+    zones: ZoneTable | None = None
+    service_s_by_service: dict[str, float] = field(default_factory=dict)
 
 
 def choose_replica(
@@ -33,26 +50,74 @@
     rng: Random,
     zone: str = "",
     silent_after_s: float = SUSPECT_AFTER_S,
+    service: str = "",
 ) -> str | None:
     """Return the replica with the lowest load per capacity, ties at random.
 
     Replicas that were silent for `silent_after_s` come last, those in availability zone
-    `zone` first while they are below capacity.  If all are ejected, those that can be
-    reached are tried.
+    `zone` first while they are below capacity, or by the state of zones if there is any.
+    If all are ejected, those that can be reached are tried.
     """
     eligible = _list_eligible(tables, list(names), now)
     if not eligible:
         return None
     rng.shuffle(eligible)
+    find_key = _make_sort_key(tables, service, zone, now, rng)
     return min(
         eligible,
         key=lambda name: (
             is_suspect(ensure_service_row(tables, name), now, silent_after_s),
-            *_sort_key(ensure_service_row(tables, name), zone, now),
+            *find_key(ensure_service_row(tables, name)),
         ),
     )
 
 
+SortKey = Callable[[UpstreamRow], tuple[float, ...]]
+
+
+def _make_sort_key(
+    tables: ServiceTables,
+    service: str,
+    zone: str,
+    now: float,
+    rng: Random,
+) -> SortKey:
+    """Return the function that orders the replicas for one call."""
+    zones = tables.zones
+    if zones is None:
+        return lambda row: _sort_key(row, zone, now)
+    service_s = tables.service_s_by_service.get(service, DEFAULT_SERVICE_S)
+    draw = rng.random()
+
+    def find_key(row: UpstreamRow) -> tuple[float, ...]:
+        fill = estimate_running(row, now) / max(1, row.max_running)
+        is_full = fill >= (1.0 if row.zone == zone else REMOTE_FULL_FILL)
+        leaving_s = estimate_zone_cost_s(
+            zones, row.zone, now, service, PLAIN_CALL_BYTES, draw
+        )
+        return is_full, estimate_service_wait_s(row, service_s, now) + leaving_s, fill
+
+    return find_key
+
+
+def observe_service(
+    tables: ServiceTables, service: str, names: Iterable[str], now: float
+) -> None:
+    """Observe the waits at all replicas of a service, where zones are compared."""
+    if tables.zones is None:
+        return
+    service_s = tables.service_s_by_service.get(service, DEFAULT_SERVICE_S)
+    rows = [ensure_service_row(tables, name) for name in names]
+    observe_service_waits(tables.zones, service, rows, service_s, now)
+
+
+def record_service_time(tables: ServiceTables, service: str, duration_s: float) -> None:
+    """Update the moving average of the duration of a service's calls."""
+    known_s = tables.service_s_by_service.get(service, duration_s)
+    change = SERVICE_TIME_SMOOTHING * (duration_s - known_s)
+    tables.service_s_by_service[service] = known_s + change
+
+
 def _list_eligible(tables: ServiceTables, names: list[str], now: float) -> list[str]:
     """Return the replicas that may get a call.
 
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -21,6 +21,7 @@
     from .cache_store import CacheStoreIndex
     from .shedding import LateQueue
     from .transfers import TransferRates
+    from .zones import ZoneTable
 
 # Prefill backlog, in seconds, above which an upstream is sent no further requests.
 # Routers use this default; an instance sets a shorter one of the same name.
@@ -152,7 +153,7 @@
 
     `router_count` is the number of processes that share the upstreams, this one
     included. Requests that are not dispatched at `dispatches_until`, in seconds, are
-    refused.
+    refused. `zones` is set where calls leave their zone by its load.
     """
 
     upstream_by_name: dict[str, UpstreamRow] = field(default_factory=dict)
@@ -176,6 +177,8 @@
     leaving: LeavingTable = field(default_factory=LeavingTable)
     rests: RestTable = field(default_factory=RestTable)
     named_limits: NamedLimitTable = field(default_factory=NamedLimitTable)
+    zones: ZoneTable | None = None
+    has_uneven_replicas: bool = False
 
     @property
     def waiting_count(self) -> int:
--- /dev/null
+++ b/catkintrack/decisions/tests/test_zones.py
@@ -0,0 +1,285 @@
+"""Decide which calls leave their availability zone (issue 52)."""
+
+import math
+import unittest
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from catkintrack.decisions.ejection import record_failure
+from catkintrack.decisions.placement import OTHER_ZONE_COST_S, place_by_cost
+from catkintrack.decisions.services import (
+    ServiceTables,
+    choose_replica,
+    ensure_service_row,
+    observe_service,
+)
+from catkintrack.decisions.zones import (
+    HOLD_AFTER_SIGN_S,
+    MAX_RISE,
+    SPREAD_S,
+    WAY_S,
+    ZoneTable,
+    compute_draw,
+    describe_choice,
+    estimate_fetch_saving_s,
+    estimate_zone_cost_s,
+    find_share,
+    observe_waits,
+    record_lost_call,
+    record_sign,
+)
+from testkit.loads import make_long_request, make_site_tables
+from testkit.profiles import DETERMINISTIC
+from testkit.zone_loads import INSTANCES_PER_ZONE, SERVICE, ZoneLoads
+
+FULL = {"a": 1.0, "b": 1.0, "c": 1.0}
+
+
+class ZoneLoadTest(unittest.TestCase):
+    """Play 24 instances that decide on figures 150 ms old for 20 s."""
+
+    def test_nothing_leaves_while_each_zone_has_room(self):
+        loads = ZoneLoads({"a": 0.8, "b": 0.3, "c": 0.3}, dict(FULL))
+        loads.run(20.0)
+        self.assertEqual(max(loads.leaving_shares["a"]), 0.0)
+
+    def test_nothing_leaves_between_zones_that_are_equally_short(self):
+        loads = ZoneLoads(dict.fromkeys(FULL, 1.1), dict(FULL))
+        loads.run(10.0)
+        for zone in FULL:
+            self.assertLess(loads.find_share(zone, 10.0), 0.02)
+
+    def test_zone_at_2_5_times_its_load_sends_what_it_has_no_room_for(self):
+        loads = ZoneLoads({"a": 0.6, "b": 0.6, "c": 0.6}, dict(FULL))
+        loads.run(2.0)
+        loads.load_by_zone["a"] = 1.5
+        loads.run(20.0)
+        # A third of its calls are beyond its room.
+        self.assertAlmostEqual(loads.find_share("a", 15.0), 1 / 3, delta=0.05)
+        # Half the shortest target for a first token is never waited for, in any zone.
+        self.assertLess(loads.find_wait_s("a", 20.0), 0.25)
+        self.assertLess(loads.find_wait_s("b", 20.0), 0.1)
+
+    def test_share_that_leaves_does_not_oscillate(self):
+        loads = ZoneLoads({"a": 1.5, "b": 0.6, "c": 0.6}, dict(FULL))
+        loads.run(25.0)
+        shares = loads.list_shares_per_second("a", 20)
+        self.assertLess(max(shares) - min(shares), 0.2)
+
+    def test_zone_that_loses_half_of_its_replicas(self):
+        loads = ZoneLoads({"a": 0.7, "b": 0.5, "c": 0.5}, dict(FULL))
+        loads.run(5.0)
+        loads.capacity_by_zone["a"] = 0.5
+        loads.run(10.0)
+        self.assertAlmostEqual(loads.find_share("a", 5.0), 2 / 7, delta=0.06)
+        self.assertLess(loads.find_wait_s("a", 10.0), 0.25)
+        loads.capacity_by_zone["a"] = 1.0
+        loads.run(10.0)
+        self.assertLess(loads.find_share("a", 2.0), 0.02)
+
+    def test_two_short_zones_share_the_room_of_the_third(self):
+        loads = ZoneLoads({"a": 1.3, "b": 1.3, "c": 0.3}, dict(FULL))
+        loads.run(20.0)
+        for zone in ("a", "b"):
+            self.assertLess(loads.find_wait_s(zone, 10.0), 0.3)
+        self.assertLess(loads.find_wait_s("c", 10.0), loads.find_wait_s("a", 10.0))
+        self.assertLess(loads.find_share("c", 20.0), 0.02)
+
+    def test_short_zones_keep_the_first_claim_to_their_own_room(self):
+        loads = ZoneLoads({"a": 2.5, "b": 1.1, "c": 1.1}, dict(FULL))
+        loads.run(10.0)
+        self.assertLess(loads.find_wait_s("b", 1.0), loads.find_wait_s("a", 1.0) / 3)
+        self.assertLess(loads.find_share("b", 8.0), 0.05)
+
+    def test_way_that_is_cut_while_in_use(self):
+        """Calls that failed there are few, though its replicas are still listed."""
+        lost = []
+        cut_at = math.inf
+
+        def lose(table, zone, now):
+            if now >= cut_at and zone == "b" != table.home:
+                lost.append(now)
+                record_lost_call(find_share(table, SERVICE, zone), now)
+
+        loads = ZoneLoads({"a": 1.3, "b": 0.3, "c": 0.5}, dict(FULL), on_sent=lose)
+        loads.run(10.0)
+        cut_at = loads.now
+        loads.run(2.0)
+        # Four times quartered, the share of an instance is below one call a second.
+        self.assertLessEqual(len(lost), 4 * INSTANCES_PER_ZONE)
+        self.assertLessEqual(sum(at > cut_at + 1.0 for at in lost), INSTANCES_PER_ZONE)
+        self.assertLess(loads.find_wait_s("a", 2.0), 0.25)
+
+
+class ZoneShareTest(unittest.TestCase):
+    def setUp(self):
+        self.zones = ZoneTable("a")
+
+    def observe(self, home_s, remote_s, now):
+        observe_waits(self.zones, "m1", {"a": home_s, "b": remote_s}, now)
+
+    def raise_share(self):
+        for step in range(100):
+            self.observe(1.0, 0.0, step / 10)
+        return find_share(self.zones, "m1", "b")
+
+    @DETERMINISTIC
+    @given(st.lists(st.tuples(st.floats(0, 20), st.floats(0, 20)), max_size=60))
+    def test_share_moves_by_bounded_steps(self, waits):
+        self.zones = ZoneTable("a")
+        previous = 0.0
+        for step, (home_s, remote_s) in enumerate(waits):
+            self.observe(home_s, remote_s, step / 10)
+            share = find_share(self.zones, "m1", "b").share
+            self.assertTrue(0.0 <= share <= 1.0)
+            self.assertLessEqual(share - previous, MAX_RISE + 1e-9)
+            previous = share
+
+    @DETERMINISTIC
+    @given(st.floats(0, 20), st.floats(0, 20), st.floats(0, 1), st.floats(0, 1))
+    def test_cost_is_never_below_that_of_the_way(self, home_s, remote_s, share, draw):
+        self.zones = ZoneTable("a")
+        self.observe(home_s, remote_s, 0.0)
+        find_share(self.zones, "m1", "b").share = share
+        cost_s = estimate_zone_cost_s(self.zones, "b", 0.1, "m1", 0, draw)
+        self.assertGreaterEqual(cost_s, WAY_S)
+        self.assertEqual(estimate_zone_cost_s(self.zones, "a", 0.1, "m1"), 0.0)
+
+    def test_share_holds_while_the_advantage_is_small(self):
+        share = self.raise_share().share
+        for step in range(100, 120):
+            self.observe(WAY_S + 0.01, 0.0, step / 10)
+        self.assertEqual(find_share(self.zones, "m1", "b").share, share)
+
+    def test_sign_halves_the_share_once_for_calls_that_were_sent_together(self):
+        state = self.raise_share()
+        share = state.share
+        for now in (20.0, 20.01, 20.02):
+            record_sign(state, now)
+        self.assertEqual(state.share, share / 2)
+        self.observe(1.0, 0.0, 20.0 + HOLD_AFTER_SIGN_S / 2)
+        self.assertEqual(state.share, share / 2)
+
+    def test_calls_beyond_the_share_stay_while_a_sign_is_recent(self):
+        state = self.raise_share()
+        record_sign(state, 20.0)
+        cost_s = estimate_zone_cost_s(self.zones, "b", 20.1, "m1", 0, 0.99)
+        self.assertGreater(cost_s, 1.0)
+        later_s = estimate_zone_cost_s(self.zones, "b", 21.0, "m1", 0, 0.99)
+        self.assertLessEqual(later_s, WAY_S + SPREAD_S)
+
+    def test_short_answers_leave_before_long_bodies(self):
+        short_s = estimate_zone_cost_s(self.zones, "b", 0.0, "m1", 2_000)
+        long_s = estimate_zone_cost_s(self.zones, "b", 0.0, "m1", 1_000_000)
+        self.assertLess(short_s, long_s / 5)
+
+    def test_call_leaves_freely_if_no_replica_is_left_at_home(self):
+        observe_waits(self.zones, "m1", {"b": 0.0}, 0.0)
+        cost_s = estimate_zone_cost_s(self.zones, "b", 0.0, "m1", 0, 0.99)
+        self.assertEqual(cost_s, WAY_S)
+
+    def test_zone_without_replicas_loses_its_share(self):
+        self.raise_share()
+        for step in range(100, 150):
+            observe_waits(self.zones, "m1", {"a": 1.0}, step / 10)
+        self.assertEqual(find_share(self.zones, "m1", "b").share, 0.0)
+
+    def test_choice_is_described_for_the_log(self):
+        self.raise_share()
+        self.assertEqual(
+            describe_choice(self.zones, "m1", "b"),
+            {
+                "zone_choice": "abroad",
+                "zone_share": 1.0,
+                "home_wait_s": 1.0,
+                "zone_wait_s": 0.0,
+            },
+        )
+        choice = describe_choice(self.zones, "m1", "a")
+        self.assertEqual(choice["zone_choice"], "home")
+
+
+class PlacementTest(unittest.TestCase):
+    def setUp(self):
+        self.tables = make_site_tables(4, 2)
+        for row in self.tables.upstream_by_name.values():
+            row.last_heard_at = 0.0
+
+    def count_leaving(self, home_tokens):
+        for name, row in self.tables.upstream_by_name.items():
+            row.small_prefill_tokens = home_tokens if row.zone == "z0" else 0
+            self.assertIn(name, self.tables.upstream_by_name)
+        left = 0
+        for number in range(100):
+            request = make_long_request(f"r{number}", number)
+            placement = place_by_cost(self.tables, request, 0.0, Random(1))
+            left += placement.upstream.zone != "z0"
+        return left
+
+    def test_only_a_part_of_the_calls_leaves_when_the_zone_has_just_filled(self):
+        self.tables.zones = ZoneTable("z0")
+        left = self.count_leaving(home_tokens=12_750)
+        self.assertTrue(15 <= left <= 60, left)
+
+    def test_constant_cost_stays_where_it_is_not_switched_on(self):
+        self.assertGreater(0.15, 4 * OTHER_ZONE_COST_S)
+        self.assertEqual(self.count_leaving(home_tokens=12_750), 100)
+
+    def test_draw_stays_the_same_while_a_request_waits(self):
+        self.assertEqual(compute_draw("r1"), compute_draw("r1"))
+        self.assertNotEqual(compute_draw("r1"), compute_draw("r2"))
+
+    def test_fetch_crosses_zones_only_if_it_saves_more_than_one_at_home(self):
+        target = self.tables.upstream_by_name["u0"]
+        home_s = estimate_fetch_saving_s(target, "z0", 4000, 0.01)
+        self.assertLess(estimate_fetch_saving_s(target, "z1", 4200, 0.021), home_s)
+        self.assertGreater(estimate_fetch_saving_s(target, "z1", 8000, 0.03), home_s)
+
+
+class PlainServiceTest(unittest.TestCase):
+    def setUp(self):
+        self.tables = ServiceTables(zones=ZoneTable("a"))
+        for name, zone in (("a0", "a"), ("a1", "a"), ("b0", "b")):
+            row = ensure_service_row(self.tables, name)
+            row.zone, row.max_running = zone, 6
+
+    def choose(self, seed=1):
+        names = ("a0", "a1", "b0")
+        observe_service(self.tables, "orders", names, 100.0)
+        return choose_replica(
+            self.tables, names, 100.0, Random(seed), "a", 0.6, "orders"
+        )
+
+    def fill(self, name, running):
+        row = ensure_service_row(self.tables, name)
+        row.in_flight, row.last_heard_at = running, 100.0
+
+    def test_call_stays_while_the_zone_has_room(self):
+        for running in range(5):
+            self.fill("a0", running)
+            self.fill("a1", running)
+            for seed in range(20):
+                self.assertIn(self.choose(seed), ("a0", "a1"))
+
+    def test_call_leaves_a_zone_whose_replicas_are_full(self):
+        self.fill("a0", 6)
+        self.fill("a1", 6)
+        self.assertEqual(self.choose(), "b0")
+
+    def test_last_quarter_of_a_replica_is_left_to_its_own_zone(self):
+        self.fill("a0", 6)
+        self.fill("a1", 6)
+        self.fill("b0", 5)
+        self.assertIn(self.choose(), ("a0", "a1"))
+
+    def test_ejected_and_silent_replicas_are_not_chosen_for_their_zone(self):
+        record_failure(ensure_service_row(self.tables, "a0"), 99.0, 100.0, True)
+        self.fill("a1", 1)
+        ensure_service_row(self.tables, "a1").last_heard_at = 99.0
+        self.assertEqual(self.choose(), "b0")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/catkintrack/decisions/transfers.py
+++ b/catkintrack/decisions/transfers.py
@@ -11,6 +11,7 @@
 
 from .cache_store import count_stored_prefix
 from .tables import ModelRequest, Tables, UpstreamRow
+from .zones import estimate_fetch_saving_s
 
 # Fetching fewer tokens is not worth the round trip and the risk of a miss.
 MIN_FETCH_TOKENS = 32
@@ -50,12 +51,14 @@
 ) -> FetchSource | None:
     """Return the source with the longest prefix beyond `cached_tokens`, if any.
 
-    A usable prefix was computed with the target's weights version.
+    A usable prefix was computed with the target's weights version.  Where the tables hold
+    the state of zones, the source that saves the most time is returned instead.
     """
     rates = tables.transfer_rates
     if rates is None:
         return None
     best: FetchSource | None = None
+    best_key: tuple[float, float] = (0.0, 0.0)
     for row in holders:
         if row is target or row.weights_version != target.weights_version:
             continue
@@ -65,8 +68,14 @@
         seconds = rates.setup_s + tokens * rates.token_s
         if row.zone != target.zone:
             seconds *= OTHER_ZONE_FACTOR
-        if best is None or (-tokens, seconds) < (-best.tokens, best.seconds):
-            best = FetchSource(row.name, tokens, seconds)
+        key = (-float(tokens), seconds)
+        if tables.zones is not None:
+            saved_s = estimate_fetch_saving_s(target, row.zone, tokens, seconds)
+            if saved_s <= 0:
+                continue
+            key = (-saved_s, seconds)
+        if best is None or key < best_key:
+            best, best_key = FetchSource(row.name, tokens, seconds), key
     return _prefer_store(tables, request, target, cached_tokens, best)
 
 
--- a/catkintrack/instance/dump.py
+++ b/catkintrack/instance/dump.py
@@ -7,6 +7,7 @@
 
 from catkintrack.decisions.leaving import has_announced_leaving
 from catkintrack.decisions.named_limits import find_limit
+from catkintrack.decisions.zones import describe_table
 from catkintrack.fleet import Upstream
 
 from .peers import list_live_peers
@@ -35,6 +36,7 @@
 def dump_instance(instance: Instance) -> dict[str, Any]:
     """Return the instance's view of its feeds, peers, lease, upstreams and limits."""
     now = time.monotonic()
+    zones = instance.decisions.zones
     return {
         "instance": instance.site.instance,
         "incarnation": instance.incarnation,
@@ -87,6 +89,7 @@
             f"{suspect:016x}": round(row.until - now, 1)
             for suspect, row in instance.quarantine.row_by_suspect.items()
         },
+        "zones": describe_table(zones) if zones is not None else None,
         "is_cut_off": instance.partition.is_cut_off,
         "waiting": instance.decisions.waiting_count,
         "store_calls": dict(instance.store.count_by_call),
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -38,6 +38,8 @@
     peers: Gauge
     relayed_calls: Counter
     is_cut_off: Gauge
+    zone_calls: Counter
+    zone_share: Gauge
 
 
 def make_instance_metrics() -> InstanceMetrics:
@@ -85,4 +87,10 @@
         peers=gauge("peers_heard", "Peers heard of late."),
         relayed_calls=counter("relayed_calls_total", "Calls served through a peer."),
         is_cut_off=gauge("is_cut_off", "1 while no replica is reached."),
+        zone_calls=counter(
+            "zone_calls_total", "Attempts by service and choice: home, abroad."
+        ),
+        zone_share=gauge(
+            "zone_share", "Share of calls that may leave, by service and zone."
+        ),
     )
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -79,6 +79,7 @@
     forget_origin,
     record_begun_stream,
 )
+from .zone_choices import record_zone_answer, record_zone_choice, record_zone_loss
 
 logger = logging.getLogger(__name__)
 
@@ -229,6 +230,9 @@
             row.reported_running, row.reported_waiting = fields.load
             row.reported_at = now
             row.sent_since_report = 0
+        prefill_s = decision.uncached_tokens / row.prefill_tokens_per_s
+        wait_s = now - sent_at - prefill_s
+        record_zone_answer(instance, request.model, row, fields.is_not_run, wait_s)
         if fields.weights_version is not None:
             weights = ModelWeights(prompt.model, fields.weights_version)
             apply_replica_weights(instance, upstream.id, weights, now)
@@ -305,7 +309,9 @@
         reported_s_ago=round(time.monotonic() - row.reported_at, 3),
         rank=dispatch.rank,
         zone=row.zone,
+        **record_zone_choice(instance, request.model, row),
     )
+    sent_at = time.monotonic()
     try:
         if is_long_prefill:
             await _broadcast_prefill_begun(instance, request, decision)
@@ -316,6 +322,7 @@
     except UpstreamUnreachable as error:
         if record_failure(tables, request.id, time.monotonic(), True):
             log_ejection(row, f"unreachable: {error}")
+        record_zone_loss(instance, request.model, row)
         await report_unreachable(instance, upstream)
         raise
     except curio.CancelledError:
@@ -335,6 +342,7 @@
         progress.record_break(has_response_head, has_event, parts)
         if record_failure(tables, request.id, time.monotonic(), False):
             log_ejection(row, str(error))
+        record_zone_loss(instance, request.model, row)
         raise
     finally:
         record_end(tables, request.id, time.monotonic())
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -79,6 +79,7 @@
 from .state import Instance
 from .stream_origins import run_origin_keeper
 from .weights_rollout import run_weights_rollout
+from .zone_choices import report_zone_shares, switch_on_zones
 
 logger = logging.getLogger(__name__)
 
@@ -148,6 +149,7 @@
     instance.decisions.retry_budget = None
     instance.decisions.max_prefill_wait_s = MAX_PREFILL_WAIT_S
     instance.decisions.late_queue = LateQueue()
+    switch_on_zones(instance)
     return instance
 
 
@@ -276,6 +278,8 @@
     instance.limits.known_instances = known_count
     instance.limits.report_delay_s = estimate_report_delay_s(instance)
     share_retry_budgets(instance, now)
+    switch_on_zones(instance)
+    report_zone_shares(instance)
 
 
 async def _stop(instance: Instance, server: Server) -> None:
--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -17,6 +17,8 @@
     choose_replica,
     ensure_service_row,
     has_healthy_replica,
+    observe_service,
+    record_service_time,
 )
 from catkintrack.fleet import Call, Upstream
 from catkintrack.http import (
@@ -57,6 +59,7 @@
     take_next_attempt,
 )
 from .state import Instance
+from .zone_choices import record_zone_answer, record_zone_choice, record_zone_loss
 
 logger = logging.getLogger(__name__)
 
@@ -149,6 +152,8 @@
     Those that were silent for `silent_after_s` come last.
     """
     names = _list_replicas(instance, service, excluded, now)
+    if not excluded:
+        observe_service(instance.services, service, names, now)
     name = choose_replica(
         instance.services,
         names,
@@ -156,6 +161,7 @@
         instance.rng,
         instance.site.zone,
         silent_after_s,
+        service,
     )
     if name is None:
         return None
@@ -214,6 +220,7 @@
             row.reported_at = time.monotonic()
         if not fields.is_not_run:
             progress.executions = executions
+        record_zone_answer(instance, call.service, row, fields.is_not_run, 0.0)
 
     async def handle_completion() -> None:
         await report_completed(instance, call)
@@ -223,6 +230,7 @@
         in_flight=row.in_flight,
         reported=row.reported_running + row.reported_waiting,
         zone=row.zone,
+        **record_zone_choice(instance, call.service, row),
     )
     sent_at = time.monotonic()
     remaining_s = call.deadline_at - sent_at - DEADLINE_MARGIN_S
@@ -251,11 +259,14 @@
                 is_retryable and not is_last_attempt,
             )
         ejection.record_success(row, time.monotonic())
+        duration_s = time.monotonic() - sent_at
+        record_service_time(instance.services, call.service, duration_s)
     except curio.TaskTimeout as error:
         progress.executions = executions
         if progress.connected_attempts > connected_before:
             record_given_up(instance, upstream, call)
         record_replica_failure(row, sent_at, False, "no answer in time")
+        record_zone_loss(instance, call.service, row)
         raise UpstreamTimeout("no answer in time") from error
     except curio.CancelledError:
         if progress.connected_attempts > connected_before:
@@ -263,6 +274,7 @@
         raise
     except UpstreamUnreachable as error:
         record_replica_failure(row, sent_at, True, f"unreachable: {error}")
+        record_zone_loss(instance, call.service, row)
         await report_unreachable(instance, upstream)
         raise
     except UpstreamExchangeError as error:
@@ -272,6 +284,7 @@
         if isinstance(error, UpstreamDisconnected):
             await report_lost_replica(instance, upstream, call, False)
         record_replica_failure(row, sent_at, False, str(error))
+        record_zone_loss(instance, call.service, row)
         raise
     finally:
         row.in_flight -= 1
