--- a/catkintrack/decisions/zones.py
+++ b/catkintrack/decisions/zones.py
@@ -15,11 +15,12 @@
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from functools import lru_cache
 from typing import Any
 
 from .ejection import is_ejected
 from .failure_detection import is_suspect
-from .load import estimate_running, estimate_wait_s
+from .load import REPORT_MAX_AGE_S, estimate_running, estimate_wait_s
 from .tables import ModelRequest, Tables, UpstreamRow
 
 # Ten round trips between zones: less is within the error of the estimated waits.
@@ -43,19 +44,24 @@
 HOLD_BAND_S = 0.02
 SHARE_GAIN_PER_S2 = 0.5
 OBSERVE_INTERVAL_S = 0.1
+# Bounds on the change of a share in each such interval.
 MAX_RISE = 0.05
 MIN_FALL = 0.02
 MAX_FALL = 0.1
+# A service with few calls is observed at longer intervals.
+MAX_ELAPSED_S = 1.0
 # After a sign that a zone is full, until its replicas' load shows what was sent before.
 HOLD_AFTER_SIGN_S = 0.5
 SIGN_FACTOR = 0.5
 # A lost call may show that the way is cut, and each further one harms its caller.
 LOSS_FACTOR = 0.25
 MIN_SHARE = 0.01
-# All prefills count, whatever their priority.
+# Counts prefills of all priorities.
 LOWEST_PRIORITY = 1 << 30
 BYTES_PER_PROMPT_TOKEN = 4
 BYTES_PER_EVENT = 200
+# A placement compares the same draw with each candidate.
+DRAWS_KEPT = 256
 # A fetch between zones is priced at up to three times its usual price and takes twice as
 # long, which its seconds contain.
 FETCH_PRICE_FACTOR = 1.5
@@ -103,19 +109,22 @@
 ) -> None:
     """Move the shares of a service after its waits; zones left out have no replica."""
     observed_at = zones.observed_at_by_service.get(service, now - OBSERVE_INTERVAL_S)
-    elapsed_s = min(now - observed_at, 2 * OBSERVE_INTERVAL_S)
+    elapsed_s = min(now - observed_at, MAX_ELAPSED_S)
+    is_outdated = now - observed_at > REPORT_MAX_AGE_S
     zones.observed_at_by_service[service] = now
     home_wait_s = wait_s_by_zone.get(zones.home, math.inf)
     zones.home_wait_s_by_service[service] = home_wait_s
     known = set(zones.share_by_zone_by_service.get(service, ()))
-    for zone in sorted((known | set(wait_s_by_zone)) - {zones.home}):
+    for zone in sorted((known | set(wait_s_by_zone)) - {zones.home, ""}):
         state = find_share(zones, service, zone)
+        if is_outdated:
+            state.share = 0.0
         state.wait_s = wait_s_by_zone.get(zone, math.inf)
         if math.isinf(state.wait_s) or math.isinf(state.mean_wait_s):
             state.mean_wait_s = state.wait_s
         else:
-            change = (state.wait_s - state.mean_wait_s) * elapsed_s / TREND_S
-            state.mean_wait_s += change
+            weight = min(1.0, elapsed_s / TREND_S)
+            state.mean_wait_s += weight * (state.wait_s - state.mean_wait_s)
         _move_share(state, home_wait_s, now, elapsed_s)
 
 
@@ -124,11 +133,12 @@
 ) -> None:
     advantage_s = _compute_advantage_s(state, home_wait_s)
     change = SHARE_GAIN_PER_S2 * min(abs(advantage_s), 1.0) * elapsed_s
+    steps = elapsed_s / OBSERVE_INTERVAL_S
     if advantage_s < 0 or _is_filling(state):
-        state.share -= min(MAX_FALL, max(MIN_FALL, change))
+        state.share -= min(MAX_FALL * steps, max(MIN_FALL * steps, change))
         state.share = state.share if state.share >= MIN_SHARE else 0.0
     elif advantage_s > HOLD_BAND_S and not _is_closed(state, now):
-        state.share = min(1.0, state.share + min(MAX_RISE, change))
+        state.share = min(1.0, state.share + min(MAX_RISE * steps, change))
 
 
 def _compute_advantage_s(state: ZoneShare, home_wait_s: float) -> float:
@@ -176,6 +186,7 @@
         state.share = 0.0
 
 
+@lru_cache(maxsize=DRAWS_KEPT)
 def compute_draw(call_id: str) -> float:
     """Return the number in [0, 1) by which a call is compared with shares.
 
@@ -218,14 +229,20 @@
 
 
 def describe_choice(zones: ZoneTable, service: str, row_zone: str) -> dict[str, Any]:
-    """Return why a call stays at home or leaves, for the log."""
-    home_wait_s = zones.home_wait_s_by_service.get(service)
-    state = zones.share_by_zone_by_service.get(service, {}).get(row_zone)
+    """Return why a call stays at home or leaves, for the log.
+
+    The share and wait of a call that stays are those of the zone that waits least.
+    """
+    shares = zones.share_by_zone_by_service.get(service, {})
+    is_home = row_zone in ("", zones.home)
+    state = None if is_home else shares.get(row_zone)
+    if is_home and shares:
+        state = min(shares.values(), key=lambda other: other.wait_s)
     return {
-        "zone_choice": "home" if row_zone in ("", zones.home) else "abroad",
+        "zone_choice": "home" if is_home else "abroad",
         "zone_share": None if state is None else round(state.share, 3),
-        "home_wait_s": _round_wait(home_wait_s),
-        "zone_wait_s": _round_wait(state.wait_s if state else home_wait_s),
+        "home_wait_s": _round_wait(zones.home_wait_s_by_service.get(service)),
+        "zone_wait_s": _round_wait(state.wait_s if state else None),
     }
 
 
