--- a/testkit/zone_loads.py
+++ b/testkit/zone_loads.py
@@ -61,6 +61,11 @@
         """Return the longest wait in a zone over the last seconds."""
         return max(self.waits[zone][-round(seconds / TICK_S) :])
 
+    def find_mean_wait_s(self, zone: str, seconds: float) -> float:
+        """Return the mean wait in a zone over the last seconds."""
+        recent = self.waits[zone][-round(seconds / TICK_S) :]
+        return sum(recent) / len(recent)
+
     def list_shares_per_second(self, zone: str, seconds: int) -> list[float]:
         """Return the share of calls that left a zone, second by second."""
         ticks = round(1.0 / TICK_S)
