--- a/catkintrack/decisions/zones.py
+++ b/catkintrack/decisions/zones.py
@@ -52,10 +52,13 @@
 MAX_ELAPSED_S = 1.0
 # After a sign that a zone is full, until its replicas' load shows what was sent before.
 HOLD_AFTER_SIGN_S = 0.5
+# Twice as long after each call that is lost before another is answered, up to this.
+HOLD_MAX_S = 4.0
 SIGN_FACTOR = 0.5
 # A lost call may show that the way is cut, and each further one harms its caller.
 LOSS_FACTOR = 0.25
-MIN_SHARE = 0.01
+# Less is no share: a call in fifty would only meet the same trouble.
+MIN_SHARE = 0.02
 # Counts prefills of all priorities.
 LOWEST_PRIORITY = 1 << 30
 BYTES_PER_PROMPT_TOKEN = 4
@@ -71,13 +74,17 @@
 class ZoneShare:
     """Hold the share of calls that may go to a zone, and the estimated wait there.
 
-    `mean_wait_s` is the moving average of the wait.  `signed_at` is when a sign that the zone is full last lowered the share.
+    `mean_wait_s` is the moving average of the wait.  `signed_at` is when a sign last lowered
+    the share; until `held_until` it does not rise.  `losses` counts the calls that were
+    lost there since one was answered.
     """
 
     share: float = 0.0
     wait_s: float = 0.0
     mean_wait_s: float = 0.0
     signed_at: float = -math.inf
+    held_until: float = -math.inf
+    losses: int = 0
 
 
 @dataclass(slots=True)
@@ -162,7 +169,7 @@
 
 def _is_closed(state: ZoneShare, now: float) -> bool:
     """Report whether a zone takes no calls beyond its share."""
-    return _is_filling(state) or now - state.signed_at < HOLD_AFTER_SIGN_S
+    return _is_filling(state) or now < state.held_until
 
 
 def record_sign(state: ZoneShare, now: float) -> None:
@@ -172,11 +179,20 @@
     """
     if now - state.signed_at >= OBSERVE_INTERVAL_S:
         _lower_share(state, SIGN_FACTOR, now)
+        state.held_until = max(state.held_until, now + HOLD_AFTER_SIGN_S)
 
 
 def record_lost_call(state: ZoneShare, now: float) -> None:
     """Quarter a share, since a call was lost at the zone; each one counts."""
     _lower_share(state, LOSS_FACTOR, now)
+    hold_s = min(HOLD_MAX_S, HOLD_AFTER_SIGN_S * 2**state.losses)
+    state.held_until = max(state.held_until, now + hold_s)
+    state.losses += 1
+
+
+def record_answered_call(state: ZoneShare) -> None:
+    """Record that a call was answered at the zone, so that the way there is open."""
+    state.losses = 0
 
 
 def _lower_share(state: ZoneShare, factor: float, now: float) -> None:
--- a/catkintrack/instance/zone_choices.py
+++ b/catkintrack/instance/zone_choices.py
@@ -13,6 +13,7 @@
     ZoneTable,
     describe_choice,
     find_share,
+    record_answered_call,
     record_lost_call,
     record_sign,
 )
@@ -54,9 +55,10 @@
 ) -> None:
     """Lower a zone's share if a replica there rejects calls or lets them wait."""
     state = _find_remote_share(instance, service, row)
-    if state is not None and (
-        is_rejected or row.reported_waiting > 0 or wait_s > FULL_WAIT_S
-    ):
+    if state is None:
+        return
+    record_answered_call(state)
+    if is_rejected or row.reported_waiting > 0 or wait_s > FULL_WAIT_S:
         record_sign(state, time.monotonic())
 
 
