--- a/catkintrack/cli/config_commands.py
+++ b/catkintrack/cli/config_commands.py
@@ -40,10 +40,15 @@
             pass
         case Failure(error):
             fail(ExitStatus.REFUSED, [str(error)])
+    check_is_mapping(path, document)
+    return document
+
+
+def check_is_mapping(path: str, document: dict[str, Any]) -> None:
+    """Exit if a kind in a document is not a mapping of names."""
     for kind, value_by_name in document.items():
         if not isinstance(value_by_name, dict):
             fail(ExitStatus.REFUSED, [f"{path}: {kind}: expected a mapping of names"])
-    return document
 
 
 def compute_edit(state: ConfigState, entities: dict[str, dict[str, Any]]) -> Edit:
--- a/catkintrack/cli/main.py
+++ b/catkintrack/cli/main.py
@@ -5,6 +5,7 @@
 import fire
 
 from . import (
+    check_commands,
     config_commands,
     entity_commands,
     explain_commands,
@@ -16,6 +17,7 @@
 COMMANDS = {
     "config": {
         "validate": config_commands.validate,
+        "check": check_commands.check,
         "show": config_commands.show,
         "diff": config_commands.diff,
         "apply": config_commands.apply,
--- a/catkintrack/config/__init__.py
+++ b/catkintrack/config/__init__.py
@@ -1,5 +1,6 @@
 """Define the run-time configuration: entities, changes, snapshots, compiled tables."""
 
+from .checks import Finding, Severity, check_state, has_errors
 from .errors import (
     CorruptConfigObject,
     InvalidEntity,
@@ -48,6 +49,7 @@
     "CorruptConfigObject",
     "Delete",
     "ConfigHead",
+    "Finding",
     "InvalidEntity",
     "Key",
     "Model",
@@ -57,12 +59,14 @@
     "RevisionConflict",
     "Route",
     "ConfigState",
+    "Severity",
     "Tier",
     "Upstream",
     "Workspace",
     "append_change",
     "apply_change",
     "apply_changes",
+    "check_state",
     "compile_tables",
     "decode_head",
     "decode_snapshot",
@@ -70,6 +74,7 @@
     "encode_head",
     "encode_snapshot",
     "apply_head_changes",
+    "has_errors",
     "hash_secret",
     "is_secret_valid",
     "is_snapshot_needed",
--- a/catkintrack/config/state.py
+++ b/catkintrack/config/state.py
@@ -88,7 +88,10 @@
     for kind, value_by_name in state.value_by_name_by_kind.items():
         valid_value_by_name = valid.value_by_name_by_kind.get(kind, {})
         for name, value in value_by_name.items():
-            if valid_value_by_name.get(name) is not value:
+            is_shared = name in valid_value_by_name and (
+                valid_value_by_name[name] is value
+            )
+            if not is_shared:
                 errors += _validate_entity(kind, name, value)
     return errors or list(_validate_references(state))
 
