--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -151,6 +151,10 @@
         return None
     if tables.zones is not None:
         observe_model_waits(tables, tables.zones, request, eligible, now)
+    leaving_s_by_zone = {
+        zone: _estimate_leaving_s(tables, request, zone, now)
+        for zone in {row.zone for row in eligible}
+    }
     depth_by_bit_index = find_cached_depths(tables.residency, request.blocks)
     if request.blocks:
         key = compute_affinity_key(request)
@@ -187,7 +191,7 @@
         if source is not None and source.tokens:
             is_awaiting = False
         reusable = cached + (source.tokens if source else 0)
-        cost_s = estimate_cost_s(
+        cost_s = leaving_s_by_zone[row.zone] + estimate_cost_s(
             tables, request, row, rank, reusable, fleet_cached, now
         )
         cost_s += estimate_fetch_s(row, source)
@@ -235,6 +239,7 @@
 ) -> float:
     """Return the cost in seconds of a placement, to this request and to others.
 
+    What it costs to leave the zone is not included.
     `reusable_tokens` need no prefill at this upstream.  `fleet_cached_tokens` are
     cached, or being prefilled, anywhere in the fleet, so computing them again is waste.
     """
@@ -248,22 +253,21 @@
         estimate_wait_s(tables, row, now, request.priority)
         + prefill_s * (1 + DUPLICATION_WEIGHT)
         + recompute_s * RECOMPUTE_WEIGHT
-        + _estimate_leaving_s(tables, request, row, now)
         + rank * RANK_COST_S
     )
 
 
 def _estimate_leaving_s(
-    tables: Tables, request: ModelRequest, row: UpstreamRow, now: float
+    tables: Tables, request: ModelRequest, zone: str, now: float
 ) -> float:
-    """Return the cost in seconds of leaving the zone, if the upstream is in another."""
-    if tables.zone in ("", row.zone):
+    """Return the cost in seconds of sending a request to a zone, 0 for the own one."""
+    if tables.zone in ("", zone):
         return 0.0
     if tables.zones is None:
         return OTHER_ZONE_COST_S
     return estimate_zone_cost_s(
         tables.zones,
-        row.zone,
+        zone,
         now,
         request.model,
         estimate_moved_bytes(request),
--- a/catkintrack/decisions/zones.py
+++ b/catkintrack/decisions/zones.py
@@ -15,7 +15,6 @@
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from functools import lru_cache
 from typing import Any
 
 from .ejection import is_ejected
@@ -63,8 +62,6 @@
 LOWEST_PRIORITY = 1 << 30
 BYTES_PER_PROMPT_TOKEN = 4
 BYTES_PER_EVENT = 200
-# A placement compares the same draw with each candidate.
-DRAWS_KEPT = 256
 # A fetch between zones is priced at up to three times its usual price and takes twice as
 # long, which its seconds contain.
 FETCH_PRICE_FACTOR = 1.5
@@ -202,7 +199,6 @@
         state.share = 0.0
 
 
-@lru_cache(maxsize=DRAWS_KEPT)
 def compute_draw(call_id: str) -> float:
     """Return the number in [0, 1) by which a call is compared with shares.
 
