--- a/catkintrack/decisions/tests/test_zones.py
+++ b/catkintrack/decisions/tests/test_zones.py
@@ -17,7 +17,8 @@
 )
 from catkintrack.decisions.zones import (
     HOLD_AFTER_SIGN_S,
-    MAX_RISE,
+    HOLD_MAX_S,
+    MAX_CHANGE,
     SPREAD_S,
     WAY_S,
     ZoneTable,
@@ -136,7 +137,7 @@
             self.observe(home_s, remote_s, step / 10)
             share = find_share(self.zones, "m1", "b").share
             self.assertTrue(0.0 <= share <= 1.0)
-            self.assertLessEqual(share - previous, MAX_RISE + 1e-9)
+            self.assertLessEqual(share - previous, MAX_CHANGE + 1e-9)
             previous = share
 
     @DETERMINISTIC
@@ -164,6 +165,12 @@
         self.observe(1.0, 0.0, 10.0 + HOLD_AFTER_SIGN_S / 2)
         self.assertEqual(state.share, share / 2)
 
+    def test_zone_stays_closed_for_a_bounded_time_however_many_calls_are_lost(self):
+        state = self.raise_share()
+        for _ in range(5000):
+            record_lost_call(state, 10.0)
+        self.assertEqual((state.share, state.held_until), (0.0, 10.0 + HOLD_MAX_S))
+
     def test_calls_beyond_the_share_stay_while_a_sign_is_recent(self):
         state = self.raise_share()
         record_sign(state, 20.0)
@@ -185,7 +192,7 @@
     def test_share_is_dropped_once_the_loads_that_it_follows_are_outdated(self):
         state = self.raise_share()
         self.observe(1.0, 0.0, 20.0)
-        self.assertLessEqual(state.share, MAX_RISE * 10)
+        self.assertLessEqual(state.share, MAX_CHANGE * 10)
 
     def test_choice_is_described_for_the_log(self):
         self.raise_share()
--- a/catkintrack/decisions/zones.py
+++ b/catkintrack/decisions/zones.py
@@ -44,9 +44,8 @@
 SHARE_GAIN_PER_S2 = 0.5
 OBSERVE_INTERVAL_S = 0.1
 # Bounds on the change of a share in each such interval.
-MAX_RISE = 0.05
+MAX_CHANGE = 0.05
 MIN_FALL = 0.02
-MAX_FALL = 0.1
 # A service with few calls is observed at longer intervals.
 MAX_ELAPSED_S = 1.0
 # After a sign that a zone is full, until its replicas' load shows what was sent before.
@@ -72,8 +71,8 @@
     """Hold the share of calls that may go to a zone, and the estimated wait there.
 
     `mean_wait_s` is the moving average of the wait.  `signed_at` is when a sign last lowered
-    the share; until `held_until` it does not rise.  `losses` counts the calls that were
-    lost there since one was answered.
+    the share; until `held_until` it does not rise.  `loss_hold_s` is for how long it
+    is held after the next call that is lost.
     """
 
     share: float = 0.0
@@ -81,7 +80,7 @@
     mean_wait_s: float = 0.0
     signed_at: float = -math.inf
     held_until: float = -math.inf
-    losses: int = 0
+    loss_hold_s: float = HOLD_AFTER_SIGN_S
 
 
 @dataclass(slots=True)
@@ -136,13 +135,14 @@
     state: ZoneShare, home_wait_s: float, now: float, elapsed_s: float
 ) -> None:
     advantage_s = _compute_advantage_s(state, home_wait_s)
-    change = SHARE_GAIN_PER_S2 * min(abs(advantage_s), 1.0) * elapsed_s
     steps = elapsed_s / OBSERVE_INTERVAL_S
+    wanted = SHARE_GAIN_PER_S2 * abs(advantage_s) * elapsed_s
+    change = min(MAX_CHANGE * steps, wanted)
     if advantage_s < 0 or _is_filling(state):
-        state.share -= min(MAX_FALL * steps, max(MIN_FALL * steps, change))
+        state.share -= max(MIN_FALL * steps, change)
         state.share = state.share if state.share >= MIN_SHARE else 0.0
     elif advantage_s > HOLD_BAND_S and not _is_closed(state, now):
-        state.share = min(1.0, state.share + min(MAX_RISE * steps, change))
+        state.share = min(1.0, state.share + change)
 
 
 def _compute_advantage_s(state: ZoneShare, home_wait_s: float) -> float:
@@ -182,14 +182,13 @@
 def record_lost_call(state: ZoneShare, now: float) -> None:
     """Quarter a share, since a call was lost at the zone; each one counts."""
     _lower_share(state, LOSS_FACTOR, now)
-    hold_s = min(HOLD_MAX_S, HOLD_AFTER_SIGN_S * 2**state.losses)
-    state.held_until = max(state.held_until, now + hold_s)
-    state.losses += 1
+    state.held_until = max(state.held_until, now + state.loss_hold_s)
+    state.loss_hold_s = min(HOLD_MAX_S, 2 * state.loss_hold_s)
 
 
 def record_answered_call(state: ZoneShare) -> None:
     """Record that a call was answered at the zone, so that the way there is open."""
-    state.losses = 0
+    state.loss_hold_s = HOLD_AFTER_SIGN_S
 
 
 def _lower_share(state: ZoneShare, factor: float, now: float) -> None:
