--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -19,7 +19,12 @@
 from .residency import find_cached_depths
 from .rest import is_held
 from .tables import ModelRequest, Tables, UpstreamRow
-from .transfers import FETCH_EVICTION_WEIGHT, FetchSource, find_fetch_source
+from .transfers import (
+    FETCH_EVICTION_WEIGHT,
+    RECOMPUTE_WEIGHT,
+    FetchSource,
+    find_fetch_source,
+)
 from .zones import (
     compute_draw,
     estimate_moved_bytes,
@@ -41,8 +46,6 @@
 AWAITED_PREFILL_MIN_TOKENS = 64
 # A small part of the shortest target for the time to first token.
 AWAITED_PREFILL_MAX_S = 0.15
-# Users weigh recomputed shared tokens far above the prefill time they take.
-RECOMPUTE_WEIGHT = 8.0
 # 1 s below the users' bound of 6 s, to cover network delay and queueing upstream.
 STALE_WEIGHTS_MAX_S = 5.0
 FULL_SCAN_MAX_UPSTREAMS = 32
--- a/catkintrack/decisions/transfers.py
+++ b/catkintrack/decisions/transfers.py
@@ -11,12 +11,16 @@
 
 from .cache_store import count_stored_prefix
 from .tables import ModelRequest, Tables, UpstreamRow
-from .zones import estimate_fetch_saving_s
 
 # Fetching fewer tokens is not worth the round trip and the risk of a miss.
 MIN_FETCH_TOKENS = 32
 # Factor on the time of a fetch from another availability zone.
 OTHER_ZONE_FACTOR = 2.0
+# A fetch between zones is priced at up to three times its usual price and takes twice as
+# long, which its seconds contain.
+OTHER_ZONE_PRICE_FACTOR = 1.5
+# Users weigh recomputed shared tokens far above the prefill time they take.
+RECOMPUTE_WEIGHT = 8.0
 # A fetched prefix evicts as much as a computed one, but occupies no prefill time.
 FETCH_EVICTION_WEIGHT = 0.1
 
@@ -52,7 +56,7 @@
     """Return the source with the longest prefix beyond `cached_tokens`, if any.
 
     A usable prefix was computed with the target's weights version.  Where the tables hold
-    the state of zones, the source that saves the most time is returned instead.
+    the state of zones, the source with the greatest saving is returned instead.
     """
     rates = tables.transfer_rates
     if rates is None:
@@ -70,15 +74,21 @@
             seconds *= OTHER_ZONE_FACTOR
         key = (-float(tokens), seconds)
         if tables.zones is not None:
-            saved_s = estimate_fetch_saving_s(target, row.zone, tokens, seconds)
-            if saved_s <= 0:
-                continue
-            key = (-saved_s, seconds)
+            key = (-estimate_saving_s(target, row.zone, tokens, seconds), seconds)
         if best is None or key < best_key:
             best, best_key = FetchSource(row.name, tokens, seconds), key
     return _prefer_store(tables, request, target, cached_tokens, best)
 
 
+def estimate_saving_s(
+    target: UpstreamRow, source_zone: str, tokens: int, seconds: float
+) -> float:
+    """Return the cost of computing tokens again less that of their fetch, in seconds."""
+    recompute_s = (1 + RECOMPUTE_WEIGHT) * tokens / target.prefill_tokens_per_s
+    price = 1.0 if source_zone == target.zone else OTHER_ZONE_PRICE_FACTOR
+    return recompute_s - seconds * price
+
+
 def _prefer_store(
     tables: Tables,
     request: ModelRequest,
--- a/catkintrack/decisions/zones.py
+++ b/catkintrack/decisions/zones.py
@@ -61,9 +61,6 @@
 LOWEST_PRIORITY = 1 << 30
 BYTES_PER_PROMPT_TOKEN = 4
 BYTES_PER_EVENT = 200
-# A fetch between zones is priced at up to three times its usual price and takes twice as
-# long, which its seconds contain.
-FETCH_PRICE_FACTOR = 1.5
 
 
 @dataclass(slots=True)
@@ -363,11 +360,3 @@
         zone: _find_usual_wait_s(values) for zone, values in waits.items()
     }
     observe_waits(zones, service, wait_s_by_zone, now)
-
-
-def estimate_fetch_saving_s(
-    target: UpstreamRow, source_zone: str, tokens: int, seconds: float
-) -> float:
-    """Return the prefill time that a fetch saves the target, less what the fetch costs."""
-    price = 1.0 if source_zone == target.zone else FETCH_PRICE_FACTOR
-    return tokens / target.prefill_tokens_per_s - seconds * price
