--- a/catkintrack/decisions/zones.py
+++ b/catkintrack/decisions/zones.py
@@ -19,7 +19,12 @@
 
 from .ejection import is_ejected
 from .failure_detection import is_suspect
-from .load import REPORT_MAX_AGE_S, estimate_running, estimate_wait_s
+from .load import (
+    REPORT_MAX_AGE_S,
+    estimate_running,
+    estimate_wait_s,
+    has_capacity,
+)
 from .tables import ModelRequest, Tables, UpstreamRow
 
 # Ten round trips between zones: less is within the error of the estimated waits.
@@ -50,7 +55,7 @@
 MAX_ELAPSED_S = 1.0
 # After a sign that a zone is full, until its replicas' load shows what was sent before.
 HOLD_AFTER_SIGN_S = 0.5
-# Twice as long after each call that is lost before another is answered, up to this.
+# Twice as long after each hold that ends with another lost call, up to this.
 HOLD_MAX_S = 4.0
 SIGN_FACTOR = 0.5
 # A lost call may show that the way is cut, and each further one harms its caller.
@@ -177,10 +182,15 @@
 
 
 def record_lost_call(state: ZoneShare, now: float) -> None:
-    """Quarter a share, since a call was lost at the zone; each one counts."""
+    """Quarter a share, since a call was lost at the zone; each one counts.
+
+    Calls lost while the zone is held were sent before, as when one replica ends with all
+    its calls, and do not hold it for longer.
+    """
     _lower_share(state, LOSS_FACTOR, now)
-    state.held_until = max(state.held_until, now + state.loss_hold_s)
-    state.loss_hold_s = min(HOLD_MAX_S, 2 * state.loss_hold_s)
+    if now >= state.held_until:
+        state.held_until = now + state.loss_hold_s
+        state.loss_hold_s = min(HOLD_MAX_S, 2 * state.loss_hold_s)
 
 
 def record_answered_call(state: ZoneShare) -> None:
@@ -284,22 +294,26 @@
     eligible: Iterable[UpstreamRow],
     now: float,
 ) -> None:
-    """Observe the waits for a model at its eligible replicas, if that is due."""
+    """Observe the waits for a model at its eligible replicas, if that is due.
+
+    Requests queue in instances while replicas have no capacity.  All zones' instances do
+    so, so that their queues count by the part of each zone's replicas that are full.
+    """
     if request.excluded or request.software_version is not None:
         return
     if not is_observation_due(zones, request.model, now):
         return
-    waits: dict[str, list[float]] = {}
+    rows_by_zone: dict[str, list[UpstreamRow]] = {}
     for row in eligible:
-        if is_suspect(row, now):
-            continue
-        wait_s = estimate_wait_s(tables, row, now, LOWEST_PRIORITY)
-        waits.setdefault(row.zone, []).append(wait_s)
-    wait_s_by_zone = {
-        zone: _find_usual_wait_s(values) for zone, values in waits.items()
-    }
-    if zones.home in wait_s_by_zone:
-        wait_s_by_zone[zones.home] += _estimate_queueing_s(tables, request.model, now)
+        rows_by_zone.setdefault(row.zone, []).append(row)
+    queueing_s = _estimate_queueing_s(tables, request.model, now)
+    wait_s_by_zone: dict[str, float] = {}
+    for zone, rows in rows_by_zone.items():
+        waits = [estimate_wait_s(tables, row, now, LOWEST_PRIORITY) for row in rows]
+        wait_s_by_zone[zone] = _find_usual_wait_s(waits)
+        if queueing_s:
+            full = [not has_capacity(tables, row, now, LOWEST_PRIORITY) for row in rows]
+            wait_s_by_zone[zone] += queueing_s * sum(full) / len(rows)
     observe_waits(zones, request.model, wait_s_by_zone, now)
 
 
