--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -154,10 +154,9 @@
         return None
     if tables.zones is not None:
         observe_model_waits(tables, tables.zones, request, eligible, now)
-    leaving_s_by_zone = {
-        zone: _estimate_leaving_s(tables, request, zone, now)
-        for zone in {row.zone for row in eligible}
-    }
+    leaving_s_by_zone = _estimate_leaving_s_by_zone(
+        tables, request, {row.zone for row in eligible}, now
+    )
     depth_by_bit_index = find_cached_depths(tables.residency, request.blocks)
     if request.blocks:
         key = compute_affinity_key(request)
@@ -260,22 +259,23 @@
     )
 
 
-def _estimate_leaving_s(
-    tables: Tables, request: ModelRequest, zone: str, now: float
-) -> float:
-    """Return the cost in seconds of sending a request to a zone, 0 for the own one."""
-    if tables.zone in ("", zone):
-        return 0.0
+def _estimate_leaving_s_by_zone(
+    tables: Tables, request: ModelRequest, zones: set[str], now: float
+) -> dict[str, float]:
+    """Return the cost in seconds of sending a request to each zone, 0 for the own one."""
     if tables.zones is None:
-        return OTHER_ZONE_COST_S
-    return estimate_zone_cost_s(
-        tables.zones,
-        zone,
-        now,
-        request.model,
-        estimate_moved_bytes(request),
-        compute_draw(request.id),
-    )
+        return {
+            zone: OTHER_ZONE_COST_S if tables.zone not in ("", zone) else 0.0
+            for zone in zones
+        }
+    draw = compute_draw(request.id)
+    moved_bytes = estimate_moved_bytes(request)
+    return {
+        zone: estimate_zone_cost_s(
+            tables.zones, zone, now, request.model, moved_bytes, draw
+        )
+        for zone in zones
+    }
 
 
 def _pick_candidates(
--- a/catkintrack/decisions/prefills.py
+++ b/catkintrack/decisions/prefills.py
@@ -99,6 +99,8 @@
     prefills: Prefills, upstream: str, priority: int
 ) -> tuple[int, int]:
     """Return the tokens being prefilled that run before `priority`, and those after."""
-    tokens = prefills.tokens_by_priority_by_upstream.get(upstream, Counter())
+    tokens = prefills.tokens_by_priority_by_upstream.get(upstream)
+    if not tokens:
+        return 0, 0
     before = sum(count for level, count in tokens.items() if level <= priority)
     return before, tokens.total() - before
--- a/catkintrack/decisions/transfers.py
+++ b/catkintrack/decisions/transfers.py
@@ -72,9 +72,10 @@
         seconds = rates.setup_s + tokens * rates.token_s
         if row.zone != target.zone:
             seconds *= OTHER_ZONE_FACTOR
-        key = (-float(tokens), seconds)
+        saving: float = tokens
         if tables.zones is not None:
-            key = (-estimate_saving_s(target, row.zone, tokens, seconds), seconds)
+            saving = estimate_saving_s(target, row.zone, tokens, seconds)
+        key = (-saving, seconds)
         if best is None or key < best_key:
             best, best_key = FetchSource(row.name, tokens, seconds), key
     return _prefer_store(tables, request, target, cached_tokens, best)
