--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -230,9 +230,12 @@
             row.reported_running, row.reported_waiting = fields.load
             row.reported_at = now
             row.sent_since_report = 0
-        prefill_s = decision.uncached_tokens / row.prefill_tokens_per_s
-        wait_s = now - sent_at - prefill_s
-        record_zone_answer(instance, request.model, row, fields.is_not_run, wait_s)
+        wait_s = 0.0
+        # The time of a fetch is no sign of a queue.
+        if decision.fetch_from is None:
+            prefill_s = decision.uncached_tokens / row.prefill_tokens_per_s
+            wait_s = now - sent_at - prefill_s
+        record_zone_answer(instance, request.model, row, fields, wait_s)
         if fields.weights_version is not None:
             weights = ModelWeights(prompt.model, fields.weights_version)
             apply_replica_weights(instance, upstream.id, weights, now)
--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -220,7 +220,7 @@
             row.reported_at = time.monotonic()
         if not fields.is_not_run:
             progress.executions = executions
-        record_zone_answer(instance, call.service, row, fields.is_not_run, 0.0)
+        record_zone_answer(instance, call.service, row, fields)
 
     async def handle_completion() -> None:
         await report_completed(instance, call)
--- a/catkintrack/instance/tests/test_zone_choices.py
+++ b/catkintrack/instance/tests/test_zone_choices.py
@@ -15,6 +15,7 @@
     switch_on_zones,
 )
 from testkit.states import make_instance
+from testkit.upstreams import make_response_fields
 
 
 class ZoneChoiceTest(unittest.TestCase):
@@ -58,17 +59,20 @@
         self.assertEqual(dumped["zones"]["other"], {"share": 0.8, "wait_s": 0.0})
 
     def test_signs_of_remote_replicas_lower_the_share_at_once(self):
-        for row, is_rejected, waiting, wait_s, wanted in (
-            (self.away, True, 0, 0.0, 0.4),
-            (self.away, False, 1, 0.0, 0.4),
-            (self.away, False, 0, 0.5, 0.4),
-            (self.away, False, 0, 0.0, 0.8),
-            (self.home, True, 1, 0.5, 0.8),
+        for row, is_rejected, load, wait_s, wanted in (
+            (self.away, True, (0, 0), 0.0, 0.4),
+            (self.away, False, (0, 1), 0.0, 0.4),
+            (self.away, False, (0, 0), 0.5, 0.4),
+            (self.away, False, (0, 0), 0.0, 0.8),
+            # Without a load header, what is known is of an earlier response.
+            (self.away, False, None, 0.0, 0.8),
+            (self.home, True, (0, 1), 0.5, 0.8),
         ):
             self.instance.decisions.zones = None
             state = self.switch_on()
-            row.reported_waiting = waiting
-            record_zone_answer(self.instance, "orders", row, is_rejected, wait_s)
+            row.reported_waiting = 1 if load is None else load[1]
+            fields = make_response_fields(is_not_run=is_rejected, load=load)
+            record_zone_answer(self.instance, "orders", row, fields, wait_s)
             self.assertEqual(state.share, wanted)
 
 
--- a/catkintrack/instance/zone_choices.py
+++ b/catkintrack/instance/zone_choices.py
@@ -18,6 +18,7 @@
     record_sign,
 )
 from catkintrack.fleet import Feature
+from catkintrack.platform import ResponseFields
 
 from .state import Instance
 
@@ -51,14 +52,22 @@
 
 
 def record_zone_answer(
-    instance: Instance, service: str, row: UpstreamRow, is_rejected: bool, wait_s: float
+    instance: Instance,
+    service: str,
+    row: UpstreamRow,
+    fields: ResponseFields,
+    wait_s: float = 0.0,
 ) -> None:
-    """Lower a zone's share if a replica there rejects calls or lets them wait."""
+    """Lower a zone's share if a replica there rejects calls or lets them wait.
+
+    `wait_s` is by how much the answer came later than its prefill takes.
+    """
     state = _find_remote_share(instance, service, row)
     if state is None:
         return
     record_answered_call(state)
-    if is_rejected or row.reported_waiting > 0 or wait_s > FULL_WAIT_S:
+    has_queue = fields.load is not None and row.reported_waiting > 0
+    if fields.is_not_run or has_queue or wait_s > FULL_WAIT_S:
         record_sign(state, time.monotonic())
 
 
