--- a/catkintrack/config/checks.py
+++ b/catkintrack/config/checks.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
@@ -20,7 +21,7 @@
 from .tables import ConfigTables, Route, compile_tables
 
 # Names of keys that callers can present: see KEY_PATTERN.
-KEY_ID_LENGTH = 8
+KEY_ID_PATTERN = re.compile(r"[a-z0-9]{8}")
 
 
 class Severity(Enum):
@@ -157,8 +158,8 @@
     first_by_secret: dict[tuple[str, str], str] = {}
     for id, key in tables.key_by_id.items():
         path = f"key/{id}"
-        if len(id) != KEY_ID_LENGTH or not (id.isalnum() and id == id.lower()):
-            text = f"never matches: the ID of a key has {KEY_ID_LENGTH} of a-z and 0-9"
+        if not KEY_ID_PATTERN.fullmatch(id):
+            text = "never matches: the ID of a key has 8 of a-z and 0-9"
             yield _error(path, text)
         first = first_by_secret.setdefault((key.salt, key.digest), id)
         if first == id:
--- a/catkintrack/decisions/services.py
+++ b/catkintrack/decisions/services.py
@@ -88,14 +88,19 @@
         return lambda row: _sort_key(row, zone, now)
     service_s = tables.service_s_by_service.get(service, DEFAULT_SERVICE_S)
     draw = rng.random()
+    leaving_s_by_zone: dict[str, float] = {}
 
     def find_key(row: UpstreamRow) -> tuple[float, ...]:
-        fill = estimate_running(row, now) / max(1, row.max_running)
+        running = estimate_running(row, now)
+        slots = max(1, row.max_running)
+        fill = running / slots
         is_full = fill >= (1.0 if row.zone == zone else REMOTE_FULL_FILL)
-        leaving_s = estimate_zone_cost_s(
-            zones, row.zone, now, service, PLAIN_CALL_BYTES, draw
-        )
-        return is_full, estimate_service_wait_s(row, service_s, now) + leaving_s, fill
+        if row.zone not in leaving_s_by_zone:
+            leaving_s_by_zone[row.zone] = estimate_zone_cost_s(
+                zones, row.zone, now, service, PLAIN_CALL_BYTES, draw
+            )
+        wait_s = estimate_service_wait_s(running, slots, service_s)
+        return is_full, wait_s + leaving_s_by_zone[row.zone], fill
 
     return find_key
 
--- a/catkintrack/decisions/zones.py
+++ b/catkintrack/decisions/zones.py
@@ -339,14 +339,14 @@
     return prompt_bytes + request.max_tokens * BYTES_PER_EVENT
 
 
-def estimate_service_wait_s(row: UpstreamRow, service_s: float, now: float) -> float:
+def estimate_service_wait_s(running: int, slots: int, service_s: float) -> float:
     """Return the estimated seconds until a replica begins a plain call.
 
     The load is that of a queue with several servers: Sakasegawa, "An approximation
     formula L_q = alpha rho^beta / (1 - rho)", 1977.  Beyond capacity the calls are counted.
     """
-    slots = max(1, row.max_running)
-    running = estimate_running(row, now)
+    if not running:
+        return 0.0
     fill = min(running / slots, (slots - 0.5) / slots)
     exponent = math.sqrt(2 * (slots + 1)) - 1
     wait_s = service_s / slots * fill**exponent / (1 - fill)
@@ -366,7 +366,8 @@
     waits: dict[str, list[float]] = {}
     for row in rows:
         if not is_ejected(row, now) and not is_suspect(row, now):
-            wait_s = estimate_service_wait_s(row, service_s, now)
+            running, slots = estimate_running(row, now), max(1, row.max_running)
+            wait_s = estimate_service_wait_s(running, slots, service_s)
             waits.setdefault(row.zone, []).append(wait_s)
     wait_s_by_zone = {
         zone: _find_usual_wait_s(values) for zone, values in waits.items()
