--- a/catkintrack/decisions/tests/test_zones.py
+++ b/catkintrack/decisions/tests/test_zones.py
@@ -22,8 +22,8 @@
     HOLD_AFTER_SIGN_S,
     HOLD_MAX_S,
     MAX_CHANGE,
+    PATH_COST_S,
     SPREAD_S,
-    WAY_S,
     ZoneTable,
     estimate_zone_cost_s,
     find_share,
@@ -36,6 +36,7 @@
 from testkit.zone_loads import INSTANCES_PER_ZONE, SERVICE, ZoneLoads
 
 FULL = {"a": 1.0, "b": 1.0, "c": 1.0}
+STATES = ("free", "full", "leaving", "loading", "ejected")
 
 
 class ZoneLoadTest(unittest.TestCase):
@@ -104,7 +105,7 @@
         self.assertLess(loads.find_wait_s("b", 1.0), loads.find_wait_s("a", 1.0) / 3)
         self.assertLess(loads.find_share("b", 8.0), 0.05)
 
-    def test_way_that_is_cut_while_in_use(self):
+    def test_path_that_is_cut_while_in_use(self):
         """Calls that failed there are few, though its replicas are still listed."""
         lost = []
         cut_at = math.inf
@@ -118,7 +119,7 @@
         loads.run(10.0)
         cut_at = loads.now
         loads.run(2.0)
-        # Two quarter the share to nothing, one tries the way after each of two holds.
+        # Two quarter the share to nothing, one tries the path after each of two holds.
         self.assertLessEqual(len(lost), 4 * INSTANCES_PER_ZONE)
         self.assertLessEqual(sum(at > cut_at + 1.0 for at in lost), INSTANCES_PER_ZONE)
         self.assertLess(loads.find_wait_s("a", 2.0), 0.25)
@@ -155,13 +156,13 @@
         self.observe(home_s, remote_s, 0.0)
         find_share(self.zones, "m1", "b").share = share
         cost_s = estimate_zone_cost_s(self.zones, "b", 0.1, "m1", 0, draw)
-        self.assertGreaterEqual(cost_s, WAY_S)
+        self.assertGreaterEqual(cost_s, PATH_COST_S)
         self.assertEqual(estimate_zone_cost_s(self.zones, "a", 0.1, "m1"), 0.0)
 
     def test_share_holds_while_the_advantage_is_small(self):
         share = self.raise_share().share
         for step in range(100, 120):
-            self.observe(WAY_S + 0.01, 0.0, step / 10)
+            self.observe(PATH_COST_S + 0.01, 0.0, step / 10)
         self.assertEqual(find_share(self.zones, "m1", "b").share, share)
 
     def test_sign_halves_the_share_once_for_calls_that_were_sent_together(self):
@@ -191,7 +192,7 @@
         cost_s = estimate_zone_cost_s(self.zones, "b", 20.1, "m1", 0, 0.99)
         self.assertGreater(cost_s, 1.0)
         later_s = estimate_zone_cost_s(self.zones, "b", 21.0, "m1", 0, 0.99)
-        self.assertLessEqual(later_s, WAY_S + SPREAD_S)
+        self.assertLessEqual(later_s, PATH_COST_S + SPREAD_S)
 
     def test_short_answers_leave_before_long_bodies(self):
         short_s = estimate_zone_cost_s(self.zones, "b", 0.0, "m1", 2_000)
@@ -201,7 +202,7 @@
     def test_call_leaves_freely_if_no_replica_is_left_at_home(self):
         observe_waits(self.zones, "m1", {"b": 0.0}, 0.0)
         cost_s = estimate_zone_cost_s(self.zones, "b", 0.0, "m1", 0, 0.99)
-        self.assertEqual(cost_s, WAY_S)
+        self.assertEqual(cost_s, PATH_COST_S)
 
     def test_share_is_dropped_once_the_loads_that_it_follows_are_outdated(self):
         state = self.raise_share()
@@ -251,6 +252,31 @@
     def test_queue_at_home_sends_calls_to_a_zone_with_room(self):
         self.assertGreater(self.observe_queue({"z0"}), 0.5)
 
+    @DETERMINISTIC
+    @given(st.lists(st.sampled_from(STATES), min_size=4, max_size=4), st.floats(0, 1))
+    def test_only_eligible_replicas_are_chosen(self, states, share):
+        self.setUp()
+        self.tables.zones = ZoneTable("z0")
+        find_share(self.tables.zones, "m1", "z1").share = share
+        rows = list(self.tables.upstream_by_name.values())
+        for row, state in zip(rows, states, strict=True):
+            row.small_prefill_tokens = 20_000 if state == "full" else 0
+            row.is_leaving = state == "leaving"
+            row.is_loading = state == "loading"
+            if state == "ejected":
+                record_failure(row, 0.0, 0.0, True)
+        request = make_long_request("r1", 1)
+        placement = place_by_cost(self.tables, request, 0.0, Random(1))
+        usable = [
+            row.name
+            for row, state in zip(rows, states, strict=True)
+            if state in ("free", "full")
+        ]
+        if usable:
+            self.assertIn(placement.upstream.name, usable)
+        else:
+            self.assertIsNone(placement)
+
     def find_source(self, home_depth, remote_depth):
         """Return the source for u0, where u2 is in its zone and u1 is not."""
         rows = self.tables.upstream_by_name
--- a/catkintrack/decisions/zones.py
+++ b/catkintrack/decisions/zones.py
@@ -28,9 +28,9 @@
 from .tables import ModelRequest, Tables, UpstreamRow
 
 # Ten round trips between zones: less is within the error of the estimated waits.
-WAY_S = 0.02
+PATH_COST_S = 0.02
 # Wait at home that callers accept to save the operators a megabyte between zones.
-WAY_S_PER_MB = 0.25
+PATH_COST_S_PER_MB = 0.25
 # A call from elsewhere waits itself and delays a call of that zone by as much.
 REMOTE_WAIT_WEIGHT = 2.0
 # Wait from which on a zone is full: half of the backlog at which instances queue requests.
@@ -57,7 +57,7 @@
 # Twice as long after each hold that ends with another lost call, up to this.
 HOLD_MAX_S = 4.0
 SIGN_FACTOR = 0.5
-# A lost call may show that the way is cut, and each further one harms its caller.
+# A lost call may show that the path is cut, and each further one harms its caller.
 LOSS_FACTOR = 0.25
 # Repeated factors end here: a call in fifty would only meet the same trouble.
 MIN_SHARE = 0.02
@@ -146,10 +146,10 @@
 
 
 def _compute_advantage_s(state: ZoneShare, home_wait_s: float) -> float:
-    """Return how much less a call costs in the zone than at home, way included."""
+    """Return how much less a call costs in the zone than at home, path included."""
     if math.isinf(state.wait_s):
         return -1.0
-    return home_wait_s - _weigh_wait_s(state) - WAY_S
+    return home_wait_s - _weigh_wait_s(state) - PATH_COST_S
 
 
 def _weigh_wait_s(state: ZoneShare) -> float:
@@ -192,7 +192,7 @@
 
 
 def record_answered_call(state: ZoneShare) -> None:
-    """Record that a call was answered at the zone, so that the way there is open."""
+    """Record that a call was answered at the zone, so that the path there is open."""
     state.loss_hold_s = HOLD_AFTER_SIGN_S
 
 
@@ -227,21 +227,21 @@
     """
     if row_zone in ("", zones.home) or not zones.home:
         return 0.0
-    way_s = WAY_S + WAY_S_PER_MB * moved_bytes / 1e6
+    path_s = PATH_COST_S + PATH_COST_S_PER_MB * moved_bytes / 1e6
     state = zones.share_by_zone_by_service.get(service, {}).get(row_zone)
     home_wait_s = zones.home_wait_s_by_service.get(service)
     if state is None or home_wait_s is None or math.isinf(state.wait_s):
-        return way_s
+        return path_s
     weighed_s = _weigh_wait_s(state)
     claim_s = weighed_s - state.wait_s
     if math.isinf(home_wait_s):
-        return way_s + claim_s
+        return path_s + claim_s
     refusal_s = SPREAD_S * max(0.0, draw - state.share)
     gap_s = max(0.0, home_wait_s - weighed_s)
     if draw >= state.share and _is_closed(state, now):
         # The waits may have grown apart since they were observed.
-        return way_s + claim_s + gap_s + refusal_s
-    return way_s + claim_s + min(gap_s, refusal_s)
+        return path_s + claim_s + gap_s + refusal_s
+    return path_s + claim_s + min(gap_s, refusal_s)
 
 
 def describe_choice(zones: ZoneTable, service: str, row_zone: str) -> dict[str, Any]:
@@ -255,7 +255,7 @@
     if is_home and shares:
         state = min(shares.values(), key=lambda other: other.wait_s)
     return {
-        "zone_choice": "home" if is_home else "abroad",
+        "zone_choice": "home" if is_home else "other",
         "zone_share": None if state is None else round(state.share, 3),
         "home_wait_s": _round_wait(zones.home_wait_s_by_service.get(service)),
         "zone_wait_s": _round_wait(state.wait_s if state else None),
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -88,7 +88,7 @@
         relayed_calls=counter("relayed_calls_total", "Calls served through a peer."),
         is_cut_off=gauge("is_cut_off", "1 while no replica is reached."),
         zone_calls=counter(
-            "zone_calls_total", "Attempts by service and choice: home, abroad."
+            "zone_calls_total", "Attempts by service and choice: home, other."
         ),
         zone_share=gauge(
             "zone_share", "Share of calls that may leave, by service and zone."
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -345,7 +345,9 @@
         progress.record_break(has_response_head, has_event, parts)
         if record_failure(tables, request.id, time.monotonic(), False):
             log_ejection(row, str(error))
-        record_zone_loss(instance, request.model, row)
+        # A replica that breaks off its response was reached.
+        if not has_response_head:
+            record_zone_loss(instance, request.model, row)
         raise
     finally:
         record_end(tables, request.id, time.monotonic())
--- a/catkintrack/instance/tests/test_zone_choices.py
+++ b/catkintrack/instance/tests/test_zone_choices.py
@@ -51,7 +51,7 @@
     def test_choice_and_share_are_reported(self):
         self.switch_on()
         choice = record_zone_choice(self.instance, "orders", self.away)
-        self.assertEqual((choice["zone_choice"], choice["zone_share"]), ("abroad", 0.8))
+        self.assertEqual((choice["zone_choice"], choice["zone_share"]), ("other", 0.8))
         report_zone_shares(self.instance)
         labels = {"service": "orders", "zone": "other"}
         self.assertEqual(self.instance.metrics.zone_share.get(labels), 0.8)
