--- a/catkintrack/decisions/tests/test_zones.py
+++ b/catkintrack/decisions/tests/test_zones.py
@@ -28,6 +28,7 @@
     estimate_zone_cost_s,
     find_share,
     observe_waits,
+    record_answered_call,
     record_lost_call,
     record_sign,
 )
@@ -105,6 +106,20 @@
         self.assertLess(loads.find_wait_s("b", 1.0), loads.find_wait_s("a", 1.0) / 3)
         self.assertLess(loads.find_share("b", 8.0), 0.05)
 
+    def test_calls_from_elsewhere_hardly_lengthen_the_wait_of_a_full_zone(self):
+        # A zone that fills takes little; one that is full counts four times.
+        for load_by_zone, least_ratio in (
+            ({"a": 2.5, "b": 1.1, "c": 1.1}, 5.0),
+            ({"a": 1.5, "b": 1.0, "c": 0.9}, 3.5),
+        ):
+            for seed in range(3):
+                loads = ZoneLoads(load_by_zone, dict(FULL), Random(seed))
+                loads.run(20.0)
+                wait_s = loads.find_mean_wait_s("b", 10.0)
+                self.assertGreater(
+                    loads.find_mean_wait_s("a", 10.0), least_ratio * wait_s
+                )
+
     def test_path_that_is_cut_while_in_use(self):
         """Calls that failed there are few, though its replicas are still listed."""
         lost = []
@@ -186,6 +201,15 @@
             self.assertLessEqual(state.held_until, lost_at + HOLD_MAX_S)
         self.assertEqual(state.held_until, lost_at + HOLD_MAX_S)
 
+    def test_answered_call_ends_the_doubling_of_holds(self):
+        state = self.raise_share()
+        for now in (10.0, 20.0, 30.0):
+            record_lost_call(state, now)
+        self.assertEqual(state.held_until, 30.0 + 4 * HOLD_AFTER_SIGN_S)
+        record_answered_call(state)
+        record_lost_call(state, 40.0)
+        self.assertEqual(state.held_until, 40.0 + HOLD_AFTER_SIGN_S)
+
     def test_calls_beyond_the_share_stay_while_a_sign_is_recent(self):
         state = self.raise_share()
         record_sign(state, 20.0)
