--- a/catkintrack/decisions/zones.py
+++ b/catkintrack/decisions/zones.py
@@ -139,7 +139,7 @@
     steps = elapsed_s / OBSERVE_INTERVAL_S
     wanted = SHARE_GAIN_PER_S2 * abs(advantage_s) * elapsed_s
     change = min(MAX_CHANGE * steps, wanted)
-    if advantage_s < 0 or _is_filling(state):
+    if advantage_s < 0:
         state.share = max(0.0, state.share - max(MIN_FALL * steps, change))
     elif advantage_s > HOLD_BAND_S and not _is_closed(state, now):
         state.share = min(1.0, state.share + change)
