--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -18,7 +18,18 @@
 from .residency import find_cached_depths
 from .rest import is_held
 from .tables import ModelRequest, Tables, UpstreamRow
-from .transfers import FETCH_EVICTION_WEIGHT, FetchSource, find_fetch_source
+from .transfers import (
+    FETCH_EVICTION_WEIGHT,
+    RECOMPUTE_WEIGHT,
+    FetchSource,
+    find_fetch_source,
+)
+from .zones import (
+    compute_draw,
+    estimate_moved_bytes,
+    estimate_zone_cost_s,
+    observe_model_waits,
+)
 
 # Caching a prefix on one more replica evicts as many tokens of other prefixes, which
 # costs as much as the prefill itself.
@@ -27,14 +38,13 @@
 FIRST_CHOICE_CREDIT = 0.1
 # Prefers a better rendezvous rank at nearly equal cost.
 RANK_COST_S = 0.001
-# Traffic between zones costs operators more than a short wait costs callers.
+# Traffic between zones costs operators more than a short wait costs callers.  Where the
+# tables hold the state of zones, it replaces this.
 OTHER_ZONE_COST_S = 0.03
 # Recomputing fewer tokens is faster than waiting for another request's prefill.
 AWAITED_PREFILL_MIN_TOKENS = 64
 # A small part of the shortest target for the time to first token.
 AWAITED_PREFILL_MAX_S = 0.15
-# Users weigh recomputed shared tokens far above the prefill time they take.
-RECOMPUTE_WEIGHT = 8.0
 # 1 s below the users' bound of 6 s, to cover network delay and queueing upstream.
 STALE_WEIGHTS_MAX_S = 5.0
 FULL_SCAN_MAX_UPSTREAMS = 32
@@ -123,6 +133,11 @@
     eligible = list_eligible(tables, request, now)
     if not eligible:
         return None
+    if tables.zones is not None:
+        observe_model_waits(tables, tables.zones, request, eligible, now)
+    leaving_s_by_zone = _estimate_leaving_s_by_zone(
+        tables, request, {row.zone for row in eligible}, now
+    )
     depth_by_bit_index = find_cached_depths(tables.residency, request.blocks)
     if request.blocks:
         key = compute_affinity_key(request)
@@ -160,7 +175,7 @@
         if source is not None and source.tokens:
             is_awaiting = False
         reusable = cached + (source.tokens if source else 0)
-        cost_s = estimate_cost_s(
+        cost_s = leaving_s_by_zone[row.zone] + estimate_cost_s(
             tables, request, row, rank, reusable, fleet_cached, now
         )
         cost_s += estimate_fetch_s(row, source)
@@ -208,6 +223,7 @@
 ) -> float:
     """Return the cost in seconds of a placement, to this request and to others.
 
+    What it costs to leave the zone is not included.
     `reusable_tokens` need no prefill at this upstream.  `fleet_cached_tokens` are
     cached, or being prefilled, anywhere in the fleet, so computing them again is waste.
     """
@@ -221,11 +237,29 @@
         estimate_wait_s(tables, row, now, request.priority)
         + prefill_s * (1 + DUPLICATION_WEIGHT)
         + recompute_s * RECOMPUTE_WEIGHT
-        + (OTHER_ZONE_COST_S if tables.zone not in ("", row.zone) else 0.0)
         + rank * RANK_COST_S
     )
 
 
+def _estimate_leaving_s_by_zone(
+    tables: Tables, request: ModelRequest, zones: set[str], now: float
+) -> dict[str, float]:
+    """Return the cost in seconds of sending a request to each zone, 0 for the own one."""
+    if tables.zones is None:
+        return {
+            zone: OTHER_ZONE_COST_S if tables.zone not in ("", zone) else 0.0
+            for zone in zones
+        }
+    draw = compute_draw(request.id)
+    moved_bytes = estimate_moved_bytes(request)
+    return {
+        zone: estimate_zone_cost_s(
+            tables.zones, zone, now, request.model, moved_bytes, draw
+        )
+        for zone in zones
+    }
+
+
 def _pick_candidates(
     ranked: list[UpstreamRow], depth_by_bit_index: dict[int, int], rng: Random
 ) -> list[tuple[int, UpstreamRow]]:
--- a/catkintrack/decisions/transfers.py
+++ b/catkintrack/decisions/transfers.py
@@ -16,6 +16,11 @@
 MIN_FETCH_TOKENS = 32
 # Factor on the time of a fetch from another availability zone.
 OTHER_ZONE_FACTOR = 2.0
+# A fetch between zones is priced at up to three times its usual price and takes twice as
+# long, which its seconds contain.
+OTHER_ZONE_PRICE_FACTOR = 1.5
+# Users weigh recomputed shared tokens far above the prefill time they take.
+RECOMPUTE_WEIGHT = 8.0
 # A fetched prefix evicts as much as a computed one, but occupies no prefill time.
 FETCH_EVICTION_WEIGHT = 0.1
 
@@ -47,16 +52,18 @@
     cached_tokens: int,
     holders: Sequence[UpstreamRow],
     depth_by_bit_index: Mapping[int, int],
-    store: CacheStoreIndex | None,
+    store: CacheStoreIndex | None = None,
 ) -> FetchSource | None:
     """Return the source with the longest prefix beyond `cached_tokens`, if any.
 
-    A usable prefix was computed with the target's weights version.
+    A usable prefix was computed with the target's weights version.  Where the tables hold
+    the state of zones, the source with the greatest saving is returned instead.
     """
     rates = tables.transfer_rates
     if rates is None:
         return None
     best: FetchSource | None = None
+    best_key: tuple[float, float] = (0.0, 0.0)
     for row in holders:
         if row is target or row.weights_version != target.weights_version:
             continue
@@ -66,11 +73,24 @@
         seconds = rates.setup_s + tokens * rates.token_s
         if row.zone != target.zone:
             seconds *= OTHER_ZONE_FACTOR
-        if best is None or (-tokens, seconds) < (-best.tokens, best.seconds):
-            best = FetchSource(row.name, tokens, seconds)
+        saving: float = tokens
+        if tables.zones is not None:
+            saving = estimate_saving_s(target, row.zone, tokens, seconds)
+        key = (-saving, seconds)
+        if best is None or key < best_key:
+            best, best_key = FetchSource(row.name, tokens, seconds), key
     return _prefer_store(store, request, target, cached_tokens, best)
 
 
+def estimate_saving_s(
+    target: UpstreamRow, source_zone: str, tokens: int, seconds: float
+) -> float:
+    """Return the cost of computing tokens again less that of their fetch, in seconds."""
+    recompute_s = (1 + RECOMPUTE_WEIGHT) * tokens / target.prefill_tokens_per_s
+    price = 1.0 if source_zone == target.zone else OTHER_ZONE_PRICE_FACTOR
+    return recompute_s - seconds * price
+
+
 def _prefer_store(
     store: CacheStoreIndex | None,
     request: ModelRequest,
