--- a/catkintrack/decisions/load.py
+++ b/catkintrack/decisions/load.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from .decode_pace import record_stream
 from .failure_detection import record_request_sent
+from .pacing import estimate_pacing_s, record_prefill_work
 from .prefills import (
     ANNOUNCED_MIN_TOKENS,
     Prefill,
@@ -62,6 +64,7 @@
     prefill_s = (
         estimate_prefill_tokens(tables, row, now, priority) / row.prefill_tokens_per_s
     )
+    prefill_s += estimate_pacing_s(tables, row, now, priority)
     excess = estimate_running(row, now) + row.queued_count + 1 - row.max_running
     if excess <= 0:
         return prefill_s
@@ -70,6 +73,8 @@
 
 def has_capacity(tables: Tables, row: UpstreamRow, now: float, priority: int) -> bool:
     """Report whether the upstream may get another request from this process now."""
+    if estimate_pacing_s(tables, row, now, priority) > 0:
+        return False
     prefill_tokens = estimate_prefill_tokens(tables, row, now, priority)
     if prefill_tokens > tables.max_prefill_wait_s * row.prefill_tokens_per_s:
         return False
@@ -98,6 +103,7 @@
     row.in_flight += 1
     record_request_sent(row, now)
     row.sent_since_report += 1
+    record_prefill_work(tables, row, uncached, request.priority, now, is_own=True)
     if uncached < ANNOUNCED_MIN_TOKENS:
         row.small_prefill_tokens += uncached
         return
@@ -134,6 +140,7 @@
         return
     running.has_first_token = True
     if now is not None:
+        running.first_token_at = now
         learn_prefill_rate(row, running, now)
     if running.uncached_tokens < ANNOUNCED_MIN_TOKENS:
         row.small_prefill_tokens -= running.uncached_tokens
@@ -147,11 +154,23 @@
     if running.has_first_token:
         duration_s = now - running.dispatched_at
         row.service_s += SERVICE_TIME_SMOOTHING * (duration_s - row.service_s)
+    _record_pace(tables, running, now)
     record_prefilled(tables, row, running)
     row.in_flight -= 1
     row.sent_since_report = max(0, row.sent_since_report - 1)
 
 
+def _record_pace(tables: Tables, running: RunningRow, now: float) -> None:
+    if tables.admission is not None and running.first_token_at is not None:
+        record_stream(
+            tables.admission.pace,
+            running.request.max_tokens,
+            now - running.first_token_at,
+            running.is_complete,
+            now,
+        )
+
+
 def reset_cache(tables: Tables, row: UpstreamRow) -> None:
     """Clear the upstream's cached blocks; its running requests are unaffected."""
     clear_cached_blocks(tables.residency, row.bit_index)
--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 from random import Random
 from typing import TYPE_CHECKING
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from catkintrack.config import ConfigTables
 
-from . import ejection, load
+from . import admission, ejection, load, pacing
 from .deadlines import bound_deadline
 from .fairness import charge_workspace, compute_cost, order_workspaces
 from .named_limits import reserve_token
@@ -142,7 +142,7 @@
     if tables.retry_budget is not None:
         add_retry_credit(tables.retry_budget)
     row = ensure_workspace(tables, request.workspace)
-    wait_s = predict_wait_s(row, now)
+    wait_s = 0.0 if tables.admission else predict_wait_s(row, now)
     if len(row.waiting) >= MAX_WAITING_PER_WORKSPACE:
         return Refusal(
             request, RefusalReason.QUEUE_FULL, max(MIN_RETRY_AFTER_S, wait_s)
@@ -175,6 +175,7 @@
     decisions += refuse_while_resting(tables, now, rng)
     decisions += refuse_beyond_limits(tables, now, rng)
     decisions += shed_late_requests(tables, now)
+    decisions += admission.refuse_unfinishable(tables, now, rng)
     decisions += dispatch_retries(tables, now, rng, policy)
     decisions += dispatch_waiting(tables, now, rng, policy)
     return decisions
@@ -238,34 +239,48 @@
 def _dispatch_next(
     tables: Tables, now: float, rng: Random, policy: str
 ) -> Decision | None:
+    for candidates, include_late in _list_queues(tables, now):
+        decision = _dispatch_one(tables, candidates, now, rng, policy, include_late)
+        if decision is not None:
+            return decision
+    return None
+
+
+def _list_queues(
+    tables: Tables, now: float
+) -> Iterator[tuple[list[ModelRequest], bool]]:
+    """Return the requests to try, in order, and whether late ones are among them."""
+    if tables.admission is not None:
+        yield admission.list_candidates(tables, now, LOOKAHEAD_REQUESTS), True
+        return
     ordered = order_workspaces(tables)
     for include_late in (False, True):
         for row in ordered:
-            decision = _dispatch_one(tables, row, now, rng, policy, include_late)
-            if decision is not None:
-                return decision
-    return None
+            queued = [r for r in row.waiting if include_late or not is_late(r, now)]
+            queued.sort(key=lambda request: request.target_at)
+            yield queued[:LOOKAHEAD_REQUESTS], include_late
 
 
 def _dispatch_one(
     tables: Tables,
-    row: WorkspaceRow,
+    candidates: list[ModelRequest],
     now: float,
     rng: Random,
     policy: str,
     include_late: bool,
 ) -> Decision | None:
-    """Dispatch the first request of a workspace whose best upstream has capacity."""
-    candidates = [r for r in row.waiting if include_late or not is_late(r, now)]
-    candidates.sort(key=lambda request: request.target_at)
-    for request in candidates[:LOOKAHEAD_REQUESTS]:
+    """Dispatch the first candidate whose best upstream has capacity."""
+    for request in candidates:
+        row = ensure_workspace(tables, request.workspace)
         placement = POLICY_BY_NAME[policy](tables, request, now, rng)
         if placement is None:
             if not _is_served_anywhere(tables, request):
-                row.waiting.remove(request)
+                admission.remove_queued(tables, request)
                 reason = RefusalReason.NO_UPSTREAM
                 return Refusal(request, reason, MIN_RETRY_AFTER_S)
             continue
+        if admission.is_newly_late(tables, request, placement, now):
+            continue
         if not include_late and now + placement.first_token_s > request.target_at:
             continue
         must_wait = policy in WINDOWED_POLICIES and (
@@ -276,7 +291,12 @@
             # Requests behind this one must count it in the upstream's queue.
             placement.upstream.queued_count += 1
             continue
-        row.waiting.remove(request)
+        admission.remove_queued(tables, request)
+        if admission.is_placement_refused(tables, request, placement, now):
+            return admission.refuse(
+                tables, request, placement.first_token_s, 0.0, now, rng
+            )
+        admission.record_admitted(tables, request, now)
         _record_interval(row, now)
         if include_late and tables.late_queue is not None:
             record_late_dispatch(tables.late_queue, now)
@@ -465,6 +485,7 @@
     row = tables.upstream_by_name.get(upstream)
     if row is None:
         return
+    pacing.record_prefill_work(tables, row, tokens, priority, now, is_own=False)
     wait_s = load.estimate_wait_s(tables, row, now, priority)
     expires_at = compute_prefill_expiry(now, wait_s, tokens, row.prefill_tokens_per_s)
     add_prefill(
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -18,6 +18,7 @@
 from .retries import RetryBudget, make_router_budget
 
 if TYPE_CHECKING:
+    from .admission import AdmissionTable
     from .cache_store import CacheStoreIndex
     from .shedding import LateQueue
     from .transfers import TransferRates
@@ -144,6 +145,8 @@
     uncached_tokens: int
     has_first_token: bool = False
     was_prefilled_alone: bool = False
+    first_token_at: float | None = None
+    is_complete: bool = False
 
 
 @dataclass(slots=True)
@@ -176,6 +179,7 @@
     leaving: LeavingTable = field(default_factory=LeavingTable)
     rests: RestTable = field(default_factory=RestTable)
     named_limits: NamedLimitTable = field(default_factory=NamedLimitTable)
+    admission: AdmissionTable | None = None
 
     @property
     def waiting_count(self) -> int:
--- a/catkintrack/decisions/verdicts.py
+++ b/catkintrack/decisions/verdicts.py
@@ -19,6 +19,7 @@
     RETRY_BUDGET = "retry_budget"
     RESTING = "resting"
     LIMITED = "limited"
+    ADMISSION = "admission"
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,11 +38,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """Refuse a request that has not run; it may be retried after `retry_after_s`."""
+    """Refuse a request that has not run; it may be retried after `retry_after_s`.
+
+    `wait_s` is the estimated wait on which the refusal is based, None if there is none.
+    """
 
     request: ModelRequest
     reason: RefusalReason
     retry_after_s: float
+    wait_s: float | None = None
 
 
 Decision = Dispatch | Refusal
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -88,7 +88,8 @@
 
     `connected_attempts` counts the attempts that reached a replica, `executions` those
     that a replica ran or may have run, `unreachable_attempts` those without a
-    connection.  `has_retry` is set if a retry was taken from the budget for the next
+    connection.  `expected_wait_s` is the wait for which admission refused the call.
+    `has_retry` is set if a retry was taken from the budget for the next
     attempt, `has_unnumbered_event` if the caller has an event without an ID, which a
     replica would repeat, `lacks_line_feed` if it has only the CR of an event's last CRLF.
     `software_version` is the one that the stream must go on at, None if any;
@@ -99,6 +100,7 @@
     arrived_at: float
     first_byte_at: float | None = None
     waited_s: float = 0.0
+    expected_wait_s: float | None = None
     may_have_run: bool = False
     executions: int = 0
     connected_attempts: int = 0
--- a/catkintrack/instance/calls.py
+++ b/catkintrack/instance/calls.py
@@ -293,6 +293,9 @@
             "config": instance.config.revision if instance.config else None,
             "first_byte_s": first_byte_s and round(first_byte_s, 4),
             "waited_s": round(progress.waited_s, 4),
+            "expected_wait_s": progress.expected_wait_s
+            and round(progress.expected_wait_s, 3),
+            "priority": call and call.priority,
             "asked_before_s": call and round(call.arrived_at - call.asked_at, 3),
             "allowed_s": call and round(call.deadline_at - call.arrived_at, 3),
             "cached": progress.cached_tokens,
--- a/catkintrack/instance/dump.py
+++ b/catkintrack/instance/dump.py
@@ -5,8 +5,10 @@
 import time
 from typing import Any
 
+from catkintrack.decisions.decode_pace import estimate_token_s
 from catkintrack.decisions.leaving import has_announced_leaving
 from catkintrack.decisions.named_limits import find_limit
+from catkintrack.decisions.pacing import estimate_own_share, estimate_pacing_s
 from catkintrack.fleet import Upstream
 
 from .peers import list_live_peers
@@ -32,6 +34,25 @@
     }
 
 
+def _describe_admission(instance: Instance, now: float) -> dict[str, Any] | None:
+    """Return what admission estimates, None if it is switched off."""
+    tables = instance.decisions
+    if tables.admission is None:
+        return None
+    return {
+        "token_s": round(estimate_token_s(tables.admission.pace, now), 4),
+        "own_share": round(estimate_own_share(tables, now), 4),
+        "usage": {
+            name: round(usage.read(now))
+            for name, usage in tables.admission.shares.usage_by_workspace.items()
+        },
+        "ahead_s": {
+            name: round(estimate_pacing_s(tables, row, now, 0), 3)
+            for name, row in tables.upstream_by_name.items()
+        },
+    }
+
+
 def dump_instance(instance: Instance) -> dict[str, Any]:
     """Return the instance's view of its feeds, peers, lease, upstreams and limits."""
     now = time.monotonic()
@@ -89,5 +110,6 @@
         },
         "is_cut_off": instance.partition.is_cut_off,
         "waiting": instance.decisions.waiting_count,
+        "admission": _describe_admission(instance, now),
         "store_calls": dict(instance.store.count_by_call),
     }
--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -13,6 +13,7 @@
     clear_stored_blocks,
     remove_stored_blocks,
 )
+from catkintrack.decisions.fleet_shares import record_peer_total
 from catkintrack.decisions.named_limits import confirm_limits
 from catkintrack.decisions.scheduler import (
     record_remote_prefill,
@@ -253,10 +254,20 @@
     if gossip.incarnation < instance.incarnation:
         for workspace, level in gossip.level_by_workspace.items():
             adopt_level(instance.limits, workspace, level, now)
+    admission = instance.decisions.admission
     for workspace, total in gossip.used_by_workspace.items():
         record_peer_usage(
             instance.limits, gossip.instance, gossip.incarnation, workspace, total, now
         )
+        if admission is not None:
+            record_peer_total(
+                admission.shares,
+                gossip.instance,
+                gossip.incarnation,
+                workspace,
+                total,
+                now,
+            )
     if gossip.lease is not None:
         row = gossip.lease
         observe_era(instance.store, row.era, gossip.instance)
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -38,6 +38,7 @@
     peers: Gauge
     relayed_calls: Counter
     is_cut_off: Gauge
+    admission_refusals: Counter
 
 
 def make_instance_metrics() -> InstanceMetrics:
@@ -85,4 +86,8 @@
         peers=gauge("peers_heard", "Peers heard of late."),
         relayed_calls=counter("relayed_calls_total", "Calls served through a peer."),
         is_cut_off=gauge("is_cut_off", "1 while no replica is reached."),
+        admission_refusals=counter(
+            "admission_refusals_total",
+            "Calls that could not be finished in time, by priority and workspace.",
+        ),
     )
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -13,11 +13,13 @@
 from catkintrack.decisions import (
     ModelRequest,
     Refusal,
+    RefusalReason,
     record_answer,
     record_end,
     record_failure,
     record_first_token,
 )
+from catkintrack.decisions.admission import record_completion
 from catkintrack.decisions.cache_store import add_stored_blocks, should_store_prefix
 from catkintrack.decisions.engine_priority import compute_engine_priority
 from catkintrack.decisions.failure_detection import (
@@ -113,6 +115,8 @@
         progress.waited_s += time.monotonic() - queued_at
         if isinstance(decision, Refusal):
             progress.reason = decision.reason.value
+            progress.expected_wait_s = decision.wait_s
+            _count_admission_refusal(instance, call, decision)
             if progress.may_have_run:
                 break
             raise NotServed(progress.reason, decision.retry_after_s)
@@ -161,6 +165,14 @@
     raise NotServed(progress.reason or "no replica can take the call", RETRY_AFTER_S)
 
 
+def _count_admission_refusal(instance: Instance, call: Call, refusal: Refusal) -> None:
+    if refusal.reason is not RefusalReason.ADMISSION:
+        return
+    instance.metrics.admission_refusals.inc(
+        {"priority": str(call.priority), "workspace": refusal.request.workspace}
+    )
+
+
 async def _check_origin(
     instance: Instance, call: Call, progress: CallProgress, name: str
 ) -> None:
@@ -254,6 +266,7 @@
         await report_served(instance, prompt)
 
     async def handle_completion() -> None:
+        record_completion(tables, request.id)
         await report_completed(instance, call)
 
     executions = progress.executions + 1
@@ -391,6 +404,6 @@
         decision.upstream,
         request.blocks,
         decision.uncached_tokens,
-        request.priority,
+        decision.request.priority,
     )
     await broadcast(instance, message)
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -17,8 +17,10 @@
 from returns.result import Failure, Success
 
 from catkintrack.calls import run_ticks
+from catkintrack.decisions.admission import AdmissionTable
+from catkintrack.decisions.fleet_shares import forget_peer_totals
 from catkintrack.decisions.shedding import LateQueue
-from catkintrack.fleet import Site
+from catkintrack.fleet import Feature, Site
 from catkintrack.http import (
     DRAIN_READ_S,
     ByteBudget,
@@ -147,7 +149,10 @@
     # An instance limits retries per service instead.
     instance.decisions.retry_budget = None
     instance.decisions.max_prefill_wait_s = MAX_PREFILL_WAIT_S
-    instance.decisions.late_queue = LateQueue()
+    if Feature.ADMISSION in site.features:
+        instance.decisions.admission = AdmissionTable()
+    else:
+        instance.decisions.late_queue = LateQueue()
     return instance
 
 
@@ -276,6 +281,9 @@
     instance.limits.known_instances = known_count
     instance.limits.report_delay_s = estimate_report_delay_s(instance)
     share_retry_budgets(instance, now)
+    if instance.decisions.admission is not None:
+        known = {peer.instance for peer in instance.peer_by_address.values()}
+        forget_peer_totals(instance.decisions.admission.shares, known)
 
 
 async def _stop(instance: Instance, server: Server) -> None:
