--- a/catkintrack/decisions/admission.py
+++ b/catkintrack/decisions/admission.py
@@ -127,26 +127,37 @@
     table = tables.admission
     if table is None:
         return []
-    ordered = order_requests(tables, now)
-    _update_work(tables, table, ordered, now)
+    _update_work(tables, table, now)
     room_by_kind: dict[RequestKind, Room | None] = {}
     ahead_s_by_model: dict[str, float] = defaultdict(float)
     refusals = []
-    for request in ordered:
-        room = _find_known_room(tables, request, room_by_kind, now)
-        if room is None:
-            continue
+    for request in order_requests(tables, now):
         work_s = table.work_s_by_id[request.id]
-        queued_s = max(0.0, ahead_s_by_model[request.model] - room.spare_s)
-        wait_s = room.begins_in_s + queued_s / room.rate
-        if may_finish(table, request, wait_s + work_s, now):
+        ahead_s = ahead_s_by_model[request.model]
+        room = _find_known_room(tables, request, room_by_kind, now)
+        wait_s = estimate_queue_s(room, ahead_s)
+        is_on_time = request.priority < LATE_PRIORITY_OFFSET
+        if is_on_time and now + wait_s + work_s > request.target_at:
+            # It will wait as a late one does.
+            table.late_ids.add(request.id)
+            late = replace(request, priority=request.priority + LATE_PRIORITY_OFFSET)
+            room = _find_known_room(tables, late, room_by_kind, now)
+            wait_s = estimate_queue_s(room, ahead_s)
+        if room is None or may_finish(table, request, wait_s + work_s, now):
             ahead_s_by_model[request.model] += work_s
             continue
-        request = remove_queued(tables, request)
-        refusals.append(refuse(tables, request, wait_s, work_s / room.rate, now, rng))
+        queued = remove_queued(tables, request)
+        refusals.append(refuse(tables, queued, wait_s, work_s / room.rate, now, rng))
     return refusals
 
 
+def estimate_queue_s(room: Room | None, ahead_s: float) -> float:
+    """Return the time until a request begins with `ahead_s` of work queued before it."""
+    if room is None:
+        return 0.0
+    return room.begins_in_s + max(0.0, ahead_s - room.spare_s) / room.rate
+
+
 def remove_queued(tables: Tables, request: ModelRequest) -> ModelRequest:
     """Remove a request from its queue and return it as it was queued."""
     waiting = ensure_workspace(tables, request.workspace).waiting
@@ -265,19 +276,18 @@
     return max(0.0, tokens / row.prefill_tokens_per_s - tables.max_prefill_wait_s)
 
 
-def _update_work(
-    tables: Tables, table: AdmissionTable, ordered: list[ModelRequest], now: float
-) -> None:
+def _update_work(tables: Tables, table: AdmissionTable, now: float) -> None:
     """Estimate the work of new requests, count them and forget those that are gone."""
     known = table.work_s_by_id
     table.work_s_by_id = {}
-    table.late_ids &= {request.id for request in ordered}
-    for request in ordered:
-        work_s = known.get(request.id)
-        if work_s is None:
-            work_s = _estimate_work_s(tables, request)
-            record_asked(table.floors, request, now)
-        table.work_s_by_id[request.id] = work_s
+    table.late_ids.clear()
+    for row in tables.workspace_by_name.values():
+        for request in row.waiting:
+            work_s = known.get(request.id)
+            if work_s is None:
+                work_s = _estimate_work_s(tables, request)
+                record_asked(table.floors, request, now)
+            table.work_s_by_id[request.id] = work_s
 
 
 def _estimate_work_s(tables: Tables, request: ModelRequest) -> float:
--- a/testkit/storm_fleet.py
+++ b/testkit/storm_fleet.py
@@ -24,6 +24,7 @@
 )
 from catkintrack.decisions.admission import AdmissionTable, record_completion
 from catkintrack.decisions.engine_priority import compute_engine_priority
+from catkintrack.decisions.failure_detection import record_bytes_received
 from catkintrack.decisions.fleet_shares import record_peer_total
 from catkintrack.decisions.shedding import LateQueue
 from catkintrack.decisions.tables import add_upstream
@@ -81,6 +82,7 @@
 class StormReplica:
     """Hold the calls at a replica and the time at which its next step begins."""
 
+    name: str
     calls: list[RunningCall] = field(default_factory=list)
     step_at: float = 0.0
 
@@ -117,7 +119,7 @@
         self, instances: int, replicas: int, has_admission: bool, seed: int = 1
     ) -> None:
         self.rng = Random(seed)
-        self.replica_by_name = {f"u{n}": StormReplica() for n in range(replicas)}
+        self.replica_by_name = {f"u{n}": StormReplica(f"u{n}") for n in range(replicas)}
         self.tables = [
             self._make_tables(instances, has_admission) for _ in range(instances)
         ]
@@ -291,6 +293,7 @@
     def _make_token(self, replica: StormReplica, call: RunningCall, at: float) -> None:
         outcome = self.outcome_by_id[call.request.id]
         tables = self.tables[self.home_by_id[call.request.id]]
+        record_bytes_received(tables.upstream_by_name[replica.name], at)
         if call.tokens_left == call.request.max_tokens:
             outcome.first_token_s = at - outcome.asked_at
             record_first_token(tables, call.request.id, "life", at)
