--- a/catkintrack/decisions/admission.py
+++ b/catkintrack/decisions/admission.py
@@ -43,17 +43,32 @@
 # Least part of the time to return that callers are spread over.
 RETURN_SPREAD = 0.5
 MIN_RETURN_S = 0.05
+# About one tick of the scheduler.
+ROOM_MAX_AGE_S = 0.01
 
 # Model, software version if one is required, and priority.
 RequestKind = tuple[str, str | None, int]
 
 
+@dataclass(frozen=True, slots=True)
+class Room:
+    """Hold the room of a model's replicas for this instance, in seconds of prefills.
+
+    `begins_in_s` is the time until any replica takes a call, `spare_s` the work that they
+    take at once then, and `rate` what they take per second after that.
+    """
+
+    begins_in_s: float
+    spare_s: float
+    rate: float
+
+
 @dataclass(slots=True)
 class AdmissionTable:
     """Hold what admission knows.
 
     `work_s_by_id` holds the estimated prefill work of each queued request, `late_ids`
-    those that no placement serves on time.  `returns_at` is when the fleet has room for the last caller that was refused.
+    those that no placement serves on time, `room_by_kind` the rooms found at `rooms_at`.  `returns_at` is when the fleet has room for the last caller that was refused.
     """
 
     pacing: Pacing = field(default_factory=Pacing)
@@ -62,22 +77,11 @@
     pace: DecodePace = field(default_factory=DecodePace)
     work_s_by_id: dict[str, float] = field(default_factory=dict)
     late_ids: set[str] = field(default_factory=set)
+    room_by_kind: dict[RequestKind, Room | None] = field(default_factory=dict)
+    rooms_at: float = -math.inf
     returns_at: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class Room:
-    """Hold the room of a model's replicas for this instance, in seconds of prefills.
-
-    `begins_in_s` is the time until any replica takes a call, `spare_s` the work that they
-    take at once then, and `rate` what they take per second after that.
-    """
-
-    begins_in_s: float
-    spare_s: float
-    rate: float
-
-
 def order_requests(tables: Tables, now: float) -> list[ModelRequest]:
     """Return the queued requests with their ranks as priorities, the best first.
 
@@ -109,12 +113,17 @@
 
 
 def list_candidates(tables: Tables, now: float, count: int) -> list[ModelRequest]:
-    """Return the first `count` queued requests of each model that may begin now."""
-    room_by_kind: dict[RequestKind, Room | None] = {}
+    """Return the first `count` queued requests of each model.
+
+    Those of a rank for which no replica had room a moment ago are left out.
+    """
+    table = tables.admission
+    assert table is not None
+    _update_work(tables, table, now)
     count_by_model: Counter[str] = Counter()
     candidates = []
     for request in order_requests(tables, now):
-        room = _find_known_room(tables, request, room_by_kind, now)
+        room = _find_fresh_rooms(table, now).get(_find_kind(request))
         has_room = room is None or room.begins_in_s <= 0
         if has_room and count_by_model[request.model] < count:
             count_by_model[request.model] += 1
@@ -125,23 +134,23 @@
 def refuse_unfinishable(tables: Tables, now: float, rng: Random) -> list[Refusal]:
     """Refuse the queued requests that the fleet can't begin and finish in time."""
     table = tables.admission
-    if table is None:
+    if table is None or not any(r.waiting for r in tables.workspace_by_name.values()):
         return []
     _update_work(tables, table, now)
-    room_by_kind: dict[RequestKind, Room | None] = {}
+    table.late_ids.clear()
     ahead_s_by_model: dict[str, float] = defaultdict(float)
     refusals = []
     for request in order_requests(tables, now):
         work_s = table.work_s_by_id[request.id]
         ahead_s = ahead_s_by_model[request.model]
-        room = _find_known_room(tables, request, room_by_kind, now)
+        room = _find_known_room(tables, request, now)
         wait_s = estimate_queue_s(room, ahead_s)
         is_on_time = request.priority < LATE_PRIORITY_OFFSET
         if is_on_time and now + wait_s + work_s > request.target_at:
             # It will wait as a late one does.
             table.late_ids.add(request.id)
             late = replace(request, priority=request.priority + LATE_PRIORITY_OFFSET)
-            room = _find_known_room(tables, late, room_by_kind, now)
+            room = _find_known_room(tables, late, now)
             wait_s = estimate_queue_s(room, ahead_s)
         if room is None or may_finish(table, request, wait_s + work_s, now):
             ahead_s_by_model[request.model] += work_s
@@ -256,18 +265,29 @@
     )
 
 
-def _find_known_room(
-    tables: Tables,
-    request: ModelRequest,
-    room_by_kind: dict[RequestKind, Room | None],
-    now: float,
-) -> Room | None:
-    kind = (request.model, request.software_version, request.priority)
+def _find_known_room(tables: Tables, request: ModelRequest, now: float) -> Room | None:
+    """Return the room for a request, at most ROOM_MAX_AGE_S old."""
+    assert tables.admission is not None
+    room_by_kind = _find_fresh_rooms(tables.admission, now)
+    kind = _find_kind(request)
     if kind not in room_by_kind:
         room_by_kind[kind] = find_room(tables, request, now)
     return room_by_kind[kind]
 
 
+def _find_kind(request: ModelRequest) -> RequestKind:
+    return request.model, request.software_version, request.priority
+
+
+def _find_fresh_rooms(
+    table: AdmissionTable, now: float
+) -> dict[RequestKind, Room | None]:
+    if now - table.rooms_at >= ROOM_MAX_AGE_S:
+        table.room_by_kind = {}
+        table.rooms_at = now
+    return table.room_by_kind
+
+
 def _estimate_excess_s(
     tables: Tables, row: UpstreamRow, request: ModelRequest, now: float
 ) -> float:
@@ -280,7 +300,6 @@
     """Estimate the work of new requests, count them and forget those that are gone."""
     known = table.work_s_by_id
     table.work_s_by_id = {}
-    table.late_ids.clear()
     for row in tables.workspace_by_name.values():
         for request in row.waiting:
             work_s = known.get(request.id)
--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -175,9 +175,9 @@
     decisions += refuse_while_resting(tables, now, rng)
     decisions += refuse_beyond_limits(tables, now, rng)
     decisions += shed_late_requests(tables, now)
-    decisions += admission.refuse_unfinishable(tables, now, rng)
     decisions += dispatch_retries(tables, now, rng, policy)
     decisions += dispatch_waiting(tables, now, rng, policy)
+    decisions += admission.refuse_unfinishable(tables, now, rng)
     return decisions
 
 
--- a/testkit/storm_fleet.py
+++ b/testkit/storm_fleet.py
@@ -267,7 +267,7 @@
 
     def _run_replica(self, name: str, replica: StormReplica, now: float) -> None:
         if name in self.silent:
-            replica.step_at = now
+            replica.step_at = now + 1e-9
         while replica.step_at <= now:
             at = replica.step_at
             for call in [c for c in replica.calls if c.request.deadline <= at]:
