--- a/catkintrack/decisions/admission.py
+++ b/catkintrack/decisions/admission.py
@@ -144,14 +144,14 @@
         work_s = table.work_s_by_id[request.id]
         ahead_s = ahead_s_by_model[request.model]
         room = _find_known_room(tables, request, now)
-        wait_s = estimate_queue_s(room, ahead_s)
+        wait_s = estimate_queue_s(room, ahead_s + work_s)
         is_on_time = request.priority < LATE_PRIORITY_OFFSET
         if is_on_time and now + wait_s + work_s > request.target_at:
             # It will wait as a late one does.
             table.late_ids.add(request.id)
             late = replace(request, priority=request.priority + LATE_PRIORITY_OFFSET)
             room = _find_known_room(tables, late, now)
-            wait_s = estimate_queue_s(room, ahead_s)
+            wait_s = estimate_queue_s(room, ahead_s + work_s)
         if room is None or may_finish(table, request, wait_s + work_s, now):
             ahead_s_by_model[request.model] += work_s
             continue
@@ -160,11 +160,14 @@
     return refusals
 
 
-def estimate_queue_s(room: Room | None, ahead_s: float) -> float:
-    """Return the time until a request begins with `ahead_s` of work queued before it."""
+def estimate_queue_s(room: Room | None, queued_s: float) -> float:
+    """Return the time until a request begins; `queued_s` is its work and that before it.
+
+    While the replicas are full, even the first one waits until it is this instance's turn.
+    """
     if room is None:
         return 0.0
-    return room.begins_in_s + max(0.0, ahead_s - room.spare_s) / room.rate
+    return room.begins_in_s + max(0.0, queued_s - room.spare_s) / room.rate
 
 
 def remove_queued(tables: Tables, request: ModelRequest) -> ModelRequest:
