--- a/catkintrack/decisions/admission.py
+++ b/catkintrack/decisions/admission.py
@@ -19,13 +19,14 @@
 from . import load
 from .decode_pace import DecodePace, estimate_token_s
 from .engine_priority import LATE_PRIORITY_OFFSET, compute_engine_priority
-from .fleet_shares import FleetShares, read_weighted_usage, record_own_usage
+from .fleet_shares import FleetShares, is_over_share, record_own_usage
 from .pacing import (
     MAX_PREFILL_SHARE,
     Pacing,
     estimate_own_share,
     estimate_rate,
     find_spare_s,
+    is_within_pace,
 )
 from .placement import Placement, list_eligible
 from .residency import find_cached_depths
@@ -85,8 +86,9 @@
 def order_requests(tables: Tables, now: float) -> list[ModelRequest]:
     """Return the queued requests with their ranks as priorities, the best first.
 
-    Classes that are served too seldom come first, then better ranks, then the workspaces
-    that used least, then earlier first attempts.
+    Classes that are served too seldom come first.  Within a rank the workspaces within
+    their shares come first, then sizes that differ by less than a factor of 2, then earlier
+    targets, which earlier first attempts have.
     """
     table = tables.admission
     assert table is not None
@@ -94,11 +96,12 @@
     for row in tables.workspace_by_name.values():
         if not row.waiting:
             continue
-        usage = read_weighted_usage(table.shares, row, now)
+        is_over = is_over_share(tables, table.shares, row, now)
         for request in row.waiting:
-            is_below = is_below_floor(table.floors, request, now)
             rank = _find_rank(table, request, now)
-            key = (not is_below, rank, usage, request.target_at)
+            size = request.prompt_tokens.bit_length()
+            is_below = is_below_floor(table.floors, request, now)
+            key = (not is_below, rank, is_over, size, request.target_at)
             keyed.append((key, replace(request, priority=rank)))
     keyed.sort(key=lambda pair: pair[0])
     return [request for _, request in keyed]
@@ -186,6 +189,15 @@
     return now + first_token_s + decode_s <= request.deadline
 
 
+def may_begin(
+    tables: Tables, request: ModelRequest, placement: Placement, now: float
+) -> bool:
+    """Report whether the replica's pace leaves room for the request's own prefill."""
+    row, rank = placement.upstream, request.priority
+    work_s = placement.uncached_tokens / row.prefill_tokens_per_s
+    return is_within_pace(tables, row, work_s, now, rank)
+
+
 def is_placement_refused(
     tables: Tables, request: ModelRequest, placement: Placement, now: float
 ) -> bool:
--- a/catkintrack/decisions/fleet_shares.py
+++ b/catkintrack/decisions/fleet_shares.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 
 from .decay import DecayingSum
-from .tables import ModelRequest, WorkspaceRow
+from .tables import ModelRequest, Tables, WorkspaceRow
 
 # Time constant of the usage that decides on the order.
 SHARE_AVERAGE_S = 4.0
@@ -76,6 +76,24 @@
     return max(0.0, usage.read(now)) / row.weight if usage else 0.0
 
 
+def is_over_share(
+    tables: Tables, shares: FleetShares, row: WorkspaceRow, now: float
+) -> bool:
+    """Report whether a workspace used more than its share of what all used recently."""
+    weight_by_name = {
+        name: tables.workspace_by_name[name].weight
+        if name in tables.workspace_by_name
+        else 1.0
+        for name in shares.usage_by_workspace
+    }
+    usages = shares.usage_by_workspace.values()
+    total = sum(max(0.0, usage.read(now)) for usage in usages)
+    if row.name not in weight_by_name:
+        return False
+    share = total / sum(weight_by_name.values())
+    return read_weighted_usage(shares, row, now) > share
+
+
 def _charge(shares: FleetShares, workspace: str, tokens: float, now: float) -> None:
     usage = shares.usage_by_workspace.get(workspace)
     if usage is None:
--- a/catkintrack/decisions/pacing.py
+++ b/catkintrack/decisions/pacing.py
@@ -77,13 +77,26 @@
     """
     if tables.admission is None:
         return PACING_WINDOW_S
-    window_s = MAX_PREFILL_SHARE * PACING_WINDOW_S
-    if rank > 0:
-        window_s *= 1 - RESERVED_WINDOW_SHARE
+    window_s = _find_window_s(rank)
     meter = tables.admission.pacing.meter_by_upstream.get(row.name)
     return window_s - (_read_level(meter, now) if meter else 0.0)
 
 
+def is_within_pace(
+    tables: Tables, row: UpstreamRow, work_s: float, now: float, rank: int
+) -> bool:
+    """Report whether the replica may get `work_s` now; more than a window needs all of it."""
+    if tables.admission is None:
+        return True
+    needed_s = min(work_s, _find_window_s(rank))
+    return find_spare_s(tables, row, now, rank) >= needed_s
+
+
+def _find_window_s(rank: int) -> float:
+    share = 1.0 if rank <= 0 else 1 - RESERVED_WINDOW_SHARE
+    return MAX_PREFILL_SHARE * PACING_WINDOW_S * share
+
+
 def estimate_pacing_s(tables: Tables, row: UpstreamRow, now: float, rank: int) -> float:
     """Return the seconds until the replica may get another prefill of `rank`."""
     if tables.admission is None:
--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -286,6 +286,7 @@
         must_wait = policy in WINDOWED_POLICIES and (
             placement.is_awaiting
             or not load.has_capacity(tables, placement.upstream, now, request.priority)
+            or not admission.may_begin(tables, request, placement, now)
         )
         if must_wait:
             # Requests behind this one must count it in the upstream's queue.
