--- a/catkintrack/decisions/admission.py
+++ b/catkintrack/decisions/admission.py
@@ -192,7 +192,13 @@
 def may_begin(
     tables: Tables, request: ModelRequest, placement: Placement, now: float
 ) -> bool:
-    """Report whether the replica's pace leaves room for the request's own prefill."""
+    """Report whether the replica's pace leaves room for the request's own prefill.
+
+    Requests of classes that are served too seldom need not fit.
+    """
+    table = tables.admission
+    if table is None or is_below_floor(table.floors, request, now):
+        return True
     row, rank = placement.upstream, request.priority
     work_s = placement.uncached_tokens / row.prefill_tokens_per_s
     return is_within_pace(tables, row, work_s, now, rank)
--- a/catkintrack/decisions/pacing.py
+++ b/catkintrack/decisions/pacing.py
@@ -21,6 +21,8 @@
 PACING_WINDOW_S = 1.0
 # Calls below the top rank leave this part of the window to it.
 RESERVED_WINDOW_SHARE = 0.5
+# Spare work that a call needs, relative to its own: short calls find room before long ones.
+ROOM_PER_WORK = 2.0
 WORK_AVERAGE_S = 2.0
 # Calls of any rank are expected to get this part of the fleet.
 LEAST_RATE_SHARE = 0.05
@@ -88,7 +90,7 @@
     """Report whether the replica may get `work_s` now; more than a window needs all of it."""
     if tables.admission is None:
         return True
-    needed_s = min(work_s, _find_window_s(rank))
+    needed_s = min(ROOM_PER_WORK * work_s, _find_window_s(rank))
     return find_spare_s(tables, row, now, rank) >= needed_s
 
 
--- a/catkintrack/decisions/served_floors.py
+++ b/catkintrack/decisions/served_floors.py
@@ -38,10 +38,10 @@
 
 
 def list_classes(request: ModelRequest) -> tuple[ServedClass, ServedClass]:
-    """Return the request's class by priority and prompt size, and its workspace's."""
+    """Return the request's class by the sizes of prompt and output, and its workspace's."""
     # Sizes of one class differ by a factor below 2.
-    size = request.prompt_tokens.bit_length()
-    return ("size", f"{request.priority}/{size}"), ("workspace", request.workspace)
+    size = request.prompt_tokens.bit_length(), request.max_tokens.bit_length()
+    return ("size", f"{size[0]}/{size[1]}"), ("workspace", request.workspace)
 
 
 def record_asked(floors: ServedFloors, request: ModelRequest, now: float) -> None:
