--- a/catkintrack/decisions/pacing.py
+++ b/catkintrack/decisions/pacing.py
@@ -13,13 +13,15 @@
 from dataclasses import dataclass, field
 
 from .decay import DecayingSum
+from .engine_priority import LATE_PRIORITY_OFFSET
 from .tables import Tables, UpstreamRow
 
 # Share of a replica's time that prefills may take; the rest decodes running streams.
-MAX_PREFILL_SHARE = 0.8
+MAX_PREFILL_SHARE = 0.7
 # Prefills may come this far ahead of their share.
 PACING_WINDOW_S = 1.0
-# Calls below the top rank leave this part of the window to it.
+# Calls below the top rank leave this part of the window to it, late ones again as much
+# to all that are on time.
 RESERVED_WINDOW_SHARE = 0.5
 # Spare work that a call needs, relative to its own: short calls find room before long ones.
 ROOM_PER_WORK = 2.0
@@ -95,7 +97,11 @@
 
 
 def _find_window_s(rank: int) -> float:
-    share = 1.0 if rank <= 0 else 1 - RESERVED_WINDOW_SHARE
+    share = 1.0
+    if rank > 0:
+        share *= 1 - RESERVED_WINDOW_SHARE
+    if rank >= LATE_PRIORITY_OFFSET:
+        share *= 1 - RESERVED_WINDOW_SHARE
     return MAX_PREFILL_SHARE * PACING_WINDOW_S * share
 
 
