--- a/catkintrack/decisions/pacing.py
+++ b/catkintrack/decisions/pacing.py
@@ -13,16 +13,18 @@
 from dataclasses import dataclass, field
 
 from .decay import DecayingSum
-from .engine_priority import LATE_PRIORITY_OFFSET
+from .engine_priority import LATE_PRIORITY_OFFSET, MAX_ON_TIME_PRIORITY
 from .tables import Tables, UpstreamRow
 
 # Share of a replica's time that prefills may take; the rest decodes running streams.
 MAX_PREFILL_SHARE = 0.7
 # Prefills may come this far ahead of their share.
 PACING_WINDOW_S = 1.0
-# Calls below the top rank leave this part of the window to it, late ones again as much
-# to all that are on time.
-RESERVED_WINDOW_SHARE = 0.5
+# Part of the window that calls of the last rank on time leave to better ones; those
+# between leave less.
+RESERVED_WINDOW_SHARE = 0.6
+# Part of the window that late calls may use.
+LATE_WINDOW_SHARE = 0.25
 # Spare work that a call needs, relative to its own: short calls find room before long ones.
 ROOM_PER_WORK = 2.0
 WORK_AVERAGE_S = 2.0
@@ -97,12 +99,10 @@
 
 
 def _find_window_s(rank: int) -> float:
-    share = 1.0
-    if rank > 0:
-        share *= 1 - RESERVED_WINDOW_SHARE
+    window_s = MAX_PREFILL_SHARE * PACING_WINDOW_S
     if rank >= LATE_PRIORITY_OFFSET:
-        share *= 1 - RESERVED_WINDOW_SHARE
-    return MAX_PREFILL_SHARE * PACING_WINDOW_S * share
+        return LATE_WINDOW_SHARE * window_s
+    return window_s * (1 - RESERVED_WINDOW_SHARE * max(0, rank) / MAX_ON_TIME_PRIORITY)
 
 
 def estimate_pacing_s(tables: Tables, row: UpstreamRow, now: float, rank: int) -> float:
