--- a/catkintrack/decisions/admission.py
+++ b/catkintrack/decisions/admission.py
@@ -69,7 +69,8 @@
     """Hold what admission knows.
 
     `work_s_by_id` holds the estimated prefill work of each queued request, `late_ids`
-    those that no placement serves on time, `room_by_kind` the rooms found at `rooms_at`.  `returns_at` is when the fleet has room for the last caller that was refused.
+    those that are expected to begin late, `room_by_kind` the rooms found at `rooms_at`.
+    `returns_at` is when the fleet has room for the last caller that was refused.
     """
 
     pacing: Pacing = field(default_factory=Pacing)
@@ -214,16 +215,15 @@
     )
 
 
-def is_newly_late(
+def rank_as_placed(
     tables: Tables, request: ModelRequest, placement: Placement, now: float
-) -> bool:
-    """Note that a placement misses the target; report whether the rank falls by it."""
-    table = tables.admission
+) -> ModelRequest:
+    """Return the request with a late one's rank if its placement misses the target."""
     is_late = now + placement.first_token_s > request.target_at
-    if table is None or not is_late or request.priority >= LATE_PRIORITY_OFFSET:
-        return False
-    table.late_ids.add(request.id)
-    return True
+    is_ranked_late = request.priority >= LATE_PRIORITY_OFFSET
+    if tables.admission is None or is_ranked_late or not is_late:
+        return request
+    return replace(request, priority=request.priority + LATE_PRIORITY_OFFSET)
 
 
 def refuse(
--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -279,8 +279,7 @@
                 reason = RefusalReason.NO_UPSTREAM
                 return Refusal(request, reason, MIN_RETRY_AFTER_S)
             continue
-        if admission.is_newly_late(tables, request, placement, now):
-            continue
+        request = admission.rank_as_placed(tables, request, placement, now)
         if not include_late and now + placement.first_token_s > request.target_at:
             continue
         must_wait = policy in WINDOWED_POLICIES and (
--- a/catkintrack/decisions/tests/test_admission.py
+++ b/catkintrack/decisions/tests/test_admission.py
@@ -11,6 +11,7 @@
     estimate_token_s,
     record_stream,
 )
+from catkintrack.decisions.engine_priority import LATE_PRIORITY_OFFSET
 from catkintrack.decisions.pacing import (
     MAX_PREFILL_SHARE,
     PACING_WINDOW_S,
@@ -141,6 +142,15 @@
         decisions = tick(tables, drained_at, Random(1), "catkintrack")
         self.assertIsInstance(decisions[0], Dispatch)
 
+    def test_call_that_its_placement_makes_late_is_sent_as_a_late_one(self):
+        """Guards against a call that waits for a better placement than there is."""
+        tables = make_full_tables(backlog_s=0.1)
+        request = make_request("r1", priority=0, prompt_tokens=500)
+        submit(tables, replace(request, target_at=0.1), 0.0)
+        (decision,) = tick(tables, 0.0, Random(1), "catkintrack")
+        self.assertIsInstance(decision, Dispatch)
+        self.assertEqual(decision.request.priority, LATE_PRIORITY_OFFSET)
+
     def test_returns_are_spread_over_a_third_of_the_time_left(self):
         tables = make_full_tables(backlog_s=20.0)
         times = []
