--- a/catkintrack/decisions/refusing.py
+++ b/catkintrack/decisions/refusing.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from .named_limits import TokenSupply, compute_wait_s, find_supply
+from .placement import may_run
 from .rest import choose_return_s, find_earliest_return
 from .shedding import (
     choose_retry_after_s,
@@ -113,6 +114,20 @@
     return row.is_leaving or row.has_announced_leaving
 
 
+def is_served_anywhere(tables: Tables, request: ModelRequest) -> bool:
+    """Report whether an upstream may run the request, even if it is not eligible now."""
+    return any(
+        may_run(row, request) and not is_leaving(row)
+        for row in tables.upstream_by_name.values()
+    )
+
+
+def is_version_gone(tables: Tables, request: ModelRequest) -> bool:
+    """Report whether no upstream has the software version that a stream began at."""
+    has_version = request.software_version is not None
+    return has_version and not is_served_anywhere(tables, request)
+
+
 def shed_late_requests(tables: Tables, now: float) -> list[Refusal]:
     """Refuse the late requests that would be dispatched after their deadline."""
     queue = tables.late_queue
--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -17,7 +17,7 @@
 from .deadlines import bound_deadline
 from .fairness import charge_workspace, compute_cost, order_workspaces
 from .named_limits import reserve_token
-from .placement import POLICY_BY_NAME, WINDOWED_POLICIES, Placement, may_run
+from .placement import POLICY_BY_NAME, WINDOWED_POLICIES, Placement
 from .prefills import (
     Prefill,
     add_prefill,
@@ -28,7 +28,8 @@
 )
 from .refusing import (
     is_late,
-    is_leaving,
+    is_served_anywhere,
+    is_version_gone,
     predict_wait_s,
     refuse_beyond_limits,
     refuse_expired,
@@ -195,7 +196,7 @@
             placement = POLICY_BY_NAME[policy](tables, unrestricted, now, rng)
         if placement is not None:
             decisions.append(_dispatch(tables, request, placement, now))
-        elif now >= request.deadline or _is_version_gone(tables, request):
+        elif now >= request.deadline or is_version_gone(tables, request):
             reason = RefusalReason.NO_UPSTREAM
             decisions.append(Refusal(request, reason, MIN_RETRY_AFTER_S))
         else:
@@ -274,7 +275,7 @@
         row = ensure_workspace(tables, request.workspace)
         placement = POLICY_BY_NAME[policy](tables, request, now, rng)
         if placement is None:
-            if not _is_served_anywhere(tables, request):
+            if not is_served_anywhere(tables, request):
                 admission.remove_queued(tables, request)
                 reason = RefusalReason.NO_UPSTREAM
                 return Refusal(request, reason, MIN_RETRY_AFTER_S)
@@ -306,20 +307,6 @@
     return None
 
 
-def _is_served_anywhere(tables: Tables, request: ModelRequest) -> bool:
-    """Report whether an upstream may run the request, even if it is not eligible now."""
-    return any(
-        may_run(row, request) and not is_leaving(row)
-        for row in tables.upstream_by_name.values()
-    )
-
-
-def _is_version_gone(tables: Tables, request: ModelRequest) -> bool:
-    """Report whether no upstream has the software version that a stream began at."""
-    has_version = request.software_version is not None
-    return has_version and not _is_served_anywhere(tables, request)
-
-
 def _record_interval(row: WorkspaceRow, now: float) -> None:
     """Update the mean interval between dispatches from the workspace's backlog."""
     if row.last_backlog_dispatch_at is None:
