--- a/catkintrack/decisions/admission.py
+++ b/catkintrack/decisions/admission.py
@@ -19,7 +19,12 @@
 from . import load
 from .decode_pace import DecodePace, estimate_token_s
 from .engine_priority import LATE_PRIORITY_OFFSET, compute_engine_priority
-from .fleet_shares import FleetShares, is_over_share, record_own_usage
+from .fleet_shares import (
+    FleetShares,
+    compute_mean_usage,
+    read_weighted_usage,
+    record_own_usage,
+)
 from .pacing import (
     MAX_PREFILL_SHARE,
     Pacing,
@@ -93,19 +98,29 @@
     """
     table = tables.admission
     assert table is not None
-    keyed = []
-    for row in tables.workspace_by_name.values():
-        if not row.waiting:
-            continue
-        is_over = is_over_share(tables, table.shares, row, now)
-        for request in row.waiting:
-            rank = _find_rank(table, request, now)
-            size = request.prompt_tokens.bit_length()
-            is_below = is_below_floor(table.floors, request, now)
-            key = (not is_below, rank, is_over, size, request.target_at)
-            keyed.append((key, replace(request, priority=rank)))
-    keyed.sort(key=lambda pair: pair[0])
-    return [request for _, request in keyed]
+    rows = [row for row in tables.workspace_by_name.values() if row.waiting]
+    ranked = [
+        replace(request, priority=_find_rank(table, request, now))
+        for row in rows
+        for request in row.waiting
+    ]
+    if len(ranked) <= 1:
+        return ranked
+    share = compute_mean_usage(tables, table.shares, now)
+    is_over_by_name = {
+        row.name: read_weighted_usage(table.shares, row, now) > share for row in rows
+    }
+
+    def make_key(request: ModelRequest) -> tuple[bool, int, bool, int, float]:
+        return (
+            not is_below_floor(table.floors, request, now),
+            request.priority,
+            is_over_by_name[request.workspace],
+            request.prompt_tokens.bit_length(),
+            request.target_at,
+        )
+
+    return sorted(ranked, key=make_key)
 
 
 def _find_rank(table: AdmissionTable, request: ModelRequest, now: float) -> int:
--- a/catkintrack/decisions/fleet_shares.py
+++ b/catkintrack/decisions/fleet_shares.py
@@ -76,22 +76,17 @@
     return max(0.0, usage.read(now)) / row.weight if usage else 0.0
 
 
-def is_over_share(
-    tables: Tables, shares: FleetShares, row: WorkspaceRow, now: float
-) -> bool:
-    """Report whether a workspace used more than its share of what all used recently."""
-    weight_by_name = {
-        name: tables.workspace_by_name[name].weight
-        if name in tables.workspace_by_name
-        else 1.0
-        for name in shares.usage_by_workspace
-    }
-    usages = shares.usage_by_workspace.values()
-    total = sum(max(0.0, usage.read(now)) for usage in usages)
-    if row.name not in weight_by_name:
-        return False
-    share = total / sum(weight_by_name.values())
-    return read_weighted_usage(shares, row, now) > share
+def compute_mean_usage(tables: Tables, shares: FleetShares, now: float) -> float:
+    """Return the recent usage in tokens per weight of all workspaces that have any.
+
+    A workspace that used more than that is over its share.
+    """
+    rows = tables.workspace_by_name
+    total = weights = 0.0
+    for name, usage in shares.usage_by_workspace.items():
+        total += max(0.0, usage.read(now))
+        weights += rows[name].weight if name in rows else 1.0
+    return total / weights if weights else 0.0
 
 
 def _charge(shares: FleetShares, workspace: str, tokens: float, now: float) -> None:
--- a/catkintrack/decisions/pacing.py
+++ b/catkintrack/decisions/pacing.py
@@ -19,7 +19,7 @@
 # Share of a replica's time that prefills may take; the rest decodes running streams.
 MAX_PREFILL_SHARE = 0.7
 # Prefills may come this far ahead of their share.
-PACING_WINDOW_S = 1.0
+PACING_WINDOW_S = 0.6
 # Part of the window that calls of the last rank on time leave to better ones; those
 # between leave less.
 RESERVED_WINDOW_SHARE = 0.6
