--- a/catkintrack/decisions/admission.py
+++ b/catkintrack/decisions/admission.py
@@ -289,9 +289,9 @@
         return None
     own_share = estimate_own_share(tables, now)
     spare_s = [find_spare_s(tables, row, now, request.priority) for row in rows]
+    # The backlog drains while the replica's pace holds calls back.
     begins_in_s = min(
-        max(-spare, 0.0) / MAX_PREFILL_SHARE
-        + _estimate_excess_s(tables, row, request, now)
+        max(-spare / MAX_PREFILL_SHARE, _estimate_excess_s(tables, row, request, now))
         for spare, row in zip(spare_s, rows, strict=True)
     )
     return Room(
--- a/catkintrack/decisions/load.py
+++ b/catkintrack/decisions/load.py
@@ -64,7 +64,7 @@
     prefill_s = (
         estimate_prefill_tokens(tables, row, now, priority) / row.prefill_tokens_per_s
     )
-    prefill_s += estimate_pacing_s(tables, row, now, priority)
+    prefill_s = max(prefill_s, estimate_pacing_s(tables, row, now, priority))
     excess = estimate_running(row, now) + row.queued_count + 1 - row.max_running
     if excess <= 0:
         return prefill_s
