--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -18,6 +18,7 @@
 from .retries import RetryBudget, make_router_budget
 
 if TYPE_CHECKING:
+    from .admission import AdmissionTable
     from .cache_store import CacheStoreIndex
     from .shedding import LateQueue
     from .transfers import TransferRates
@@ -145,6 +146,8 @@
     uncached_tokens: int
     has_first_token: bool = False
     was_prefilled_alone: bool = False
+    first_token_at: float | None = None
+    is_complete: bool = False
 
 
 @dataclass(slots=True)
@@ -179,6 +182,7 @@
     named_limits: NamedLimitTable = field(default_factory=NamedLimitTable)
     zones: ZoneTable | None = None
     has_uneven_replicas: bool = False
+    admission: AdmissionTable | None = None
 
     @property
     def cache_store(self) -> CacheStoreIndex | None:
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -40,6 +40,7 @@
     is_cut_off: Gauge
     zone_calls: Counter
     zone_share: Gauge
+    admission_refusals: Counter
 
 
 def make_instance_metrics() -> InstanceMetrics:
@@ -93,4 +94,8 @@
         zone_share=gauge(
             "zone_share", "Share of calls that may leave, by service and zone."
         ),
+        admission_refusals=counter(
+            "admission_refusals_total",
+            "Calls that could not be finished in time, by priority and workspace.",
+        ),
     )
