--- a/catkintrack/http/client.py
+++ b/catkintrack/http/client.py
@@ -12,7 +12,12 @@
 
 from catkintrack.timeouts import call_within
 
-from .errors import SendForbidden, UpstreamDisconnected, UpstreamUnreachable
+from .errors import (
+    SendForbidden,
+    UpstreamDisconnected,
+    UpstreamUnreachable,
+    describe_error,
+)
 from .exchange import DEFAULT_MAX_BODY_BYTES, Address, Exchange
 from .held_bytes import ByteBudget, hold_bytes
 from .messages import Request, ResponseHead
@@ -175,7 +180,7 @@
     except (OSError, curio.TaskTimeout) as error:
         await sock.close()
         record_lost(pool, address)
-        raise UpstreamUnreachable(str(error) or "connect timed out") from error
+        raise UpstreamUnreachable(f"connect: {describe_error(error)}") from error
     except BaseException:
         await sock.close()
         raise
--- a/catkintrack/http/errors.py
+++ b/catkintrack/http/errors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import curio
+
 # Longer reasons quote what the peer sent.
 MAX_REASON_CHARS = 200
 
@@ -63,7 +65,10 @@
 
 def describe_error(error: Exception) -> str:
     """Return an error's message, cut where it quotes what the peer sent at length."""
-    text = str(error)
+    if isinstance(error, curio.TaskTimeout):
+        # Its own text is a value of the clock.
+        return "the time limit has passed"
+    text = str(error) or type(error).__name__
     if len(text) <= MAX_REASON_CHARS:
         return text
     return f"{text[:MAX_REASON_CHARS]}..."
