--- a/catkintrack/http/connections.py
+++ b/catkintrack/http/connections.py
@@ -12,10 +12,10 @@
 
 from catkintrack.timeouts import call_within
 
-from .errors import CallerDisconnected
+from .errors import CallerDisconnected, describe_error
 from .held_bytes import ByteBudget, HeldBytes
 from .messages import Headers
-from .peeking import peek
+from .peeking import has_ended, peek
 
 # Value of SO_LINGER that makes a close reset the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -144,7 +144,11 @@
 
     def has_caller_disconnected(self) -> bool:
         """Report whether the caller has closed its side of the connection."""
-        return peek(self.sock) == b""
+        return has_ended(self.sock)
+
+    def is_abandoned(self) -> bool:
+        """Report whether the caller has closed, where that ends its request."""
+        return self.server.cancels_on_disconnect and self.has_caller_disconnected()
 
     async def send_event(self, event: h11.Event) -> None:
         """Send a part of a response; raise CallerDisconnected if that fails."""
@@ -173,5 +177,5 @@
         try:
             await call_within(timeout_s, self.sock.sendall, data)
         except (OSError, curio.TaskTimeout) as error:
-            raise CallerDisconnected(str(error)) from error
+            raise CallerDisconnected(describe_error(error)) from error
         self.has_partial_send = False
--- a/catkintrack/http/messages.py
+++ b/catkintrack/http/messages.py
@@ -26,12 +26,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """Represent a request with its complete body."""
+    """Represent a request with its complete body.
+
+    `arrived_at` is when a caller's request had arrived at this process, in seconds of the
+    monotonic clock, which may be long before it was read.
+    """
 
     method: bytes
     target: bytes
     headers: Headers
     body: bytes = b""
+    arrived_at: float | None = None
 
     @property
     def path(self) -> str:
--- a/catkintrack/http/request_reading.py
+++ b/catkintrack/http/request_reading.py
@@ -9,10 +9,12 @@
 
 from catkintrack.timeouts import call_within, timeout_after
 
+from .arrivals import estimate_arrival, find_received_s_ago
 from .connections import Connection, ServerLimits
 from .errors import BadRequest, describe_error
 from .held_bytes import BodyBuffer, add_part, collect_body, may_hold
 from .messages import Headers, Request
+from .peeking import read_tcp_info
 from .turns import Turn, take_step
 
 READ_SIZE_BYTES = 65536
@@ -38,7 +40,9 @@
             body = await _read_body(connection, limits)
     except curio.TaskTimeout as error:
         raise BadRequest(408, "slow_body", "request body took too long") from error
-    return Request(head.method, head.target, headers, body)
+    received_s_ago = find_received_s_ago(read_tcp_info(connection.sock))
+    arrived_at = estimate_arrival(received_s_ago, time.monotonic())
+    return Request(head.method, head.target, headers, body, arrived_at)
 
 
 async def _read_head(connection: Connection) -> h11.Request | None:
--- /dev/null
+++ b/catkintrack/http/tests/test_arrivals.py
@@ -0,0 +1,91 @@
+"""Estimate arrivals from what the kernel records of a connection.
+
+The load: a process that reads late, by milliseconds when busy, by seconds when stopped.
+"""
+
+import socket
+import struct
+import time
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from catkintrack.http.arrivals import (
+    CLOCK_STEP_S,
+    LAST_DATA_RECEIVED_OFFSET,
+    TCP_INFO_BYTES,
+    estimate_arrival,
+    find_received_s_ago,
+    has_peer_closed,
+)
+
+ESTABLISHED = 1
+CLOSE_WAIT = 8
+
+
+def make_tcp_info(state=ESTABLISHED, received_ms_ago=0):
+    info = bytearray(TCP_INFO_BYTES)
+    info[0] = state
+    struct.pack_into("=I", info, LAST_DATA_RECEIVED_OFFSET, received_ms_ago)
+    return bytes(info)
+
+
+def read_real_info(sock):
+    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+
+
+class ArrivalTest(unittest.TestCase):
+    def test_late_read_counts_from_the_arrival(self):
+        received_s_ago = find_received_s_ago(make_tcp_info(received_ms_ago=3000))
+        self.assertAlmostEqual(
+            estimate_arrival(received_s_ago, 100.0), 97.0 + CLOCK_STEP_S
+        )
+
+    def test_short_wait_of_a_busy_loop_costs_at_most_itself(self):
+        received_s_ago = find_received_s_ago(make_tcp_info(received_ms_ago=20))
+        self.assertGreaterEqual(estimate_arrival(received_s_ago, 100.0), 99.98)
+
+    def test_without_a_record_the_read_counts(self):
+        self.assertIsNone(find_received_s_ago(b""))
+        self.assertEqual(estimate_arrival(None, 100.0), 100.0)
+        self.assertFalse(has_peer_closed(b""))
+
+    @given(st.integers(0, 2**32 - 1), st.floats(0.0, 1e9))
+    def test_estimate_is_never_after_the_read(self, received_ms_ago, read_at):
+        received_s_ago = find_received_s_ago(
+            make_tcp_info(received_ms_ago=received_ms_ago)
+        )
+        arrived_at = estimate_arrival(received_s_ago, read_at)
+        self.assertLessEqual(arrived_at, read_at)
+        self.assertGreaterEqual(arrived_at, read_at - received_ms_ago / 1e3 - 1e-6)
+
+    def test_closed_peers_are_told_from_open_ones(self):
+        self.assertFalse(has_peer_closed(make_tcp_info(ESTABLISHED)))
+        self.assertTrue(has_peer_closed(make_tcp_info(CLOSE_WAIT)))
+
+
+class KernelRecordTest(unittest.TestCase):
+    """Check the offsets against the kernel, on a connection that is accepted late."""
+
+    def test_wait_in_the_accept_queue_and_close_behind_data(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            caller = socket.create_connection(listener.getsockname())
+            caller.sendall(b"request")
+            sent_at = time.monotonic()
+            time.sleep(0.4)
+            accepted, _ = listener.accept()
+            with accepted:
+                info = read_real_info(accepted)
+                arrived_at = estimate_arrival(
+                    find_received_s_ago(info), time.monotonic()
+                )
+                self.assertAlmostEqual(arrived_at, sent_at, delta=0.1)
+                self.assertFalse(has_peer_closed(info))
+                caller.close()
+                time.sleep(0.05)
+                self.assertTrue(has_peer_closed(read_real_info(accepted)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -34,14 +34,13 @@
     parse_response_headers,
 )
 
+from .late_calls import bound_dispatch, check_caller_waits, check_time_left
 from .lives import confirm_life
 from .partitions import record_contact
 from .replica_signals import admit, apply_signals, may_send
 from .state import Instance
 from .stream_events import EventSplitter, open_splitter
 
-# A replica's deadline is this much before the caller's, so that it stops in time.
-DEADLINE_MARGIN_S = 0.02
 # Interval at which an attempt that receives no data is checked for abandonment.
 ABANDON_CHECK_INTERVAL_S = 0.2
 REJECTION_BODY_TIMEOUT_S = 0.2
@@ -94,6 +93,7 @@
     `software_version` is the one that the stream must go on at, None if any;
     `is_version_confirmed` is set if the replica itself reported its incarnation.  `held`
     counts the bodies that are kept after their exchange, until the call ends.
+    `read_after_s` is how long the call waited to be read.
     """
 
     arrived_at: float
@@ -113,6 +113,7 @@
     attempts: list[dict[str, Any]] = field(default_factory=list)
     reason: str = ""
     held: HeldBytes = field(default_factory=HeldBytes)
+    read_after_s: float = 0.0
 
     def complete_line_end(self, data: bytes) -> bytes:
         """Return a stream's next bytes, with the LF of a CRLF that the caller lacks."""
@@ -179,7 +180,9 @@
     """Run a call on one replica and forward the response.
 
     Raise ReplicaUnavailable, ReplicaRejected, UpstreamUnreachable,
-    UpstreamExchangeError or, if `raises_server_errors`, ReplicaErrorResponse.
+    UpstreamExchangeError or, if `raises_server_errors`, ReplicaErrorResponse.  Nothing is
+    sent if the caller has closed or the deadline has passed: raise CallerDisconnected,
+    Expired or TimedOut.
     """
     if not may_send(instance, upstream, time.monotonic()):
         raise ReplicaUnavailable("the replica accepts nothing new")
@@ -191,6 +194,8 @@
             if not await confirm_life(instance, upstream, exchange, is_resumption):
                 raise ReplicaUnavailable("the replica may have started again")
             progress.is_version_confirmed = exchange.peer_incarnation is not None
+        check_caller_waits(connection)
+        check_time_left(call, progress.may_have_run, time.monotonic())
         # Another answer may have arrived while the connection was opened.
         if not admit(instance, upstream, time.monotonic()):
             raise ReplicaUnavailable("the replica accepts nothing new")
@@ -199,6 +204,7 @@
         progress.connected_attempts += 1
         progress.has_retry = False
         sent_at = time.monotonic()
+        dispatch = bound_dispatch(dispatch, call, sent_at)
         await exchange.send(make_upstream_request(call, dispatch))
         bounds = make_stream_bounds(call, exchange.max_body_bytes)
         head = await _read_unless_abandoned(bounds, callbacks, exchange.read_head)
--- a/catkintrack/instance/calls.py
+++ b/catkintrack/instance/calls.py
@@ -20,6 +20,7 @@
 from .clocks import read_boot_clock
 from .ending_calls import register_call
 from .gossip import is_store_heard
+from .late_calls import check_caller_waits, check_time_left
 from .model_calls import serve_model_call
 from .pauses import limit_after_own_pause
 from .peers import list_live_peers
@@ -54,8 +55,12 @@
     instance: Instance, request: Request, connection: Connection
 ) -> None:
     """Serve a request and log its outcome."""
+    read_at = time.monotonic()
+    arrived_at = read_at if request.arrived_at is None else request.arrived_at
+    instance.metrics.read_delay_seconds.observe({}, read_at - arrived_at)
     with hold_bytes(instance.pool.budget) as held:
-        progress = CallProgress(time.monotonic(), held=held)
+        progress = CallProgress(arrived_at, held=held)
+        progress.read_after_s = read_at - arrived_at
         await _handle_call(instance, request, progress, connection)
 
 
@@ -69,9 +74,11 @@
     request_id = b""
     outcome = "served"
     try:
+        check_caller_waits(connection)
         fields = _parse_request(request)
         request_id = fields.id
-        call = make_call(instance, request, fields, progress.arrived_at)
+        call = make_call(instance, request, fields, time.monotonic())
+        check_time_left(call, progress.may_have_run, time.monotonic())
         async with register_call(instance, call, progress, connection):
             await _serve_before_deadline(instance, call, progress, connection)
     except CallError as error:
@@ -106,12 +113,16 @@
 def make_call(
     instance: Instance, request: Request, fields: RequestFields, now: float
 ) -> Call:
-    """Return the request as a `Call`; raise CallError if it is rejected."""
+    """Return the request as a `Call`; raise CallError if it is rejected.
+
+    Its time runs from its arrival, which may be before `now`.
+    """
     config = instance.config
     if config is None:
         raise NotServed("no configuration is known yet", CONFIG_RETRY_AFTER_S)
     route = _find_route(instance, config, fields, request.path, now)
     workspace = _authenticate(instance, config, route, fields, now)
+    arrived_at = now if request.arrived_at is None else request.arrived_at
     timeout_s = route.timeout_s
     if fields.deadline_s is not None:
         timeout_s = min(timeout_s, fields.deadline_s)
@@ -123,13 +134,13 @@
         body=request.body,
         route=route,
         workspace=workspace,
-        arrived_at=now,
-        deadline_at=min(now + timeout_s, instance.calls_end_at),
+        arrived_at=arrived_at,
+        deadline_at=min(arrived_at + timeout_s, instance.calls_end_at),
         prompt=fields.prompt,
         last_event_id=fields.last_event_id,
         resumed_id=fields.resumed_id,
         service=choose_service(route, instance.rng),
-        asked_at=_estimate_asked_at(instance, route, fields, now),
+        asked_at=_estimate_asked_at(instance, route, fields, arrived_at),
     )
 
 
@@ -298,6 +309,7 @@
             "cached": progress.cached_tokens,
             "prompt": call.prompt.prompt_tokens if call and call.prompt else None,
             "may_have_run": progress.may_have_run,
+            "read_after_s": round(progress.read_after_s, 4),
             "duration_s": round(now - progress.arrived_at, 4),
         },
     )
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -18,6 +18,7 @@
     registry: Registry
     requests: Counter
     first_byte_seconds: Histogram
+    read_delay_seconds: Histogram
     retries: Counter
     retry_budget: Gauge
     resumed_streams: Counter
@@ -53,6 +54,12 @@
             registry=registry,
             buckets=(*SECONDS_BUCKETS, float("inf")),
         ),
+        read_delay_seconds=Histogram(
+            "catkintrack_read_delay_seconds",
+            "Time that calls waited to be read after they had arrived.",
+            registry=registry,
+            buckets=(*SECONDS_BUCKETS, float("inf")),
+        ),
         retries=counter(
             "retries_total", "Retries by service and outcome: allowed, refused."
         ),
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -39,7 +39,6 @@
 from catkintrack.platform import Dispatch, ResponseFields
 
 from .attempts import (
-    DEADLINE_MARGIN_S,
     AttemptCallbacks,
     CallProgress,
     ReplicaRejected,
@@ -50,6 +49,7 @@
 from .broadcasting import broadcast
 from .fleet_state import apply_replica_weights
 from .health import log_ejection
+from .late_calls import DEADLINE_MARGIN_S
 from .lives import has_other_life
 from .messages import PrefillBegun, PrefillEnded
 from .prompts import hash_prompt_blocks, make_cache_salt
--- a/catkintrack/instance/refusals.py
+++ b/catkintrack/instance/refusals.py
@@ -69,6 +69,13 @@
     code = "crashing_call"
 
 
+class Expired(CallError):
+    """Reject a call that was read or placed after its deadline; no replica ran it."""
+
+    status = 503
+    code = "expired"
+
+
 class OutcomeUnknown(CallError):
     """Report that a request failed after a replica may have run it."""
 
--- a/catkintrack/instance/relaying.py
+++ b/catkintrack/instance/relaying.py
@@ -27,6 +27,7 @@
 )
 
 from .attempts import CallProgress, check_response
+from .late_calls import check_caller_waits, check_time_left
 from .peers import list_live_peers
 from .refusals import OutcomeUnknown
 from .state import Instance, Peer
@@ -71,7 +72,10 @@
             async with open_exchange(
                 instance.pool, Address(peer.host, port), force_new=True
             ) as exchange:
+                check_caller_waits(connection)
+                check_time_left(call, progress.may_have_run, time.monotonic())
                 progress.may_have_run = True
+                remaining_s = call.deadline_at - time.monotonic() - DEADLINE_MARGIN_S
                 await exchange.send(make_relayed_request(call, remaining_s))
                 status = await _forward_answer(call, progress, exchange, connection)
         except UpstreamUnreachable as error:
--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -30,7 +30,6 @@
 from catkintrack.timeouts import timeout_after
 
 from .attempts import (
-    DEADLINE_MARGIN_S,
     AttemptCallbacks,
     CallProgress,
     ReplicaErrorResponse,
@@ -40,6 +39,7 @@
     run_attempt,
 )
 from .health import record_replica_failure
+from .late_calls import DEADLINE_MARGIN_S
 from .quarantining import (
     check_quarantine,
     record_given_up,
--- a/testkit/recording.py
+++ b/testkit/recording.py
@@ -15,6 +15,10 @@
         self.is_finished = False
         self.received = b""
 
+    def is_abandoned(self) -> bool:
+        """Report that the caller waits."""
+        return False
+
     async def start_response(self, status: int, headers: Headers) -> None:
         """Record that the response has started."""
         self.has_response_started = True
