--- a/catkintrack/http/__init__.py
+++ b/catkintrack/http/__init__.py
@@ -13,6 +13,7 @@
 from .errors import (
     BadRequest,
     CallerDisconnected,
+    CallerTooSlow,
     HttpError,
     ResponseMemoryExhausted,
     SendForbidden,
@@ -45,6 +46,7 @@
     find_header,
     strip_hop_by_hop_headers,
 )
+from .outboxes import ReaderCallbacks
 from .request_reading import DRAIN_READ_S
 from .server import (
     BadRequestHandler,
@@ -68,6 +70,7 @@
     "BodyBuffer",
     "ByteBudget",
     "CallerDisconnected",
+    "CallerTooSlow",
     "ClientLimits",
     "EventBuffer",
     "Connection",
@@ -78,6 +81,7 @@
     "HttpError",
     "Pool",
     "RESET_ON_CLOSE",
+    "ReaderCallbacks",
     "Request",
     "ResponseHead",
     "ResponseMemoryExhausted",
--- a/catkintrack/http/connections.py
+++ b/catkintrack/http/connections.py
@@ -15,6 +15,7 @@
 from .errors import CallerDisconnected, describe_error
 from .held_bytes import ByteBudget, HeldBytes
 from .messages import Headers
+from .outboxes import Outbox, ReaderCallbacks, send_all_held, send_or_hold
 from .peeking import has_ended, peek
 
 # Value of SO_LINGER that makes a close reset the connection.
@@ -35,6 +36,8 @@
     body_timeout_s: float = 30.0
     idle_timeout_s: float = 75.0
     write_timeout_s: float = 30.0
+    # What the system holds of responses, None for its own choice.
+    send_buffer_bytes: int | None = None
 
 
 @dataclass(slots=True)
@@ -77,6 +80,19 @@
         self.request_id: bytes | None = None
         self.task: curio.Task | None = None
         self.held = HeldBytes(server.budget)
+        # Holds the response's bytes that the caller has not taken; None to wait for it.
+        self.outbox: Outbox | None = None
+        self.has_dropped_output = False
+
+    def hold_output(self, callbacks: ReaderCallbacks) -> None:
+        """Hold the current response's bytes for a slow caller as `callbacks` decide."""
+        self.outbox = Outbox(self.sock, callbacks)
+
+    def drop_output(self) -> None:
+        """Hold nothing any more; a response that is not sent completely is cut."""
+        if self.outbox is not None and (self.outbox.data or self.has_partial_send):
+            self.has_partial_send = self.has_dropped_output = True
+        self.outbox = None
 
     async def start_response(self, status: int, headers: Headers) -> None:
         """Send the status line and headers."""
@@ -100,6 +116,8 @@
     async def finish_response(self) -> None:
         """Send the end of the body."""
         await self.send_event(h11.EndOfMessage())
+        if self.outbox is not None:
+            await self._send_held(self.outbox)
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response with its content length.
@@ -128,7 +146,9 @@
             return
         is_cut = self.has_response_started and self.h11.our_state in CUT_STATES
         # HTTP/1.0 callers know no chunks: without a length, the close is the end.
-        if is_cut and self.h11.their_http_version == b"1.0":
+        is_misread = is_cut and self.h11.their_http_version == b"1.0"
+        # The system would hold what it has not sent for a caller that does not read.
+        if is_misread or self.has_dropped_output:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         await self.sock.close()
 
@@ -161,6 +181,9 @@
             raise CallerDisconnected(str(error)) from error
         if not data:
             return
+        if self.outbox is not None:
+            await self._send_or_hold(self.outbox, data)
+            return
         try:
             # Data that fits the socket buffer is sent without the cost of a timer.
             sent = self.sock._socket.send(data)
@@ -171,6 +194,22 @@
         if sent < len(data):
             await self._send_remaining(data[sent:])
 
+    async def _send_or_hold(self, outbox: Outbox, data: bytes) -> None:
+        self.has_partial_send = True
+        try:
+            await send_or_hold(outbox, data)
+        except OSError as error:
+            raise CallerDisconnected(describe_error(error)) from error
+        self.has_partial_send = False
+
+    async def _send_held(self, outbox: Outbox) -> None:
+        self.has_partial_send = True
+        try:
+            await send_all_held(outbox)
+        except OSError as error:
+            raise CallerDisconnected(describe_error(error)) from error
+        self.has_partial_send = False
+
     async def _send_remaining(self, data: bytes) -> None:
         timeout_s = self.server.limits.write_timeout_s
         self.has_partial_send = True
--- a/catkintrack/http/errors.py
+++ b/catkintrack/http/errors.py
@@ -32,6 +32,10 @@
     """Report that the caller closed the connection or stopped reading the response."""
 
 
+class CallerTooSlow(CallerDisconnected):
+    """Report that a caller was given up, since it reads too slowly or not at all."""
+
+
 class UpstreamUnreachable(HttpError):
     """Report that no byte of the request can have reached the upstream."""
 
--- a/catkintrack/http/server.py
+++ b/catkintrack/http/server.py
@@ -151,6 +151,9 @@
         await caller_sock.close()
         return
     caller_sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    send_buffer_bytes = server.limits.send_buffer_bytes
+    if send_buffer_bytes is not None:
+        caller_sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes)
     connection = Connection(server, caller_sock)
     server.connections.add(connection)
     serve = _serve_connection(connection, handler, on_bad_request)
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
+from catkintrack.decisions.slow_readers import SlowReader
 from catkintrack.fleet import Call, Upstream
 from catkintrack.http import (
     Connection,
@@ -38,6 +39,7 @@
 from .lives import confirm_life
 from .partitions import record_contact
 from .replica_signals import admit, apply_signals, may_send
+from .slow_readers import read_from
 from .state import Instance
 from .stream_events import EventSplitter, open_splitter
 
@@ -93,7 +95,8 @@
     `software_version` is the one that the stream must go on at, None if any;
     `is_version_confirmed` is set if the replica itself reported its incarnation.  `held`
     counts the bodies that are kept after their exchange, until the call ends.
-    `read_after_s` is how long the call waited to be read.
+    `read_after_s` is how long the call waited to be read.  `reader` tracks what is held
+    for a caller that reads slowly, None where that is not switched on.
     """
 
     arrived_at: float
@@ -114,6 +117,7 @@
     reason: str = ""
     held: HeldBytes = field(default_factory=HeldBytes)
     read_after_s: float = 0.0
+    reader: SlowReader | None = None
 
     def complete_line_end(self, data: bytes) -> bytes:
         """Return a stream's next bytes, with the LF of a CRLF that the caller lacks."""
@@ -205,6 +209,7 @@
         progress.has_retry = False
         sent_at = time.monotonic()
         dispatch = bound_dispatch(dispatch, call, sent_at)
+        read_from(instance, progress.reader, upstream.id)
         await exchange.send(make_upstream_request(call, dispatch))
         bounds = make_stream_bounds(call, exchange.max_body_bytes)
         head = await _read_unless_abandoned(bounds, callbacks, exchange.read_head)
@@ -357,6 +362,9 @@
             progress.last_event_id = splitter.last_event_id
             progress.has_unnumbered_event |= splitter.has_unnumbered_event
             await connection.send_body(events)
+            if progress.reader is not None:
+                # The replica was not read while there was no room for its events.
+                record_event(bounds, time.monotonic())
     if splitter.has_partial_event:
         raise UpstreamDisconnected("the stream ended inside an event")
     # A resumed stream may have nothing left, but a close alone does not say so.
--- a/catkintrack/instance/calls.py
+++ b/catkintrack/instance/calls.py
@@ -11,7 +11,13 @@
 
 from catkintrack.decisions.engine_priority import estimate_first_attempt_at
 from catkintrack.fleet import Call, Configuration, Route, Workspace, choose_service
-from catkintrack.http import CallerDisconnected, Connection, Request, hold_bytes
+from catkintrack.http import (
+    CallerDisconnected,
+    CallerTooSlow,
+    Connection,
+    Request,
+    hold_bytes,
+)
 from catkintrack.platform import RequestFields, parse_request_headers
 from catkintrack.pooling import refund, take
 from catkintrack.timeouts import timeout_after
@@ -39,6 +45,7 @@
 from .relaying import may_relay, relay_call
 from .retry_budgets import take_next_attempt
 from .service_calls import serve_service_call
+from .slow_readers import hold_for_caller
 from .state import Instance
 
 logger = logging.getLogger(__name__)
@@ -80,7 +87,8 @@
         call = make_call(instance, request, fields, time.monotonic())
         check_time_left(call, progress.may_have_run, time.monotonic())
         async with register_call(instance, call, progress, connection):
-            await _serve_before_deadline(instance, call, progress, connection)
+            with hold_for_caller(instance, call, connection) as progress.reader:
+                await _serve_before_deadline(instance, call, progress, connection)
     except CallError as error:
         outcome = error.code
         if not connection.has_response_started:
@@ -91,6 +99,10 @@
             outcome = f"cut:{error.code}"
             await connection.close()
         progress.reason = error.message
+    except CallerTooSlow as error:
+        outcome = "caller_too_slow"
+        progress.reason = str(error)
+        raise
     except (CallerDisconnected, curio.CancelledError):
         outcome = "caller_gone"
         raise
--- a/catkintrack/instance/dump.py
+++ b/catkintrack/instance/dump.py
@@ -32,6 +32,18 @@
     }
 
 
+def _describe_slow_readers(instance: Instance) -> dict[str, Any] | None:
+    readers = instance.slow_readers
+    if readers is None:
+        return None
+    return {
+        "max_bytes": readers.max_bytes,
+        "held_bytes": readers.held_bytes,
+        "held_by_workspace": dict(readers.held_by_workspace),
+        "held_by_upstream": dict(readers.held_by_upstream),
+    }
+
+
 def dump_instance(instance: Instance) -> dict[str, Any]:
     """Return the instance's view of its feeds, peers, lease, upstreams and limits."""
     now = time.monotonic()
@@ -53,6 +65,7 @@
             }
             for kind, feed in instance.feed_by_kind.items()
         },
+        "slow_readers": _describe_slow_readers(instance),
         "peers": [peer.instance for peer in list_live_peers(instance, now)],
         "lease": {
             "holder": instance.lease.record.holder,
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -19,6 +19,8 @@
     requests: Counter
     first_byte_seconds: Histogram
     read_delay_seconds: Histogram
+    slow_reader_bytes: Gauge
+    slow_readers_closed: Counter
     retries: Counter
     retry_budget: Gauge
     resumed_streams: Counter
@@ -60,6 +62,12 @@
             registry=registry,
             buckets=(*SECONDS_BUCKETS, float("inf")),
         ),
+        slow_reader_bytes=gauge(
+            "slow_reader_bytes", "Bytes held for callers that read slowly."
+        ),
+        slow_readers_closed=counter(
+            "slow_readers_closed_total", "Callers given up as readers, by reason."
+        ),
         retries=counter(
             "retries_total", "Retries by service and outcome: allowed, refused."
         ),
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -18,7 +18,7 @@
 
 from catkintrack.calls import run_ticks
 from catkintrack.decisions.shedding import LateQueue
-from catkintrack.fleet import Site
+from catkintrack.fleet import Feature, Site
 from catkintrack.http import (
     DRAIN_READ_S,
     ByteBudget,
@@ -27,7 +27,6 @@
     Pool,
     Request,
     Server,
-    ServerLimits,
     close_unsolicited,
     disable_keep_alive,
     drain_server,
@@ -76,6 +75,7 @@
 from .reload import make_site_reload
 from .replica_signals import end_returned_rests, share_limits
 from .retry_budgets import share_retry_budgets
+from .slow_readers import make_server_limits, make_slow_readers
 from .state import Instance
 from .stream_origins import run_origin_keeper
 from .weights_rollout import run_weights_rollout
@@ -148,6 +148,8 @@
     instance.decisions.retry_budget = None
     instance.decisions.max_prefill_wait_s = MAX_PREFILL_WAIT_S
     instance.decisions.late_queue = LateQueue()
+    if Feature.SLOW_READERS in site.features:
+        instance.slow_readers = make_slow_readers(site)
     return instance
 
 
@@ -198,7 +200,7 @@
             site.callers.host,
             site.callers.port,
             handle,
-            ServerLimits(),
+            make_server_limits(site),
             respond_to_bad_request,
             cancels_on_disconnect=True,
             budget=_make_budget(site),
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -17,6 +17,7 @@
 from catkintrack.decisions.quarantine import Quarantine
 from catkintrack.decisions.retries import RetryBudget
 from catkintrack.decisions.services import ServiceTables
+from catkintrack.decisions.slow_readers import SlowReaders
 from catkintrack.decisions.stream_origins import DEFAULT_LIFETIME_S, StreamOrigins
 from catkintrack.fleet import Call, Configuration, Site, Upstream
 from catkintrack.http import Address, Connection, Pool, Server
@@ -233,6 +234,7 @@
     services: ServiceTables = field(default_factory=ServiceTables)
     quarantine: Quarantine = field(default_factory=Quarantine)
     partition: Partition = field(default_factory=Partition)
+    slow_readers: SlowReaders | None = None
     relay_refused_at_by_service: dict[str, float] = field(default_factory=dict)
     quarantine_era: int = 0
     life_by_upstream: dict[str, KnownLife] = field(default_factory=dict)
--- /dev/null
+++ b/catkintrack/instance/tests/test_slow_readers.py
@@ -0,0 +1,148 @@
+"""Answer callers who read slowly, or who stop reading, while others read at once."""
+
+import contextlib
+import socket
+import time
+import unittest
+
+import curio
+
+from catkintrack.decisions.slow_readers import (
+    MAX_SOURCE_WAIT_S,
+    STOPPED_AFTER_S,
+    SlowReaders,
+)
+from catkintrack.http import ServerLimits, open_server
+from catkintrack.instance.calls import handle_call
+from catkintrack.instance.slow_readers import SEND_BUFFER_BYTES
+from testkit.raw_callers import make_order, make_stream
+from testkit.raw_upstreams import make_chunk, send_once
+from testkit.silent_replicas import (
+    STREAM_END,
+    STREAM_HEAD,
+    make_whole_answer,
+    open_instance,
+)
+
+HOST = "127.0.0.1"
+EVENTS = 25
+EVENT_BYTES = 4096
+STREAM_BYTES = EVENTS * EVENT_BYTES
+# What the systems of caller and instance hold of a stream that is not read, at most.
+SYSTEM_BYTES = 60000
+RECEIVE_BUFFER_BYTES = 4096
+MARGIN_S = 1.5
+
+
+def send_stream(send):
+    """Send a large stream at once."""
+    send(STREAM_HEAD)
+    for number in range(1, EVENTS + 1):
+        head = b"id: %d\ndata: " % number
+        send(make_chunk(head + b"x" * (EVENT_BYTES - len(head) - 2) + b"\n\n"))
+    send(STREAM_END)
+
+
+def connect(port):
+    """Return a caller's connection whose system holds little."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.settimeout(20.0)
+    sock.connect((HOST, port))
+    return sock
+
+
+def receive(sock, part_bytes=65536, pause_s=0.0):
+    """Return what arrives until the stream's or the connection's end."""
+    received = b""
+    with contextlib.suppress(ConnectionResetError):
+        while not received.endswith(STREAM_END) and (data := sock.recv(part_bytes)):
+            received += data
+            time.sleep(pause_s)
+    return received
+
+
+class SlowReaderTest(unittest.TestCase):
+    def serve(self, act, max_bytes=1 << 20):
+        """Run `act` in a thread, with the port of an instance; return its result."""
+
+        async def run(instance):
+            async def handle(request, connection):
+                await handle_call(instance, request, connection)
+
+            async with open_server(
+                HOST,
+                0,
+                handle,
+                ServerLimits(send_buffer_bytes=SEND_BUFFER_BYTES),
+                cancels_on_disconnect=True,
+            ) as server:
+                watch = await curio.spawn(self.watch_held, daemon=True)
+                result = await curio.run_in_thread(act, server.port)
+                await curio.sleep(0.1)
+                await watch.cancel()
+                return result
+
+        plain = {"a0": send_once(make_whole_answer())}
+        with open_instance({"m0": send_stream}, plain) as instance:
+            self.readers = instance.slow_readers = SlowReaders(max_bytes)
+            result = curio.run(run, instance)
+        self.assertEqual(self.readers.held_bytes, 0)
+        self.assertFalse(self.readers.held_by_workspace)
+        return result
+
+    async def watch_held(self):
+        self.max_held_bytes = 0
+        while True:
+            held_bytes = self.readers.held_bytes
+            self.max_held_bytes = max(self.max_held_bytes, held_bytes)
+            await curio.sleep(0.01)
+
+    def test_slow_reader_gets_all_while_others_are_served(self):
+        def act(port):
+            with connect(port) as slow, connect(port) as fast:
+                started_at = time.monotonic()
+                slow.sendall(make_stream("r1", 11000))
+                received = slow.recv(16)
+                fast.sendall(make_order("r1"))
+                answer = fast.recv(65536)
+                fast_s = time.monotonic() - started_at
+                received += receive(slow, 2048, 0.1)
+                return answer, fast_s, received, time.monotonic() - started_at
+
+        answer, fast_s, received, slow_s = self.serve(act)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+        self.assertLess(fast_s, 1.0)
+        self.assertGreater(slow_s, STOPPED_AFTER_S + 1.0)
+        self.assertEqual(received.count(b"\nid: "), EVENTS)
+        self.assertTrue(received.endswith(STREAM_END))
+        # The replica did not wait for the caller.
+        self.assertGreater(self.max_held_bytes, STREAM_BYTES - SYSTEM_BYTES)
+
+    def stop_reading(self, port):
+        """Return how long it takes until a caller that reads nothing is closed."""
+        with connect(port) as sock:
+            sock.sendall(make_stream("r1", 11000))
+            started_at = time.monotonic()
+            # Polling sees a reset without reading.
+            while sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0:
+                time.sleep(0.02)
+                if time.monotonic() - started_at > 10.0:
+                    return None
+            return time.monotonic() - started_at
+
+    def test_reader_that_stops_is_reset(self):
+        elapsed_s = self.serve(self.stop_reading)
+        self.assertIsNotNone(elapsed_s)
+        self.assertGreaterEqual(elapsed_s, STOPPED_AFTER_S - 0.1)
+        self.assertLess(elapsed_s, STOPPED_AFTER_S + MARGIN_S)
+
+    def test_without_room_a_reader_is_given_up_before_its_replica_gives_up(self):
+        elapsed_s = self.serve(self.stop_reading, max_bytes=4 * EVENT_BYTES)
+        self.assertIsNotNone(elapsed_s)
+        self.assertLess(elapsed_s, MAX_SOURCE_WAIT_S + MARGIN_S)
+        self.assertLessEqual(self.max_held_bytes, 4 * EVENT_BYTES)
+
+
+if __name__ == "__main__":
+    unittest.main()
