--- a/catkintrack/http/connections.py
+++ b/catkintrack/http/connections.py
@@ -4,6 +4,8 @@
 
 import math
 import struct
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import curio
@@ -12,7 +14,12 @@
 
 from catkintrack.timeouts import call_within
 
-from .errors import CallerDisconnected, describe_error
+from .errors import (
+    CallerDisconnected,
+    CallerTooSlow,
+    ReaderTooSlow,
+    describe_error,
+)
 from .held_bytes import ByteBudget, HeldBytes
 from .messages import Headers
 from .outboxes import Outbox, ReaderCallbacks, send_all_held, send_or_hold
@@ -195,17 +202,21 @@
             await self._send_remaining(data[sent:])
 
     async def _send_or_hold(self, outbox: Outbox, data: bytes) -> None:
-        self.has_partial_send = True
-        try:
+        with self._send_through_outbox():
             await send_or_hold(outbox, data)
-        except OSError as error:
-            raise CallerDisconnected(describe_error(error)) from error
-        self.has_partial_send = False
 
     async def _send_held(self, outbox: Outbox) -> None:
+        with self._send_through_outbox():
+            await send_all_held(outbox)
+
+    @contextmanager
+    def _send_through_outbox(self) -> Iterator[None]:
+        """Mark a send as partial unless it ends; raise CallerDisconnected if it fails."""
         self.has_partial_send = True
         try:
-            await send_all_held(outbox)
+            yield
+        except ReaderTooSlow as error:
+            raise CallerTooSlow(str(error)) from error
         except OSError as error:
             raise CallerDisconnected(describe_error(error)) from error
         self.has_partial_send = False
--- a/catkintrack/http/errors.py
+++ b/catkintrack/http/errors.py
@@ -32,8 +32,12 @@
     """Report that the caller closed the connection or stopped reading the response."""
 
 
+class ReaderTooSlow(HttpError):
+    """Report that a peer was given up, since it reads too slowly or not at all."""
+
+
 class CallerTooSlow(CallerDisconnected):
-    """Report that a caller was given up, since it reads too slowly or not at all."""
+    """Report that a caller was given up as a reader."""
 
 
 class UpstreamUnreachable(HttpError):
--- a/catkintrack/http/exchange.py
+++ b/catkintrack/http/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket as std_socket
 import time
 from dataclasses import dataclass
 
@@ -12,6 +13,7 @@
 from catkintrack.timeouts import call_within
 
 from .errors import (
+    ReaderTooSlow,
     UpstreamDisconnected,
     UpstreamExchangeError,
     UpstreamResponseTooLarge,
@@ -27,6 +29,7 @@
     resize_held,
 )
 from .messages import Headers, Request, ResponseHead, find_header, measure_headers
+from .outboxes import Outbox, ReaderCallbacks, send_all_held
 from .peeking import peek
 from .turns import Turn, take_step
 
@@ -87,7 +90,9 @@
         self.keep_alive_s: float | None = None
         self.is_closed_by_peer = False
         self.send_task: curio.Task | None = None
-        self.send_error: OSError | None = None
+        self.send_error: OSError | ReaderTooSlow | None = None
+        # Bounds what is held of the request for a peer that reads slowly, if set.
+        self.reader_callbacks: ReaderCallbacks | None = None
 
     async def send(self, request: Request) -> None:
         """Send a request; raise UpstreamExchangeError if the connection fails.
@@ -114,19 +119,32 @@
             sent = 0
         except OSError as error:
             raise UpstreamExchangeError(str(error)) from error
+        self._drop_sent(len(request.body) - (len(data) - sent))
         if sent < len(data):
             send = self._send_remaining(data[sent:])
             self.send_task = await curio.spawn(send, daemon=True)
 
+    def _drop_sent(self, size_bytes: int) -> None:
+        if self.reader_callbacks is not None:
+            self.reader_callbacks.drop(max(0, size_bytes))
+
     async def _send_remaining(self, data: bytes) -> None:
         try:
-            await self.sock.sendall(data)
+            if self.reader_callbacks is None:
+                await self.sock.sendall(data)
+            else:
+                outbox = Outbox(self.sock, self.reader_callbacks, bytearray(data))
+                await send_all_held(outbox)
             self.send_task = None
         except BrokenPipeError:
             # The peer had ended its response before it reset the connection.
             pass
         except OSError as error:
             self.send_error = error
+        except ReaderTooSlow as error:
+            self.send_error = error
+            # Ends the read of the response, which would not come.
+            self.sock._socket.shutdown(std_socket.SHUT_RDWR)
 
     async def close(self) -> None:
         """Close the connection, cancelling a request that is still being sent."""
@@ -314,6 +332,7 @@
         release_held(self.held)
         self.input_bytes = 0
         self.is_reused = True
+        self.reader_callbacks = None
         self.has_sent_request = False
 
     def is_stale(self, now: float, max_idle_s: float) -> bool:
--- a/catkintrack/http/outboxes.py
+++ b/catkintrack/http/outboxes.py
@@ -14,7 +14,7 @@
 
 from catkintrack.timeouts import ignore_after
 
-from .errors import CallerTooSlow
+from .errors import ReaderTooSlow
 
 # Interval at which a reader that takes nothing is judged again.
 CHECK_INTERVAL_S = 0.25
@@ -50,7 +50,7 @@
 async def send_or_hold(outbox: Outbox, data: bytes) -> None:
     """Send what the system takes and hold the rest; wait only while it finds no room.
 
-    Raise CallerTooSlow if the reader is given up, OSError if the connection fails.
+    Raise ReaderTooSlow if the reader is given up, OSError if the connection fails.
     """
     started_at: float | None = None
     while True:
@@ -69,7 +69,7 @@
 
 
 async def send_all_held(outbox: Outbox) -> None:
-    """Wait until nothing is held; raise CallerTooSlow or OSError."""
+    """Wait until nothing is held; raise ReaderTooSlow or OSError."""
     while True:
         _send_held(outbox)
         if not outbox.data:
@@ -99,12 +99,12 @@
 
 
 def _judge(outbox: Outbox, source_waited_s: float, now: float) -> None:
-    """Raise CallerTooSlow if the reader is given up."""
+    """Raise ReaderTooSlow if the reader is given up."""
     taken_bytes = outbox.sent_bytes - _count_unacknowledged(outbox.sock)
     outbox.callbacks.record_taken(taken_bytes, now)
     reason = outbox.callbacks.find_close_reason(source_waited_s, now)
     if reason is not None:
-        raise CallerTooSlow(reason)
+        raise ReaderTooSlow(reason)
 
 
 def _count_unacknowledged(sock: socket.socket) -> int:
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -39,7 +39,7 @@
 from .lives import confirm_life
 from .partitions import record_contact
 from .replica_signals import admit, apply_signals, may_send
-from .slow_readers import read_from
+from .slow_readers import hold_request, read_from
 from .state import Instance
 from .stream_events import EventSplitter, open_splitter
 
@@ -191,7 +191,12 @@
     if not may_send(instance, upstream, time.monotonic()):
         raise ReplicaUnavailable("the replica accepts nothing new")
     force_new = not call.route.is_retryable
-    async with open_exchange(instance.pool, upstream.address, force_new) as exchange:
+    async with (
+        open_exchange(instance.pool, upstream.address, force_new) as exchange,
+        hold_request(instance, call, upstream.id, exchange) as has_room,
+    ):
+        if not has_room:
+            raise ReplicaUnavailable("requests that wait for it hold too much memory")
         # To go on with a stream elsewhere, the version that begins it must be known.
         if call.route.is_stream and call.route.is_resumable:
             is_resumption = find_last_event_id(call, progress) is not None
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -63,10 +63,11 @@
             buckets=(*SECONDS_BUCKETS, float("inf")),
         ),
         slow_reader_bytes=gauge(
-            "slow_reader_bytes", "Bytes held for callers that read slowly."
+            "slow_reader_bytes", "Bytes held for peers that read slowly."
         ),
         slow_readers_closed=counter(
-            "slow_readers_closed_total", "Callers given up as readers, by reason."
+            "slow_readers_closed_total",
+            "Callers and replicas given up as readers, by peer and reason.",
         ),
         retries=counter(
             "retries_total", "Retries by service and outcome: allowed, refused."
--- a/catkintrack/instance/slow_readers.py
+++ b/catkintrack/instance/slow_readers.py
@@ -1,15 +1,15 @@
-"""Bound what the instance holds for callers that read their answers slowly."""
+"""Bound what the instance holds for callers and replicas that read slowly."""
 
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterator
-from contextlib import contextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 
 from catkintrack.decisions import slow_readers as decisions
 from catkintrack.decisions.slow_readers import SlowReader, SlowReaders
 from catkintrack.fleet import Call, Feature, Site
-from catkintrack.http import Connection, ReaderCallbacks, ServerLimits
+from catkintrack.http import Connection, Exchange, ReaderCallbacks, ServerLimits
 
 from .state import Instance
 
@@ -43,15 +43,56 @@
     if readers is None:
         yield None
         return
-    reader = SlowReader(call.workspace.name if call.workspace else "")
+    reader = SlowReader(_find_workspace(call))
+    connection.hold_output(_make_callbacks(instance, readers, reader, "caller"))
+    try:
+        yield reader
+    finally:
+        connection.drop_output()
+        decisions.release(readers, reader)
+        _count_held(instance, readers)
+
+
+@asynccontextmanager
+async def hold_request(
+    instance: Instance, call: Call, upstream: str, exchange: Exchange
+) -> AsyncIterator[bool]:
+    """Hold a request's body until its replica has taken it; yield False without room.
+
+    The bytes that are held of a request and of answers of its replica count together.
+    """
+    readers = instance.slow_readers
+    if readers is None or not call.body:
+        yield True
+        return
+    reader = SlowReader(_find_workspace(call), upstream)
+    callbacks = _make_callbacks(instance, readers, reader, "replica")
+    exchange.reader_callbacks = callbacks
+    try:
+        yield callbacks.try_hold(len(call.body))
+    finally:
+        exchange.reader_callbacks = None
+        decisions.release(readers, reader)
+        _count_held(instance, readers)
+
+
+def _find_workspace(call: Call) -> str:
+    return call.workspace.name if call.workspace else ""
+
+
+def _make_callbacks(
+    instance: Instance, readers: SlowReaders, reader: SlowReader, kind: str
+) -> ReaderCallbacks:
+    """Return what decides on a reader; `kind` is caller or replica."""
 
     def find_close_reason(source_waited_s: float, now: float) -> str | None:
         reason = decisions.find_close_reason(reader, source_waited_s, now)
         if reason is not None:
-            instance.metrics.slow_readers_closed.inc({"reason": reason})
+            instance.metrics.slow_readers_closed.inc({"peer": kind, "reason": reason})
             logger.warning(
                 "slow reader closed",
                 extra={
+                    "peer": kind,
                     "reason": reason,
                     "workspace": reader.workspace,
                     "upstream": reader.upstream,
@@ -61,33 +102,26 @@
             )
         return reason
 
-    def count_held() -> None:
-        instance.metrics.slow_reader_bytes.set({}, readers.held_bytes)
-
     def try_hold(size_bytes: int) -> bool:
         is_held = decisions.try_hold(readers, reader, size_bytes)
-        count_held()
+        _count_held(instance, readers)
         return is_held
 
     def drop(size_bytes: int) -> None:
         decisions.drop(readers, reader, size_bytes)
-        count_held()
-
-    connection.hold_output(
-        ReaderCallbacks(
-            try_hold=try_hold,
-            drop=drop,
-            record_taken=lambda size, now: decisions.record_taken(reader, size, now),
-            record_nothing_waits=lambda: decisions.record_nothing_waits(reader),
-            find_close_reason=find_close_reason,
-        )
+        _count_held(instance, readers)
+
+    return ReaderCallbacks(
+        try_hold=try_hold,
+        drop=drop,
+        record_taken=lambda size, now: decisions.record_taken(reader, size, now),
+        record_nothing_waits=lambda: decisions.record_nothing_waits(reader),
+        find_close_reason=find_close_reason,
     )
-    try:
-        yield reader
-    finally:
-        connection.drop_output()
-        decisions.release(readers, reader)
-        count_held()
+
+
+def _count_held(instance: Instance, readers: SlowReaders) -> None:
+    instance.metrics.slow_reader_bytes.set({}, readers.held_bytes)
 
 
 def read_from(instance: Instance, reader: SlowReader | None, upstream: str) -> None:
--- a/catkintrack/instance/tests/test_slow_readers.py
+++ b/catkintrack/instance/tests/test_slow_readers.py
@@ -31,6 +31,7 @@
 # What the systems of caller and instance hold of a stream that is not read, at most.
 SYSTEM_BYTES = 60000
 RECEIVE_BUFFER_BYTES = 4096
+LARGE_BODY_BYTES = 200_000
 MARGIN_S = 1.5
 
 
@@ -143,6 +144,18 @@
         self.assertLess(elapsed_s, MAX_SOURCE_WAIT_S + MARGIN_S)
         self.assertLessEqual(self.max_held_bytes, 4 * EVENT_BYTES)
 
+    def test_request_without_room_is_refused_at_once(self):
+        body = b"x" * LARGE_BODY_BYTES
+
+        def act(port):
+            with connect(port) as sock:
+                sock.sendall(make_order("r1", body))
+                return sock.recv(65536)
+
+        self.assertTrue(self.serve(act).startswith(b"HTTP/1.1 200"))
+        refusal = self.serve(act, max_bytes=LARGE_BODY_BYTES)
+        self.assertTrue(refusal.startswith(b"HTTP/1.1 503"))
+
 
 if __name__ == "__main__":
     unittest.main()
