--- a/catkintrack/decisions/slow_readers.py
+++ b/catkintrack/decisions/slow_readers.py
@@ -14,7 +14,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-# A reader on a lossy link resumes after four losses in a row of one segment at most.
+# Four losses in a row of one segment silence a reader for this long at most.
 STOPPED_AFTER_S = 3.0
 # Replicas cut off an answer that is not read for some seconds.
 MAX_SOURCE_WAIT_S = 2.0
@@ -67,7 +67,7 @@
 
 
 def change_upstream(readers: SlowReaders, reader: SlowReader, upstream: str) -> None:
-    """Count what is held for a reader to the replica that goes on with its answer."""
+    """Count what is held for a reader to the replica that continues its answer."""
     held_bytes = reader.held_bytes
     _change(readers, reader, -held_bytes)
     reader.upstream = upstream
--- a/catkintrack/http/exchange.py
+++ b/catkintrack/http/exchange.py
@@ -332,7 +332,6 @@
         release_held(self.held)
         self.input_bytes = 0
         self.is_reused = True
-        self.reader_callbacks = None
         self.has_sent_request = False
 
     def is_stale(self, now: float, max_idle_s: float) -> bool:
--- a/catkintrack/http/server.py
+++ b/catkintrack/http/server.py
@@ -23,6 +23,8 @@
 
 LISTEN_BACKLOG = 512
 DRAIN_POLL_INTERVAL_S = 0.02
+# While early data keeps the connection readable, its end does not wake a task.
+DISCONNECT_POLL_INTERVAL_S = 0.25
 # Other servers accept requests meanwhile, so callers may retry almost at once.
 STOPPING_RETRY_AFTER_S = 0.05
 # How long the rest of a rejected request is read.
@@ -244,5 +246,6 @@
 async def _cancel_on_disconnect(connection: Connection, task: curio.Task) -> None:
     await _read_wait(connection.sock._fileno)
     # Data that arrives early belongs to the next request and is read later.
-    if connection.has_caller_disconnected():
-        await task.cancel(blocking=False)
+    while not connection.has_caller_disconnected():
+        await curio.sleep(DISCONNECT_POLL_INTERVAL_S)
+    await task.cancel(blocking=False)
--- a/catkintrack/http/tests/test_arrivals.py
+++ b/catkintrack/http/tests/test_arrivals.py
@@ -60,7 +60,7 @@
         self.assertLessEqual(arrived_at, read_at)
         self.assertGreaterEqual(arrived_at, read_at - received_ms_ago / 1e3 - 1e-6)
 
-    def test_closed_peers_are_told_from_open_ones(self):
+    def test_closed_peers_differ_from_open_ones(self):
         self.assertFalse(has_peer_closed(make_tcp_info(ESTABLISHED)))
         self.assertTrue(has_peer_closed(make_tcp_info(CLOSE_WAIT)))
 
