--- a/catkintrack/cli/explain_commands.py
+++ b/catkintrack/cli/explain_commands.py
@@ -24,6 +24,7 @@
         "lease taken",
         "log lines left out",
         "silent upstream unreachable",
+        "slow reader closed",
         "store lost",
         "store regained",
         "upstream draining",
@@ -34,6 +35,8 @@
     }
 )
 CONTEXT_LEAD_S = 3.0
+# An instance that reads calls later than this lacks processor time or was stopped.
+LATE_READ_S = 0.1
 
 
 @SetParseFn(str)
@@ -139,6 +142,8 @@
         )
         if call.get("reason"):
             lines.append(f"  reason: {call['reason']}")
+        if call.get("read_after_s", 0.0) >= LATE_READ_S:
+            lines.append(f"  read {call['read_after_s']} s after its arrival")
         lines.append(f"  waited {call.get('waited_s')} s for a place")
         for attempt in call.get("attempts") or ():
             inputs = ", ".join(
--- a/catkintrack/cli/tests/test_explain.py
+++ b/catkintrack/cli/tests/test_explain.py
@@ -37,6 +37,12 @@
             self.assertIn(part, text)
         self.assertIn("meanwhile 2026-01-18 18:22:21,027: store lost", text)
 
+    def test_trace_names_a_late_read(self):
+        for read_after_s, is_named in ((2.8, True), (0.01, False)):
+            call = self.records[1] | {"read_after_s": read_after_s}
+            text = format_request_trace(build_request_trace([call], "r1"))
+            self.assertEqual("read 2.8 s after its arrival" in text, is_named)
+
     def test_trace_of_unknown_request_has_no_calls(self):
         self.assertEqual(build_request_trace(self.records, "r9")["calls"], [])
 
