--- a/catkintrack/instance/calls.py
+++ b/catkintrack/instance/calls.py
@@ -81,9 +81,9 @@
     request_id = b""
     outcome = "served"
     try:
-        check_caller_waits(connection)
         fields = _parse_request(request)
         request_id = fields.id
+        check_caller_waits(connection)
         call = make_call(instance, request, fields, time.monotonic())
         check_time_left(call, progress.may_have_run, time.monotonic())
         async with register_call(instance, call, progress, connection):
