--- a/catkintrack/http/peeking.py
+++ b/catkintrack/http/peeking.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket as std_socket
+import sys
 
 from curio import socket
 
@@ -28,6 +29,9 @@
 
 def read_tcp_info(sock: socket.socket) -> bytes:
     """Return what the kernel records of a connection, empty if it records nothing."""
+    # Other systems lack the record or lay it out in another way.
+    if sys.platform != "linux":
+        return b""
     try:
         return sock._socket.getsockopt(
             std_socket.IPPROTO_TCP, std_socket.TCP_INFO, TCP_INFO_BYTES
--- a/catkintrack/http/tests/test_arrivals.py
+++ b/catkintrack/http/tests/test_arrivals.py
@@ -13,6 +13,7 @@
 
 from catkintrack.http.arrivals import (
     CLOCK_STEP_S,
+    CLOSED_STATES,
     LAST_DATA_RECEIVED_OFFSET,
     TCP_INFO_BYTES,
     estimate_arrival,
@@ -51,6 +52,21 @@
         self.assertEqual(estimate_arrival(None, 100.0), 100.0)
         self.assertFalse(has_peer_closed(b""))
 
+    def test_record_of_another_kind_takes_no_time_from_a_caller(self):
+        # A negative number, the time since the system's start, and a short structure.
+        for received_ms_ago in (2**32 - 5, 86_400_000):
+            info = make_tcp_info(received_ms_ago=received_ms_ago)
+            self.assertIsNone(find_received_s_ago(info))
+        self.assertIsNone(find_received_s_ago(make_tcp_info()[:8]))
+
+    def test_state_that_is_not_known_is_not_a_close(self):
+        closed = {
+            state for state in range(256) if has_peer_closed(make_tcp_info(state))
+        }
+        self.assertEqual(closed, CLOSED_STATES)
+        # Data may be read in SYN_RECV (3) with TCP Fast Open.
+        self.assertFalse(closed & {0, 3, ESTABLISHED})
+
     @given(st.integers(0, 2**32 - 1), st.floats(0.0, 1e9))
     def test_estimate_is_never_after_the_read(self, received_ms_ago, read_at):
         received_s_ago = find_received_s_ago(
