--- a/catkintrack/decisions/slow_readers.py
+++ b/catkintrack/decisions/slow_readers.py
@@ -89,10 +89,13 @@
 
 
 def record_taken(reader: SlowReader, taken_bytes: int, now: float) -> None:
-    """Record how much a reader has taken so far, while bytes wait for it."""
+    """Record how much a reader has taken so far, while bytes wait for it.
+
+    `taken_bytes` starts below 0 if the reader has yet to take bytes sent before.
+    """
     if reader.last_taken_at is None or taken_bytes > reader.taken_bytes:
         reader.last_taken_at = now
-    reader.taken_bytes = max(reader.taken_bytes, taken_bytes)
+        reader.taken_bytes = taken_bytes
 
 
 def record_nothing_waits(reader: SlowReader) -> None:
--- a/catkintrack/decisions/tests/test_slow_readers.py
+++ b/catkintrack/decisions/tests/test_slow_readers.py
@@ -101,6 +101,10 @@
     def test_reader_that_takes_a_byte_now_and_then_is_kept(self):
         self.assertIsNone(self.judge([n // 2 for n in range(60)]))
 
+    def test_reader_that_takes_what_was_sent_before_is_kept(self):
+        self.assertIsNone(self.judge(range(-60, 0)))
+        self.assertEqual(self.judge([-60] * 20), STOPPED_AFTER_S)
+
     def test_reader_that_has_stopped_is_given_up(self):
         self.assertEqual(self.judge([0, 1, 2, *[2] * 20]), 2 + STOPPED_AFTER_S)
 
--- a/catkintrack/http/connections.py
+++ b/catkintrack/http/connections.py
@@ -22,7 +22,13 @@
 )
 from .held_bytes import ByteBudget, HeldBytes
 from .messages import Headers
-from .outboxes import Outbox, ReaderCallbacks, send_all_held, send_or_hold
+from .outboxes import (
+    Outbox,
+    ReaderCallbacks,
+    send_all_held,
+    send_held,
+    send_or_hold,
+)
 from .peeking import has_ended, peek
 
 # Value of SO_LINGER that makes a close reset the connection.
@@ -134,6 +140,9 @@
         has_no_body = self.is_head_request or status in STATUSES_WITHOUT_BODY
         if body or not has_no_body:
             headers = (*headers, (b"content-length", str(len(body)).encode()))
+        if self.outbox is not None:
+            # The body has been read whole, so no replica waits for the caller.
+            self.outbox.has_source = False
         await self.start_response(status, headers)
         if body and not has_no_body:
             await self.send_body(body)
@@ -201,6 +210,15 @@
         if sent < len(data):
             await self._send_remaining(data[sent:])
 
+    def send_held(self) -> None:
+        """Send what the caller takes now of the bytes that are held for it.
+
+        Raise CallerDisconnected if that fails.
+        """
+        if self.outbox is not None:
+            with self._send_through_outbox():
+                send_held(self.outbox)
+
     async def _send_or_hold(self, outbox: Outbox, data: bytes) -> None:
         with self._send_through_outbox():
             await send_or_hold(outbox, data)
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -348,8 +348,15 @@
     Raise UpstreamExchangeError if the stream is incomplete or invalid.
     """
     has_event = False
+
+    async def read_part(timeout_s: float) -> bytes | None:
+        # A replica that pauses does not delay what a slow reader has room for by now.
+        if progress.reader is not None:
+            connection.send_held()
+        return await exchange.read_body_part(timeout_s)
+
     while True:
-        data = await _read_unless_abandoned(bounds, callbacks, exchange.read_body_part)
+        data = await _read_unless_abandoned(bounds, callbacks, read_part)
         if data is None:
             break
         record_received(bounds, len(data))
--- a/catkintrack/instance/tests/test_slow_readers.py
+++ b/catkintrack/instance/tests/test_slow_readers.py
@@ -4,6 +4,7 @@
 import socket
 import time
 import unittest
+from unittest import mock
 
 import curio
 
@@ -33,6 +34,9 @@
 RECEIVE_BUFFER_BYTES = 4096
 LARGE_BODY_BYTES = 200_000
 MARGIN_S = 1.5
+REPLICA_PAUSE_S = 2.5
+# Within the time of a plain call.
+SHORT_SOURCE_WAIT_S = 0.1
 
 
 def send_stream(send):
@@ -44,6 +48,13 @@
     send(STREAM_END)
 
 
+def send_stream_with_pause(send):
+    """Send a large stream whose end comes late."""
+    send_stream(lambda data: data == STREAM_END or send(data))
+    time.sleep(REPLICA_PAUSE_S)
+    send(STREAM_END)
+
+
 def connect(port):
     """Return a caller's connection whose system holds little."""
     sock = socket.socket()
@@ -64,8 +75,11 @@
 
 
 class SlowReaderTest(unittest.TestCase):
-    def serve(self, act, max_bytes=1 << 20):
-        """Run `act` in a thread, with the port of an instance; return its result."""
+    def serve(self, act, max_bytes=1 << 20, script=send_stream, answer=b"whole"):
+        """Run `act` in a thread, with the port of an instance; return its result.
+
+        The model replica runs `script`, the plain one gives `answer`.
+        """
 
         async def run(instance):
             async def handle(request, connection):
@@ -84,8 +98,8 @@
                 await watch.cancel()
                 return result
 
-        plain = {"a0": send_once(make_whole_answer())}
-        with open_instance({"m0": send_stream}, plain) as instance:
+        plain = {"a0": send_once(make_whole_answer(body=answer))}
+        with open_instance({"m0": script}, plain) as instance:
             self.readers = instance.slow_readers = SlowReaders(max_bytes)
             result = curio.run(run, instance)
         self.assertEqual(self.readers.held_bytes, 0)
@@ -144,6 +158,51 @@
         self.assertLess(elapsed_s, MAX_SOURCE_WAIT_S + MARGIN_S)
         self.assertLessEqual(self.max_held_bytes, 4 * EVENT_BYTES)
 
+    def test_pause_of_the_replica_does_not_delay_what_is_held(self):
+        def act(port):
+            with connect(port) as sock:
+                sock.sendall(make_stream("r1", 11000))
+                time.sleep(0.5)
+                started_at = time.monotonic()
+                received = b""
+                while received.count(b"\nid: ") < EVENTS:
+                    received += sock.recv(65536) or self.fail("cut")
+                return time.monotonic() - started_at
+
+        elapsed_s = self.serve(act, script=send_stream_with_pause)
+        self.assertLess(elapsed_s, REPLICA_PAUSE_S - 1.0)
+
+    def test_whole_answer_without_room_is_sent_at_the_pace_of_its_reader(self):
+        def act(port):
+            with connect(port) as sock:
+                sock.sendall(make_order("r1"))
+                started_at = time.monotonic()
+                received = b""
+                with contextlib.suppress(ConnectionResetError):
+                    while not received.endswith(b"END") and (data := sock.recv(4096)):
+                        received += data
+                        time.sleep(0.015)
+                return received, time.monotonic() - started_at
+
+        answer = b"x" * (LARGE_BODY_BYTES // 2) + b"END"
+        limit = "catkintrack.decisions.slow_readers.MAX_SOURCE_WAIT_S"
+        with mock.patch(limit, SHORT_SOURCE_WAIT_S):
+            received, elapsed_s = self.serve(act, 4 * EVENT_BYTES, answer=answer)
+        self.assertTrue(received.endswith(answer))
+        self.assertGreater(elapsed_s, 2 * SHORT_SOURCE_WAIT_S)
+
+    def test_without_a_count_of_the_system_a_slow_reader_is_kept(self):
+        def act(port):
+            with connect(port) as sock:
+                sock.sendall(make_stream("r1", 11000))
+                time.sleep(STOPPED_AFTER_S + 1.0)
+                return receive(sock)
+
+        with mock.patch("fcntl.ioctl", side_effect=OSError("not supported")) as ioctl:
+            received = self.serve(act)
+        self.assertTrue(ioctl.called)
+        self.assertTrue(received.endswith(STREAM_END))
+
     def test_request_without_room_is_refused_at_once(self):
         body = b"x" * LARGE_BODY_BYTES
 
