--- a/catkintrack/http/exchange.py
+++ b/catkintrack/http/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket as std_socket
 import time
 from dataclasses import dataclass
@@ -144,7 +145,8 @@
         except ReaderTooSlow as error:
             self.send_error = error
             # Ends the read of the response, which would not come.
-            self.sock._socket.shutdown(std_socket.SHUT_RDWR)
+            with contextlib.suppress(OSError):
+                self.sock._socket.shutdown(std_socket.SHUT_RDWR)
 
     async def close(self) -> None:
         """Close the connection, cancelling a request that is still being sent."""
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -67,7 +67,7 @@
         ),
         slow_readers_closed=counter(
             "slow_readers_closed_total",
-            "Callers and replicas given up as readers, by peer and reason.",
+            "Callers given up as readers, by reason.",
         ),
         retries=counter(
             "retries_total", "Retries by service and outcome: allowed, refused."
--- a/catkintrack/instance/slow_readers.py
+++ b/catkintrack/instance/slow_readers.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
+from dataclasses import replace
 
 from catkintrack.decisions import slow_readers as decisions
 from catkintrack.decisions.slow_readers import SlowReader, SlowReaders
@@ -44,7 +45,7 @@
         yield None
         return
     reader = SlowReader(_find_workspace(call))
-    connection.hold_output(_make_callbacks(instance, readers, reader, "caller"))
+    connection.hold_output(_make_callbacks(instance, readers, reader))
     try:
         yield reader
     finally:
@@ -66,7 +67,9 @@
         yield True
         return
     reader = SlowReader(_find_workspace(call), upstream)
-    callbacks = _make_callbacks(instance, readers, reader, "replica")
+    callbacks = _make_callbacks(instance, readers, reader)
+    # A silent replica may go on: its attempt is moved as others are, by the retry budget.
+    callbacks = replace(callbacks, find_close_reason=lambda waited_s, now: None)
     exchange.reader_callbacks = callbacks
     try:
         yield callbacks.try_hold(len(call.body))
@@ -81,18 +84,17 @@
 
 
 def _make_callbacks(
-    instance: Instance, readers: SlowReaders, reader: SlowReader, kind: str
+    instance: Instance, readers: SlowReaders, reader: SlowReader
 ) -> ReaderCallbacks:
-    """Return what decides on a reader; `kind` is caller or replica."""
+    """Return what decides on a reader."""
 
     def find_close_reason(source_waited_s: float, now: float) -> str | None:
         reason = decisions.find_close_reason(reader, source_waited_s, now)
         if reason is not None:
-            instance.metrics.slow_readers_closed.inc({"peer": kind, "reason": reason})
+            instance.metrics.slow_readers_closed.inc({"reason": reason})
             logger.warning(
                 "slow reader closed",
                 extra={
-                    "peer": kind,
                     "reason": reason,
                     "workspace": reader.workspace,
                     "upstream": reader.upstream,
