--- a/catkintrack/decisions/slow_readers.py
+++ b/catkintrack/decisions/slow_readers.py
@@ -45,12 +45,17 @@
     last_taken_at: float | None = None
 
 
-def try_hold(readers: SlowReaders, reader: SlowReader, size_bytes: int) -> bool:
-    """Hold more bytes for a reader if its workspace's and replica's shares allow it."""
+def has_room(readers: SlowReaders, reader: SlowReader, size_bytes: int) -> bool:
+    """Report whether the shares of a reader's workspace and replica allow more bytes."""
     free_bytes = readers.max_bytes - readers.held_bytes - size_bytes
     of_workspace = readers.held_by_workspace[reader.workspace] + size_bytes
     of_upstream = readers.held_by_upstream[reader.upstream] + size_bytes
-    if max(of_workspace, of_upstream) > free_bytes:
+    return max(of_workspace, of_upstream) <= free_bytes
+
+
+def try_hold(readers: SlowReaders, reader: SlowReader, size_bytes: int) -> bool:
+    """Hold more bytes for a reader if its shares allow it."""
+    if not has_room(readers, reader, size_bytes):
         return False
     _change(readers, reader, size_bytes)
     return True
--- a/catkintrack/http/tests/test_arrivals.py
+++ b/catkintrack/http/tests/test_arrivals.py
@@ -7,6 +7,7 @@
 import struct
 import time
 import unittest
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -20,6 +21,7 @@
     find_received_s_ago,
     has_peer_closed,
 )
+from catkintrack.http.peeking import has_ended, read_tcp_info
 
 ESTABLISHED = 1
 CLOSE_WAIT = 8
@@ -80,6 +82,15 @@
         self.assertFalse(has_peer_closed(make_tcp_info(ESTABLISHED)))
         self.assertTrue(has_peer_closed(make_tcp_info(CLOSE_WAIT)))
 
+    def test_connection_without_a_record_counts_as_open_behind_data(self):
+        sock = mock.Mock()
+        sock._socket.recv.return_value = b"G"
+        sock._socket.getsockopt.side_effect = OSError("not supported")
+        self.assertEqual(read_tcp_info(sock), b"")
+        self.assertFalse(has_ended(sock))
+        sock._socket.recv.return_value = b""
+        self.assertTrue(has_ended(sock))
+
 
 class KernelRecordTest(unittest.TestCase):
     """Check the offsets against the kernel, on a connection that is accepted late."""
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -39,13 +39,14 @@
 from .lives import confirm_life
 from .partitions import record_contact
 from .replica_signals import admit, apply_signals, may_send
-from .slow_readers import hold_request, read_from
+from .slow_readers import has_room_for_request, hold_request, read_from
 from .state import Instance
 from .stream_events import EventSplitter, open_splitter
 
 # Interval at which an attempt that receives no data is checked for abandonment.
 ABANDON_CHECK_INTERVAL_S = 0.2
 REJECTION_BODY_TIMEOUT_S = 0.2
+NO_ROOM = "what is held for slow readers leaves no room for the request"
 # A response that is ready is still read for this long after the deadline.
 DEADLINE_GRACE_S = 0.05
 # Callers abandon a stream after the longest of these pauses (in seconds, in targets to
@@ -190,13 +191,16 @@
     """
     if not may_send(instance, upstream, time.monotonic()):
         raise ReplicaUnavailable("the replica accepts nothing new")
+    # No connection is opened for a request that finds no room.
+    if not has_room_for_request(instance, call, upstream.id):
+        raise ReplicaUnavailable(NO_ROOM)
     force_new = not call.route.is_retryable
     async with (
         open_exchange(instance.pool, upstream.address, force_new) as exchange,
         hold_request(instance, call, upstream.id, exchange) as has_room,
     ):
         if not has_room:
-            raise ReplicaUnavailable("requests that wait for it hold too much memory")
+            raise ReplicaUnavailable(NO_ROOM)
         # To go on with a stream elsewhere, the version that begins it must be known.
         if call.route.is_stream and call.route.is_resumable:
             is_resumption = find_last_event_id(call, progress) is not None
--- a/catkintrack/instance/slow_readers.py
+++ b/catkintrack/instance/slow_readers.py
@@ -54,6 +54,15 @@
         _count_held(instance, readers)
 
 
+def has_room_for_request(instance: Instance, call: Call, upstream: str) -> bool:
+    """Report whether a request's body could be held for a replica now."""
+    readers = instance.slow_readers
+    if readers is None or not call.body:
+        return True
+    reader = SlowReader(_find_workspace(call), upstream)
+    return decisions.has_room(readers, reader, len(call.body))
+
+
 @asynccontextmanager
 async def hold_request(
     instance: Instance, call: Call, upstream: str, exchange: Exchange
--- a/catkintrack/instance/tests/test_slow_readers.py
+++ b/catkintrack/instance/tests/test_slow_readers.py
@@ -239,8 +239,18 @@
                 return sock.recv(65536)
 
         self.assertTrue(self.serve(act).startswith(b"HTTP/1.1 200"))
-        refusal = self.serve(act, max_bytes=LARGE_BODY_BYTES)
+        with mock.patch("catkintrack.instance.attempts.open_exchange") as open_exchange:
+            refusal = self.serve(act, max_bytes=LARGE_BODY_BYTES)
         self.assertTrue(refusal.startswith(b"HTTP/1.1 503"))
+        open_exchange.assert_not_called()
+
+    def test_request_without_a_body_needs_no_room(self):
+        def act(port):
+            with connect(port) as sock:
+                sock.sendall(make_order("r1", b""))
+                return sock.recv(65536)
+
+        self.assertTrue(self.serve(act, max_bytes=-1).startswith(b"HTTP/1.1 200"))
 
 
 if __name__ == "__main__":
