--- a/catkintrack/http/connections.py
+++ b/catkintrack/http/connections.py
@@ -4,6 +4,8 @@
 
 import math
 import struct
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import curio
@@ -12,10 +14,22 @@
 
 from catkintrack.timeouts import call_within
 
-from .errors import CallerDisconnected
+from .errors import (
+    CallerDisconnected,
+    CallerTooSlow,
+    ReaderTooSlow,
+    describe_error,
+)
 from .held_bytes import ByteBudget, HeldBytes
 from .messages import Headers
-from .peeking import peek
+from .outboxes import (
+    Outbox,
+    ReaderCallbacks,
+    send_all_held,
+    send_held,
+    send_or_hold,
+)
+from .peeking import has_ended, peek
 
 # Value of SO_LINGER that makes a close reset the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -35,6 +49,8 @@
     body_timeout_s: float = 30.0
     idle_timeout_s: float = 75.0
     write_timeout_s: float = 30.0
+    # What the system holds of responses, None for its own choice.
+    send_buffer_bytes: int | None = None
 
 
 @dataclass(slots=True)
@@ -77,6 +93,19 @@
         self.request_id: bytes | None = None
         self.task: curio.Task | None = None
         self.held = HeldBytes(server.budget)
+        # Holds the response's bytes that the caller has not taken; None to wait for it.
+        self.outbox: Outbox | None = None
+        self.has_dropped_output = False
+
+    def hold_output(self, callbacks: ReaderCallbacks) -> None:
+        """Hold the current response's bytes for a slow caller as `callbacks` decide."""
+        self.outbox = Outbox(self.sock, callbacks)
+
+    def drop_output(self) -> None:
+        """Hold nothing any more; a response that is not sent completely is cut."""
+        if self.outbox is not None and (self.outbox.data or self.has_partial_send):
+            self.has_partial_send = self.has_dropped_output = True
+        self.outbox = None
 
     async def start_response(self, status: int, headers: Headers) -> None:
         """Send the status line and headers."""
@@ -100,6 +129,8 @@
     async def finish_response(self) -> None:
         """Send the end of the body."""
         await self.send_event(h11.EndOfMessage())
+        if self.outbox is not None:
+            await self._send_held(self.outbox)
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response with its content length.
@@ -109,6 +140,9 @@
         has_no_body = self.is_head_request or status in STATUSES_WITHOUT_BODY
         if body or not has_no_body:
             headers = (*headers, (b"content-length", str(len(body)).encode()))
+        if self.outbox is not None:
+            # The body has been read whole, so no replica waits for the caller.
+            self.outbox.has_source = False
         await self.start_response(status, headers)
         if body and not has_no_body:
             await self.send_body(body)
@@ -128,7 +162,9 @@
             return
         is_cut = self.has_response_started and self.h11.our_state in CUT_STATES
         # HTTP/1.0 callers know no chunks: without a length, the close is the end.
-        if is_cut and self.h11.their_http_version == b"1.0":
+        is_misread = is_cut and self.h11.their_http_version == b"1.0"
+        # The system would hold what it has not sent for a caller that does not read.
+        if is_misread or self.has_dropped_output:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         await self.sock.close()
 
@@ -144,7 +180,11 @@
 
     def has_caller_disconnected(self) -> bool:
         """Report whether the caller has closed its side of the connection."""
-        return peek(self.sock) == b""
+        return has_ended(self.sock)
+
+    def is_abandoned(self) -> bool:
+        """Report whether the caller has closed, where that ends its request."""
+        return self.server.cancels_on_disconnect and self.has_caller_disconnected()
 
     async def send_event(self, event: h11.Event) -> None:
         """Send a part of a response; raise CallerDisconnected if that fails."""
@@ -157,6 +197,9 @@
             raise CallerDisconnected(str(error)) from error
         if not data:
             return
+        if self.outbox is not None:
+            await self._send_or_hold(self.outbox, data)
+            return
         try:
             # Data that fits the socket buffer is sent without the cost of a timer.
             sent = self.sock._socket.send(data)
@@ -167,11 +210,40 @@
         if sent < len(data):
             await self._send_remaining(data[sent:])
 
+    def send_held(self) -> None:
+        """Send what the caller takes now of the bytes that are held for it.
+
+        Raise CallerDisconnected if that fails.
+        """
+        if self.outbox is not None:
+            with self._send_through_outbox():
+                send_held(self.outbox)
+
+    async def _send_or_hold(self, outbox: Outbox, data: bytes) -> None:
+        with self._send_through_outbox():
+            await send_or_hold(outbox, data)
+
+    async def _send_held(self, outbox: Outbox) -> None:
+        with self._send_through_outbox():
+            await send_all_held(outbox)
+
+    @contextmanager
+    def _send_through_outbox(self) -> Iterator[None]:
+        """Mark a send as partial unless it ends; raise CallerDisconnected if it fails."""
+        self.has_partial_send = True
+        try:
+            yield
+        except ReaderTooSlow as error:
+            raise CallerTooSlow(str(error)) from error
+        except OSError as error:
+            raise CallerDisconnected(describe_error(error)) from error
+        self.has_partial_send = False
+
     async def _send_remaining(self, data: bytes) -> None:
         timeout_s = self.server.limits.write_timeout_s
         self.has_partial_send = True
         try:
             await call_within(timeout_s, self.sock.sendall, data)
         except (OSError, curio.TaskTimeout) as error:
-            raise CallerDisconnected(str(error)) from error
+            raise CallerDisconnected(describe_error(error)) from error
         self.has_partial_send = False
--- a/catkintrack/http/errors.py
+++ b/catkintrack/http/errors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import curio
+
 # Longer reasons quote what the peer sent.
 MAX_REASON_CHARS = 200
 
@@ -30,6 +32,14 @@
     """Report that the caller closed the connection or stopped reading the response."""
 
 
+class ReaderTooSlow(HttpError):
+    """Report that a peer was given up, since it reads too slowly or not at all."""
+
+
+class CallerTooSlow(CallerDisconnected):
+    """Report that a caller was given up as a reader."""
+
+
 class UpstreamUnreachable(HttpError):
     """Report that no byte of the request can have reached the upstream."""
 
@@ -63,7 +73,10 @@
 
 def describe_error(error: Exception) -> str:
     """Return an error's message, cut where it quotes what the peer sent at length."""
-    text = str(error)
+    if isinstance(error, curio.TaskTimeout):
+        # Its own text is a value of the clock.
+        return "the time limit has passed"
+    text = str(error) or type(error).__name__
     if len(text) <= MAX_REASON_CHARS:
         return text
     return f"{text[:MAX_REASON_CHARS]}..."
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
+from catkintrack.decisions.slow_readers import SlowReader
 from catkintrack.fleet import Call, Upstream
 from catkintrack.http import (
     Connection,
@@ -34,17 +35,18 @@
     parse_response_headers,
 )
 
+from .late_calls import bound_dispatch, check_caller_waits, check_time_left
 from .lives import confirm_life
 from .partitions import record_contact
 from .replica_signals import admit, apply_signals, may_send
+from .slow_readers import has_room_for_request, hold_request, read_from
 from .state import Instance
 from .stream_events import EventSplitter, open_splitter
 
-# A replica's deadline is this much before the caller's, so that it stops in time.
-DEADLINE_MARGIN_S = 0.02
 # Interval at which an attempt that receives no data is checked for abandonment.
 ABANDON_CHECK_INTERVAL_S = 0.2
 REJECTION_BODY_TIMEOUT_S = 0.2
+NO_ROOM = "what is held for slow readers leaves no room for the request"
 # A response that is ready is still read for this long after the deadline.
 DEADLINE_GRACE_S = 0.05
 # Callers abandon a stream after the longest of these pauses (in seconds, in targets to
@@ -95,6 +97,8 @@
     `software_version` is the one that the stream must go on at, None if any;
     `is_version_confirmed` is set if the replica itself reported its incarnation.  `held`
     counts the bodies that are kept after their exchange, until the call ends.
+    `read_after_s` is how long the call waited to be read.  `reader` tracks what is held
+    for a caller that reads slowly, None where that is not switched on.
     """
 
     arrived_at: float
@@ -115,6 +119,8 @@
     attempts: list[dict[str, Any]] = field(default_factory=list)
     reason: str = ""
     held: HeldBytes = field(default_factory=HeldBytes)
+    read_after_s: float = 0.0
+    reader: SlowReader | None = None
 
     def complete_line_end(self, data: bytes) -> bytes:
         """Return a stream's next bytes, with the LF of a CRLF that the caller lacks."""
@@ -181,18 +187,30 @@
     """Run a call on one replica and forward the response.
 
     Raise ReplicaUnavailable, ReplicaRejected, UpstreamUnreachable,
-    UpstreamExchangeError or, if `raises_server_errors`, ReplicaErrorResponse.
+    UpstreamExchangeError or, if `raises_server_errors`, ReplicaErrorResponse.  Nothing is
+    sent if the caller has closed or the deadline has passed: raise CallerDisconnected,
+    Expired or TimedOut.
     """
     if not may_send(instance, upstream, time.monotonic()):
         raise ReplicaUnavailable("the replica accepts nothing new")
+    # No connection is opened for a request that finds no room.
+    if not has_room_for_request(instance, call, upstream.id):
+        raise ReplicaUnavailable(NO_ROOM)
     force_new = not call.route.is_retryable
-    async with open_exchange(instance.pool, upstream.address, force_new) as exchange:
+    async with (
+        open_exchange(instance.pool, upstream.address, force_new) as exchange,
+        hold_request(instance, call, upstream.id, exchange) as has_room,
+    ):
+        if not has_room:
+            raise ReplicaUnavailable(NO_ROOM)
         # To go on with a stream elsewhere, the version that begins it must be known.
         if call.route.is_stream and call.route.is_resumable:
             is_resumption = find_last_event_id(call, progress) is not None
             if not await confirm_life(instance, upstream, exchange, is_resumption):
                 raise ReplicaUnavailable("the replica may have started again")
             progress.is_version_confirmed = exchange.peer_incarnation is not None
+        check_caller_waits(connection)
+        check_time_left(call, progress.may_have_run, time.monotonic())
         # Another answer may have arrived while the connection was opened.
         if not admit(instance, upstream, time.monotonic()):
             raise ReplicaUnavailable("the replica accepts nothing new")
@@ -201,6 +219,8 @@
         progress.connected_attempts += 1
         progress.has_retry = False
         sent_at = time.monotonic()
+        dispatch = bound_dispatch(dispatch, call, sent_at)
+        read_from(instance, progress.reader, upstream.id)
         await exchange.send(make_upstream_request(call, dispatch))
         bounds = make_stream_bounds(call, exchange.max_body_bytes)
         head = await _read_unless_abandoned(bounds, callbacks, exchange.read_head)
@@ -334,8 +354,15 @@
     Raise UpstreamExchangeError if the stream is incomplete or invalid.
     """
     has_event = False
+
+    async def read_part(timeout_s: float) -> bytes | None:
+        # A replica that pauses does not delay what a slow reader has room for by now.
+        if progress.reader is not None:
+            connection.send_held()
+        return await exchange.read_body_part(timeout_s)
+
     while True:
-        data = await _read_unless_abandoned(bounds, callbacks, exchange.read_body_part)
+        data = await _read_unless_abandoned(bounds, callbacks, read_part)
         if data is None:
             break
         record_received(bounds, len(data))
@@ -353,6 +380,9 @@
             progress.last_event_id = splitter.last_event_id
             progress.has_unnumbered_event |= splitter.has_unnumbered_event
             await connection.send_body(events)
+            if progress.reader is not None:
+                # The replica was not read while there was no room for its events.
+                record_event(bounds, time.monotonic())
     if splitter.has_partial_event:
         raise UpstreamDisconnected("the stream ended inside an event")
     # A resumed stream may have nothing left, but a close alone does not say so.
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -18,6 +18,9 @@
     registry: Registry
     requests: Counter
     first_byte_seconds: Histogram
+    read_delay_seconds: Histogram
+    slow_reader_bytes: Gauge
+    slow_readers_closed: Counter
     retries: Counter
     retry_budget: Gauge
     resumed_streams: Counter
@@ -56,6 +59,19 @@
             registry=registry,
             buckets=(*SECONDS_BUCKETS, float("inf")),
         ),
+        read_delay_seconds=Histogram(
+            "catkintrack_read_delay_seconds",
+            "Time that calls waited to be read after they had arrived.",
+            registry=registry,
+            buckets=(*SECONDS_BUCKETS, float("inf")),
+        ),
+        slow_reader_bytes=gauge(
+            "slow_reader_bytes", "Bytes held for peers that read slowly."
+        ),
+        slow_readers_closed=counter(
+            "slow_readers_closed_total",
+            "Callers given up as readers, by reason.",
+        ),
         retries=counter(
             "retries_total", "Retries by service and outcome: allowed, refused."
         ),
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -29,7 +29,6 @@
     Pool,
     Request,
     Server,
-    ServerLimits,
     close_unsolicited,
     disable_keep_alive,
     drain_server,
@@ -78,6 +77,7 @@
 from .reload import make_site_reload
 from .replica_signals import end_returned_rests, share_limits
 from .retry_budgets import share_retry_budgets
+from .slow_readers import make_server_limits, make_slow_readers
 from .state import Instance
 from .stream_origins import run_origin_keeper
 from .weights_rollout import run_weights_rollout
@@ -155,6 +155,8 @@
         instance.decisions.admission = AdmissionTable()
     else:
         instance.decisions.late_queue = LateQueue()
+    if Feature.SLOW_READERS in site.features:
+        instance.slow_readers = make_slow_readers(site)
     return instance
 
 
@@ -205,7 +207,7 @@
             site.callers.host,
             site.callers.port,
             handle,
-            ServerLimits(),
+            make_server_limits(site),
             respond_to_bad_request,
             cancels_on_disconnect=True,
             budget=_make_budget(site),
