--- a/catkintrack/decisions/load.py
+++ b/catkintrack/decisions/load.py
@@ -12,6 +12,7 @@
     split_pending_tokens,
 )
 from .residency import clear_cached_blocks
+from .speeds import find_prefill_rate, learn_rate, record_slowdown
 from .tables import ModelRequest, RunningRow, Tables, UpstreamRow
 
 REPORT_MAX_AGE_S = 5.0
@@ -43,7 +44,8 @@
     age_s = now - row.reported_at
     if age_s > REPORT_MAX_AGE_S:
         return known
-    left = row.reported_prefill_tokens - age_s * row.prefill_tokens_per_s - discount
+    rate = find_prefill_rate(tables, row, now)
+    left = row.reported_prefill_tokens - age_s * rate - discount
     return max(left, known)
 
 
@@ -59,9 +61,8 @@
     tables: Tables, row: UpstreamRow, now: float, priority: int
 ) -> float:
     """Return the estimated seconds until the upstream begins a new prefill."""
-    prefill_s = (
-        estimate_prefill_tokens(tables, row, now, priority) / row.prefill_tokens_per_s
-    )
+    tokens = estimate_prefill_tokens(tables, row, now, priority)
+    prefill_s = tokens / find_prefill_rate(tables, row, now)
     excess = estimate_running(row, now) + row.queued_count + 1 - row.max_running
     if excess <= 0:
         return prefill_s
@@ -71,7 +72,8 @@
 def has_capacity(tables: Tables, row: UpstreamRow, now: float, priority: int) -> bool:
     """Report whether the upstream may get another request from this process now."""
     prefill_tokens = estimate_prefill_tokens(tables, row, now, priority)
-    if prefill_tokens > tables.max_prefill_wait_s * row.prefill_tokens_per_s:
+    rate = find_prefill_rate(tables, row, now)
+    if prefill_tokens > tables.max_prefill_wait_s * rate:
         return False
     ramp = compute_ramp_fraction(row, now)
     if (
@@ -83,6 +85,25 @@
     return row.in_flight < max(1, round(share * ramp))
 
 
+def record_load_report(
+    tables: Tables,
+    row: UpstreamRow,
+    running: int,
+    waiting: int,
+    slowdown: float | None,
+    at: float,
+) -> None:
+    """Record a load that the upstream named `at` a time, unless a newer one is known."""
+    if at < row.reported_at:
+        return
+    row.reported_running = running
+    row.reported_waiting = waiting
+    row.reported_at = at
+    row.sent_since_report = 0
+    if slowdown is not None:
+        record_slowdown(tables, row, slowdown, at)
+
+
 def compute_ramp_fraction(row: UpstreamRow, now: float) -> float:
     """Return the fraction of the full window that applies during slow start."""
     age_s = now - row.ramp_started_at
@@ -102,7 +123,8 @@
         row.small_prefill_tokens += uncached
         return
     wait_s = estimate_wait_s(tables, row, now, request.priority)
-    expires_at = compute_prefill_expiry(now, wait_s, uncached, row.prefill_tokens_per_s)
+    rate = find_prefill_rate(tables, row, now)
+    expires_at = compute_prefill_expiry(now, wait_s, uncached, rate)
     prefill = Prefill(
         request.id, row.name, request.blocks, uncached, expires_at, request.priority
     )
@@ -116,7 +138,10 @@
 
 
 def learn_prefill_rate(row: UpstreamRow, running: RunningRow, now: float) -> None:
-    """Update the upstream's prefill rate from a long prefill that did not queue."""
+    """Update the upstream's prefill rate from a long prefill that did not queue.
+
+    It applies where speeds are not shared (see speeds.py).
+    """
     duration_s = now - running.dispatched_at
     is_long_enough = running.uncached_tokens >= PREFILL_RATE_MIN_TOKENS
     if not (running.was_prefilled_alone and is_long_enough and duration_s > 0):
@@ -133,7 +158,9 @@
     if running.has_first_token:
         return
     running.has_first_token = True
-    if now is not None:
+    if now is not None and tables.speeds is not None:
+        learn_rate(tables, row, running, now)
+    elif now is not None:
         learn_prefill_rate(row, running, now)
     if running.uncached_tokens < ANNOUNCED_MIN_TOKENS:
         row.small_prefill_tokens -= running.uncached_tokens
--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -18,6 +18,7 @@
 from .prefix import find_affinity_depth
 from .residency import find_cached_depths
 from .rest import is_held
+from .speeds import find_prefill_rate, find_usual_rate
 from .tables import ModelRequest, Tables, UpstreamRow
 from .transfers import FETCH_EVICTION_WEIGHT, FetchSource, find_fetch_source
 
@@ -181,7 +182,7 @@
         cost_s = estimate_cost_s(
             tables, request, row, rank, reusable, fleet_cached, now
         )
-        cost_s += estimate_fetch_s(row, source)
+        cost_s += estimate_fetch_s(tables, row, source, now)
         if best is None or cost_s < best.cost_s:
             uncached = request.prompt_tokens - reusable
             best = Placement(row, cost_s, uncached, best_cached, is_awaiting, source)
@@ -198,7 +199,7 @@
     """Return the estimated time to first token of a request that is sent now."""
     row = placement.upstream
     fetch_s = placement.source.seconds if placement.source else 0.0
-    prefill_s = placement.uncached_tokens / row.prefill_tokens_per_s
+    prefill_s = placement.uncached_tokens / find_prefill_rate(tables, row, now)
     return estimate_wait_s(tables, row, now, request.priority) + fetch_s + prefill_s
 
 
@@ -207,11 +208,13 @@
     return now - request.arrived_at < AWAITED_PREFILL_MAX_S
 
 
-def estimate_fetch_s(row: UpstreamRow, source: FetchSource | None) -> float:
+def estimate_fetch_s(
+    tables: Tables, row: UpstreamRow, source: FetchSource | None, now: float
+) -> float:
     """Return the cost of a fetch in seconds: its duration and a part for evictions."""
     if source is None:
         return 0.0
-    evicted_s = source.tokens / row.prefill_tokens_per_s
+    evicted_s = source.tokens / find_prefill_rate(tables, row, now)
     return source.seconds + FETCH_EVICTION_WEIGHT * evicted_s
 
 
@@ -231,10 +234,10 @@
     """
     uncached = request.prompt_tokens - reusable_tokens
     credit = FIRST_CHOICE_CREDIT * uncached if rank == 0 else 0.0
-    prefill_s = (uncached - credit) / row.prefill_tokens_per_s
-    recompute_s = (
-        max(0, fleet_cached_tokens - reusable_tokens) / row.prefill_tokens_per_s
-    )
+    rate = find_prefill_rate(tables, row, now)
+    prefill_s = (uncached - credit) / rate
+    wasted = max(0, fleet_cached_tokens - reusable_tokens)
+    recompute_s = wasted / find_usual_rate(tables, row)
     return (
         estimate_wait_s(tables, row, now, request.priority)
         + prefill_s * (1 + DUPLICATION_WEIGHT)
--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -39,6 +39,7 @@
 from .rest import record_placed
 from .retries import add_retry_credit, take_retry
 from .shedding import record_late_dispatch
+from .speeds import find_prefill_rate, initialize_rate, observe_prefill_start
 from .tables import (
     ModelRequest,
     RunningRow,
@@ -117,6 +118,7 @@
     if row.configured_prefill_tokens_per_s != prefill_tokens_per_s:
         row.configured_prefill_tokens_per_s = prefill_tokens_per_s
         row.prefill_tokens_per_s = prefill_tokens_per_s
+        initialize_rate(tables, row)
     return row
 
 
@@ -317,6 +319,10 @@
 ) -> Dispatch:
     row = placement.upstream
     is_alone = load.is_prefill_idle(tables, row)
+    is_fetched = placement.source is not None
+    start = observe_prefill_start(
+        tables, row, request, placement.uncached_tokens, is_fetched, now
+    )
     load.record_dispatch(tables, row, request, placement.uncached_tokens, now)
     ejection.begin_trial(row, now)
     record_placed(row.rest, now)
@@ -327,6 +333,7 @@
         now,
         placement.uncached_tokens,
         was_prefilled_alone=is_alone,
+        prefill_start=start,
     )
     return Dispatch(
         request,
@@ -466,7 +473,10 @@
     if row is None:
         return
     wait_s = load.estimate_wait_s(tables, row, now, priority)
-    expires_at = compute_prefill_expiry(now, wait_s, tokens, row.prefill_tokens_per_s)
+    if tables.speeds is not None:
+        row.sent_since_report += 1
+    rate = find_prefill_rate(tables, row, now)
+    expires_at = compute_prefill_expiry(now, wait_s, tokens, rate)
     add_prefill(
         tables.prefills,
         Prefill(prefill_id, upstream, blocks, tokens, expires_at, priority),
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from .cache_store import CacheStoreIndex
     from .shedding import LateQueue
+    from .speeds import PrefillStart, RateSample, Speed, SpeedTable
     from .transfers import TransferRates
 
 # Prefill backlog, in seconds, above which an upstream is sent no further requests.
@@ -39,7 +40,8 @@
     `is_unreachable` is set while the last failure was to connect, `trial_sent_at` while the
     request that was sent after an ejection is under way.
     `small_prefill_tokens` sums the prefills in progress that are too short to be
-    announced to peers.
+    announced to peers.  `memory_tokens` is its KV cache's capacity, 0 if unknown;
+    `speed` is set while speeds are learned, `prefill_tokens_per_s` is its usual one.
     """
 
     name: str
@@ -79,6 +81,8 @@
     trial_sent_at: float | None = None
     ramp_started_at: float = -1e9
     last_heard_at: float = 0.0
+    memory_tokens: int = 0
+    speed: Speed | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +140,8 @@
     """Hold one request that was dispatched and has not ended.
 
     `was_prefilled_alone` is set if no other prefill was in progress at its dispatch.
+    `prefill_start` is set if its prefill may show the replica's speed, `rate_sample` once
+    it has.
     """
 
     request: ModelRequest
@@ -144,6 +150,8 @@
     uncached_tokens: int
     has_first_token: bool = False
     was_prefilled_alone: bool = False
+    prefill_start: PrefillStart | None = None
+    rate_sample: RateSample | None = None
 
 
 @dataclass(slots=True)
@@ -152,7 +160,8 @@
 
     `router_count` is the number of processes that share the upstreams, this one
     included. Requests that are not dispatched at `dispatches_until`, in seconds, are
-    refused.
+    refused. `speeds` is set where what is known of each replica is shared, and
+    `has_uneven_replicas` once a replica has named a slowdown.
     """
 
     upstream_by_name: dict[str, UpstreamRow] = field(default_factory=dict)
@@ -176,6 +185,8 @@
     leaving: LeavingTable = field(default_factory=LeavingTable)
     rests: RestTable = field(default_factory=RestTable)
     named_limits: NamedLimitTable = field(default_factory=NamedLimitTable)
+    speeds: SpeedTable | None = None
+    has_uneven_replicas: bool = False
 
     @property
     def waiting_count(self) -> int:
--- a/catkintrack/fleet/__init__.py
+++ b/catkintrack/fleet/__init__.py
@@ -18,6 +18,7 @@
 from .site import Bounds, Feature, Site
 from .upstreams import (
     ModelWeights,
+    ReplicaLoad,
     SwapMode,
     Upstream,
     UpstreamReport,
@@ -37,6 +38,7 @@
     "ModelWeights",
     "Prompt",
     "PromptPart",
+    "ReplicaLoad",
     "Route",
     "Service",
     "ServiceShare",
--- a/catkintrack/fleet/upstreams.py
+++ b/catkintrack/fleet/upstreams.py
@@ -44,6 +44,19 @@
     software_version: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaLoad:
+    """Hold the load that a replica names in a response; None where it is not named.
+
+    `slowdown` is how long work takes there at that moment, relative to the usual time.
+    """
+
+    running: int
+    waiting: int
+    slots: int | None = None
+    slowdown: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamReport:
     """Hold a model engine's report of its state, some hundred milliseconds old.
--- a/catkintrack/instance/broadcasting.py
+++ b/catkintrack/instance/broadcasting.py
@@ -32,6 +32,7 @@
         lease=None,
         quarantined={},
         quarantined_contents={},
+        load_by_upstream={},
     )
     data = encode_peer_message(announcement)
     for peer in list_unconfirmed_peers(instance, now):
--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -17,6 +17,7 @@
     set_incarnation,
 )
 from catkintrack.decisions.services import ensure_service_row
+from catkintrack.decisions.speeds import reset_precision
 from catkintrack.decisions.stream_origins import (
     name_unconfirmed_version,
     resolve_version,
@@ -162,6 +163,7 @@
     if row.incarnation and row.incarnation != incarnation:
         logger.info("upstream restarted", extra={"upstream": upstream.id})
         instance.weights.order_count_by_upstream.pop(upstream.id, None)
+        reset_precision(row)
     set_incarnation(instance.decisions, row, incarnation, now, now)
 
 
--- a/catkintrack/instance/gossip.py
+++ b/catkintrack/instance/gossip.py
@@ -13,6 +13,7 @@
 from .messages import GossipMessage, LeaseRow, PeerRow
 from .peers import list_live_peers
 from .quarantining import make_gossiped_quarantine
+from .replica_loads import list_gossiped_loads
 from .state import Instance
 
 STORE_STALENESS_S = 1.0
@@ -95,6 +96,7 @@
         quarantined_contents=make_gossiped_quarantine(instance, True, now),
         callers_port=site.callers.port,
         is_cut_off=instance.partition.is_cut_off,
+        load_by_upstream=list_gossiped_loads(instance, now),
     )
 
 
--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -14,10 +14,7 @@
     remove_stored_blocks,
 )
 from catkintrack.decisions.named_limits import confirm_limits
-from catkintrack.decisions.scheduler import (
-    record_remote_prefill,
-    record_remote_prefill_end,
-)
+from catkintrack.decisions.scheduler import record_remote_prefill
 from catkintrack.fleet import ModelWeights
 from catkintrack.leases import LeaseRecord, observe_fencing, observe_record
 from catkintrack.platform import observe_era
@@ -83,6 +80,7 @@
     handle_parts_served,
     handle_replica_lost,
 )
+from .replica_loads import apply_gossiped_loads, apply_prefill_ended
 from .state import Instance, Peer
 
 logger = logging.getLogger(__name__)
@@ -219,6 +217,7 @@
         get_or_add_peer(instance, row.instance, row.zone, row.host, row.port)
     observe_era(instance.store, gossip.era, gossip.instance)
     _apply_gossiped_state(instance, gossip, now)
+    apply_gossiped_loads(instance, gossip.load_by_upstream, now)
     confirm_limits(instance.decisions.named_limits, gossip.limited_upstreams, now)
     await adopt_gossiped_quarantine(instance, gossip)
     await pull_newer(instance, peer, gossip, now)
@@ -287,7 +286,7 @@
 
 async def _handle_prefill_ended(instance: Instance, message: PrefillEnded) -> None:
     now = time.monotonic()
-    record_remote_prefill_end(instance.decisions, message.id, message.incarnation, now)
+    apply_prefill_ended(instance, message, now)
     store = instance.decisions.cache_store
     if store is not None:
         add_stored_blocks(store, message.version, message.kept)
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -38,6 +38,24 @@
     highest_fencing: int = 0
 
 
+class SharedLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Carry the load that a replica has named, and the prefill rate that its call showed.
+
+    `slowdown` is 0 if it named none; `tokens_per_s` is 0 if the call shows no rate, `error`
+    is the standard error of its logarithm.
+    """
+
+    running: int
+    waiting: int
+    slowdown: float = 0.0
+    tokens_per_s: float = 0.0
+    error: float = 0.0
+
+
+# Running and waiting calls, the slowdown (0 if none is named), and the age in ms.
+GossipedLoad = tuple[int, int, float, int]
+
+
 class GossipMessage(PeerMessage, frozen=True, tag="News"):
     """Announce that the sender is alive, with its fleet state and its limits' usage.
 
@@ -52,7 +70,8 @@
     `limited_upstreams` are the replicas with a limit in which the sender has a share.
     `quarantined` holds the remaining and the whole seconds of each part's quarantine,
     `quarantined_contents` those of each content's.  `callers_port` is where the sender takes
-    calls, `is_cut_off` says that it reaches no replica.
+    calls, `is_cut_off` says that it reaches no replica.  `load_by_upstream` holds the loads
+    that replicas without engines have named to the sender of late.
     """
 
     instance: str
@@ -85,6 +104,7 @@
     quarantined_contents: dict[int, tuple[float, float]] = {}
     callers_port: int = 0
     is_cut_off: bool = False
+    load_by_upstream: dict[str, GossipedLoad] = {}
 
 
 class ZoneRelay(PeerMessage, frozen=True, tag="Relayed"):
@@ -186,13 +206,14 @@
     """Announce that a prefill has ended; `incarnation` is empty if it failed.
 
     `kept` are the blocks that the replica saves to the cache store, `version` is that of
-    the weights that computed them.
+    the weights that computed them, `load` is what the replica named at its end.
     """
 
     id: str
     incarnation: str
     version: int = 0
     kept: tuple[int, ...] = ()
+    load: SharedLoad | None = None
 
 
 class ReplicaLost(PeerMessage, frozen=True):
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -27,7 +27,7 @@
 from catkintrack.decisions.placement import has_healthy_upstream, may_run
 from catkintrack.decisions.prefills import ANNOUNCED_MIN_TOKENS
 from catkintrack.decisions.tables import UpstreamRow
-from catkintrack.fleet import Call, ModelWeights, Prompt
+from catkintrack.fleet import Call, ModelWeights, Prompt, ReplicaLoad
 from catkintrack.http import (
     Address,
     Connection,
@@ -63,6 +63,7 @@
     start_trial,
 )
 from .refusals import NotServed, OutcomeUnknown
+from .replica_loads import add_shared_load, record_load
 from .replica_signals import find_return_s
 from .reports import learn_weights
 from .retry_budgets import (
@@ -218,17 +219,17 @@
     progress.cached_tokens = prompt.prompt_tokens - decision.uncached_tokens
     is_long_prefill = decision.uncached_tokens >= ANNOUNCED_MIN_TOKENS
     has_response_head = False
+    named_load: ReplicaLoad | None = None
     version = row.weights_version
     connected_before = progress.connected_attempts
     saved_blocks = _find_blocks_to_save(instance, request, version)
 
     async def handle_response_head(fields: ResponseFields) -> None:
-        nonlocal has_response_head
+        nonlocal has_response_head, named_load
         now = time.monotonic()
         if fields.load is not None:
-            row.reported_running, row.reported_waiting = fields.load
-            row.reported_at = now
-            row.sent_since_report = 0
+            named_load = fields.load
+            record_load(instance, row, fields.load, now)
         if fields.weights_version is not None:
             weights = ModelWeights(prompt.model, fields.weights_version)
             apply_replica_weights(instance, upstream.id, weights, now)
@@ -238,7 +239,7 @@
             record_first_token(tables, request.id, row.incarnation, now)
             if is_long_prefill or saved_blocks:
                 await _broadcast_prefill_ended(
-                    instance, request, row, version, saved_blocks
+                    instance, request, row, version, saved_blocks, fields.load
                 )
 
     has_event = False
@@ -339,7 +340,8 @@
     finally:
         record_end(tables, request.id, time.monotonic())
         if is_long_prefill and not has_response_head:
-            await broadcast(instance, PrefillEnded(request.id, ""))
+            ended = PrefillEnded(request.id, "")
+            await broadcast(instance, add_shared_load(instance, ended, named_load))
 
 
 def _find_address(instance: Instance, name: str | None) -> Address | None:
@@ -373,6 +375,7 @@
     row: UpstreamRow,
     version: int,
     saved_blocks: tuple[int, ...],
+    load: ReplicaLoad | None,
 ) -> None:
     store = instance.decisions.cache_store
     if row.weights_version != version:
@@ -380,7 +383,7 @@
     if store is not None:
         add_stored_blocks(store, version, saved_blocks)
     message = PrefillEnded(request.id, row.incarnation, version, saved_blocks)
-    await broadcast(instance, message)
+    await broadcast(instance, add_shared_load(instance, message, load))
 
 
 async def _broadcast_prefill_begun(
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -18,7 +18,8 @@
 
 from catkintrack.calls import run_ticks
 from catkintrack.decisions.shedding import LateQueue
-from catkintrack.fleet import Site
+from catkintrack.decisions.speeds import enable_speeds
+from catkintrack.fleet import Feature, Site
 from catkintrack.http import (
     DRAIN_READ_S,
     ByteBudget,
@@ -148,6 +149,8 @@
     instance.decisions.retry_budget = None
     instance.decisions.max_prefill_wait_s = MAX_PREFILL_WAIT_S
     instance.decisions.late_queue = LateQueue()
+    if Feature.ADMISSION in site.features:
+        enable_speeds(instance.decisions)
     return instance
 
 
--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -49,6 +49,7 @@
     start_trial,
 )
 from .refusals import NotServed, OutcomeUnknown
+from .replica_loads import record_service_load
 from .replica_signals import find_limit_wait_s, find_return_s, may_choose, record_chosen
 from .retry_budgets import (
     credit_request,
@@ -210,8 +211,7 @@
 
     async def handle_response_head(fields: ResponseFields) -> None:
         if fields.load is not None:
-            row.reported_running, row.reported_waiting = fields.load
-            row.reported_at = time.monotonic()
+            record_service_load(instance, row, fields.load, time.monotonic())
         if not fields.is_not_run:
             progress.executions = executions
 
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -18,7 +18,7 @@
 from catkintrack.decisions.retries import RetryBudget
 from catkintrack.decisions.services import ServiceTables
 from catkintrack.decisions.stream_origins import DEFAULT_LIFETIME_S, StreamOrigins
-from catkintrack.fleet import Call, Configuration, Site, Upstream
+from catkintrack.fleet import Call, Configuration, ReplicaLoad, Site, Upstream
 from catkintrack.http import Address, Connection, Pool, Server
 from catkintrack.leases import Lease
 from catkintrack.platform import StoreClient
@@ -205,6 +205,8 @@
     `is_config_written` says that the configuration was certainly written in the era of
     its stamp; `held_config` is one that may come from an older copy of the store.
     `era_seen_at` is when the store's era last rose while something was known.
+    `own_load_by_upstream` holds the loads that replicas without engines have named to this
+    instance of late, and when.
     """
 
     site: Site
@@ -240,6 +242,9 @@
     abandoned_at_by_replica: dict[str, dict[int, float]] = field(default_factory=dict)
     stream_origins: StreamOrigins = field(default_factory=StreamOrigins)
     origin_store: OriginStore = field(default_factory=OriginStore)
+    own_load_by_upstream: dict[str, tuple[ReplicaLoad, float]] = field(
+        default_factory=dict
+    )
     retry_budget_by_service: dict[str, RetryBudget] = field(default_factory=dict)
     feed_by_kind: dict[str, Feed] = field(default_factory=dict)
     peer_by_address: dict[tuple[str, int], Peer] = field(default_factory=dict)
--- a/catkintrack/platform/requests.py
+++ b/catkintrack/platform/requests.py
@@ -9,7 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from catkintrack.fleet import Call, Prompt, PromptPart
+from catkintrack.fleet import Call, Prompt, PromptPart, ReplicaLoad
 from catkintrack.http import (
     Address,
     Headers,
@@ -52,6 +52,8 @@
 MISDIRECTED_REQUEST_STATUS = 421
 # Longer numbers exceed 64 bits.
 MAX_DIGITS = 18
+# A larger one is taken for an error of the replica.
+MAX_SLOWDOWN_PERCENT = 10_000
 DECIMAL_NUMBER = re.compile(rb"[+-]?([0-9]+\.?[0-9]*|\.[0-9]+)")
 JSON_CONTENT_TYPE = (b"content-type", b"application/json")
 
@@ -95,8 +97,7 @@
 class ResponseFields:
     """Hold the parsed status and headers of a replica's response.
 
-    `load` is the numbers of running and waiting requests at the replica.  `upstream_id`
-    names the replica that answered.  `is_leaving` is set if it accepts no new work.
+    `load` is what the replica says of its load.  `upstream_id` names the replica that answered.  `is_leaving` is set if it accepts no new work.
     `retry_after_s` is NaN if it is no number of seconds.  `limit_per_s` is the number of
     requests a second that the replica takes from all instances, NaN if it is no number.
     """
@@ -106,7 +107,7 @@
     is_signed: bool
     is_not_run: bool
     is_encoded: bool
-    load: tuple[int, int] | None
+    load: ReplicaLoad | None
     weights_version: int | None
     upstream_id: str | None = None
     is_misdirected: bool = False
@@ -232,11 +233,15 @@
     )
 
 
-def _parse_load(value: bytes | None) -> tuple[int, int] | None:
-    counts = [_parse_count(part) for part in (value or b"").split(b",")[:2]]
-    if len(counts) < 2 or counts[0] is None or counts[1] is None:
+def _parse_load(value: bytes | None) -> ReplicaLoad | None:
+    counts = [_parse_count(part.strip()) for part in (value or b"").split(b",")]
+    running, waiting, slots, percent = (*counts, None, None, None, None)[:4]
+    if running is None or waiting is None:
         return None
-    return counts[0], counts[1]
+    slowdown = None
+    if percent is not None and 0 < percent <= MAX_SLOWDOWN_PERCENT:
+        slowdown = percent / 100
+    return ReplicaLoad(running, waiting, slots, slowdown)
 
 
 def _parse_count(value: bytes) -> int | None:
--- a/catkintrack/platform/tests/test_formats.py
+++ b/catkintrack/platform/tests/test_formats.py
@@ -8,6 +8,7 @@
 from catkintrack.fleet import (
     Feature,
     ModelWeights,
+    ReplicaLoad,
     SwapMode,
     Upstream,
     WeightsOrder,
@@ -265,10 +266,22 @@
         self.assertFalse(parse_response_headers(ResponseHead(200, ())).is_leaving)
 
     def test_load_header_is_parsed(self):
-        for value, load in ((b"3,1,8", (3, 1)), (b"x", None), (b"", None)):
+        for value, load in (
+            (b"3,1,8", ReplicaLoad(3, 1, 8)),
+            (b"3,1,8,250", ReplicaLoad(3, 1, 8, 2.5)),
+            (b"3,1", ReplicaLoad(3, 1)),
+            (b"x", None),
+            (b"", None),
+        ):
             head = ResponseHead(200, ((b"x-server-load", value),))
             self.assertEqual(parse_response_headers(head).load, load)
 
+    def test_invalid_slowdowns_are_ignored(self):
+        for value in (b"0", b"-250", b"nan", b"10001", b"9" * 5000, b""):
+            head = ResponseHead(200, ((b"x-server-load", b"3,1,8," + value),))
+            load = parse_response_headers(head).load
+            self.assertEqual(load, ReplicaLoad(3, 1, 8))
+
 
 class OddNumberTest(unittest.TestCase):
     """Guard against a number too large in an answer, which ended its call unanswered."""
