--- a/catkintrack/decisions/load.py
+++ b/catkintrack/decisions/load.py
@@ -12,7 +12,13 @@
     split_pending_tokens,
 )
 from .residency import clear_cached_blocks
-from .speeds import find_prefill_rate, learn_rate, record_slowdown
+from .speeds import (
+    find_prefill_rate,
+    record_prefill_end,
+    record_slowdown,
+    time_prefill,
+)
+from .spreading import add_sent_tokens
 from .tables import ModelRequest, RunningRow, Tables, UpstreamRow
 
 REPORT_MAX_AGE_S = 5.0
@@ -119,6 +125,8 @@
     row.in_flight += 1
     record_request_sent(row, now)
     row.sent_since_report += 1
+    if tables.speeds is not None:
+        add_sent_tokens(tables.speeds.sent, uncached, now)
     if uncached < ANNOUNCED_MIN_TOKENS:
         row.small_prefill_tokens += uncached
         return
@@ -159,7 +167,8 @@
         return
     running.has_first_token = True
     if now is not None and tables.speeds is not None:
-        learn_rate(tables, row, running, now)
+        running.timed_prefill = time_prefill(row, running, now)
+        record_prefill_end(tables, row, running.timed_prefill, now, now)
     elif now is not None:
         learn_prefill_rate(row, running, now)
     if running.uncached_tokens < ANNOUNCED_MIN_TOKENS:
--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -19,6 +19,7 @@
 from .residency import find_cached_depths
 from .rest import is_held
 from .speeds import find_prefill_rate, find_usual_rate
+from .spreading import draw_noise_s, estimate_spread_s
 from .tables import ModelRequest, Tables, UpstreamRow
 from .transfers import FETCH_EVICTION_WEIGHT, FetchSource, find_fetch_source
 
@@ -162,7 +163,9 @@
         fleet_cached = max(fleet_cached, request.count_tokens(stored_depth))
     if pending is not None:
         fleet_cached = max(fleet_cached, request.count_tokens(pending[1]))
+    spread_s = _find_spread_s(tables, eligible, now)
     best: Placement | None = None
+    best_drawn_s = 0.0
     for rank, row in _pick_candidates(eligible, depth_by_bit_index, rng):
         depth = depth_by_bit_index.get(row.bit_index, 0)
         is_awaiting = False
@@ -183,7 +186,9 @@
             tables, request, row, rank, reusable, fleet_cached, now
         )
         cost_s += estimate_fetch_s(tables, row, source, now)
-        if best is None or cost_s < best.cost_s:
+        drawn_s = cost_s - draw_noise_s(spread_s, rng) if spread_s else cost_s
+        if best is None or drawn_s < best_drawn_s:
+            best_drawn_s = drawn_s
             uncached = request.prompt_tokens - reusable
             best = Placement(row, cost_s, uncached, best_cached, is_awaiting, source)
     if best is None:
@@ -193,6 +198,16 @@
     )
 
 
+def _find_spread_s(tables: Tables, rows: list[UpstreamRow], now: float) -> float:
+    """Return the size of the random term of costs, 0 where speeds are not shared."""
+    if tables.speeds is None:
+        return 0.0
+    capacity_per_s = sum(row.prefill_tokens_per_s for row in rows)
+    return estimate_spread_s(
+        tables.speeds.sent, capacity_per_s, tables.router_count, now
+    )
+
+
 def estimate_first_token_s(
     tables: Tables, request: ModelRequest, placement: Placement, now: float
 ) -> float:
--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -39,7 +39,13 @@
 from .rest import record_placed
 from .retries import add_retry_credit, take_retry
 from .shedding import record_late_dispatch
-from .speeds import find_prefill_rate, initialize_rate, observe_prefill_start
+from .speeds import (
+    count_sent_prefill,
+    find_named_slowdown,
+    find_prefill_rate,
+    initialize_rate,
+    may_measure,
+)
 from .tables import (
     ModelRequest,
     RunningRow,
@@ -319,10 +325,7 @@
 ) -> Dispatch:
     row = placement.upstream
     is_alone = load.is_prefill_idle(tables, row)
-    is_fetched = placement.source is not None
-    start = observe_prefill_start(
-        tables, row, request, placement.uncached_tokens, is_fetched, now
-    )
+    is_measurable = may_measure(tables, row, placement.source is not None)
     load.record_dispatch(tables, row, request, placement.uncached_tokens, now)
     ejection.begin_trial(row, now)
     record_placed(row.rest, now)
@@ -333,7 +336,8 @@
         now,
         placement.uncached_tokens,
         was_prefilled_alone=is_alone,
-        prefill_start=start,
+        is_measurable=is_measurable,
+        slowdown_at_dispatch=find_named_slowdown(row, now),
     )
     return Dispatch(
         request,
@@ -473,8 +477,7 @@
     if row is None:
         return
     wait_s = load.estimate_wait_s(tables, row, now, priority)
-    if tables.speeds is not None:
-        row.sent_since_report += 1
+    count_sent_prefill(tables, row, tokens, now)
     rate = find_prefill_rate(tables, row, now)
     expires_at = compute_prefill_expiry(now, wait_s, tokens, rate)
     add_prefill(
--- a/catkintrack/decisions/speeds.py
+++ b/catkintrack/decisions/speeds.py
@@ -3,16 +3,19 @@
 Load: replicas of one model at 0.7, 0.7 and 1.7 of the usual speed, slowed by 2.5 for some
 hundred milliseconds at a time, each of which an instance sends a call in ten seconds.
 The logarithm of the usual rate is estimated with its precision (one-dimensional Kalman
-filter); samples beyond a bound count as the bound (Huber).
+filter); samples beyond a bound count as the bound (Huber).  A sample counts only once
+the messages about prefills that ran before it have arrived.
 """
 
 from __future__ import annotations
 
 import math
+from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from .prefills import split_pending_tokens
-from .tables import ModelRequest, RunningRow, Tables, UpstreamRow
+from .spreading import SentTokens, add_sent_tokens
+from .tables import RunningRow, Tables, UpstreamRow
 
 # A slowdown loses half of its weight in this time: it changes within some 100 ms.
 SLOWDOWN_HALF_LIFE_S = 0.4
@@ -20,13 +23,17 @@
 MAX_SLOWDOWN = 100.0
 # Network and the engine's step in progress: no part of a prefill.
 FIXED_S = 0.01
-# Standard errors of a sample's logarithm: in general, by its queue and by a slowdown that
-# was not known when it began.
+# Standard error of when peers' prefills ended, as their messages take different times.
+END_ERROR_S = 0.03
+# Messages about all prefills that ended before one have arrived this long after it.
+SETTLE_S = 0.25
+# Standard errors of a sample's logarithm: in general, and by a slowdown that was not
+# known when the prefill began.
 SAMPLE_ERROR = 0.1
-QUEUE_ERROR = 0.5
 UNKNOWN_SLOWDOWN_ERROR = 0.3
 # Largest standard error of a sample that is used.
 MAX_SAMPLE_ERROR = 0.7
+MAX_RECENT_ENDS = 32
 # Standard error of the rate of a replica that was not measured.
 PRIOR_ERROR = 0.5
 # Bounds the precision, so that an estimate follows a lasting change.
@@ -44,32 +51,44 @@
     """Hold what is known of a replica's speed.
 
     `precision` is the inverse variance of the logarithm of the usual prefill rate;
-    `slowdown` was named at `slowdown_at`.
+    `slowdown` was named at `slowdown_at`.  `recent_ends` are when prefills there ended;
+    `unsettled` are those whose queue may not be known yet.
     """
 
     precision: float = PRIOR_ERROR**-2
     samples: int = 0
     slowdown: float = 1.0
     slowdown_at: float = -math.inf
+    recent_ends: deque[float] = field(
+        default_factory=lambda: deque(maxlen=MAX_RECENT_ENDS)
+    )
+    unsettled: deque[TimedPrefill] = field(default_factory=deque)
 
 
 @dataclass(slots=True)
 class SpeedTable:
-    """Hold the usual prefill rate of the measured replicas, by the models they run."""
+    """Hold the usual prefill rate of the measured replicas, by the models they run.
+
+    `sent` counts what all instances have sent of late.
+    """
 
     rate_by_models: dict[frozenset[str], float] = field(default_factory=dict)
+    sent: SentTokens = field(default_factory=SentTokens)
 
 
 @dataclass(frozen=True, slots=True)
-class PrefillStart:
-    """Hold the state of a replica when a prefill was sent to it.
+class TimedPrefill:
+    """Hold a prefill that has ended, with its time in the queue.
 
-    `slowdown` is None if none was named of late.
+    `slowdown` is the mean of those that were named at its begin and its end,
+    `slowdown_error` the standard error of its logarithm.
     """
 
     tokens: int
-    tokens_ahead: int
-    slowdown: float | None
+    began_at: float
+    ended_at: float
+    slowdown: float = 1.0
+    slowdown_error: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,72 +160,91 @@
         speed.slowdown_at = at
 
 
-def observe_prefill_start(
-    tables: Tables,
-    row: UpstreamRow,
-    request: ModelRequest,
-    uncached_tokens: int,
-    is_fetched: bool,
-    now: float,
-) -> PrefillStart | None:
-    """Return the state in which a prefill begins, or None if it would not show the speed.
+def may_measure(tables: Tables, row: UpstreamRow, is_fetched: bool) -> bool:
+    """Report whether a prefill that is sent now would show the replica's speed.
 
-    It doesn't if it waits for a slot or for a fetch, or if more is queued than it reads.
+    It doesn't if it waits for a slot or for a fetch.
     """
     if tables.speeds is None or is_fetched:
-        return None
+        return False
     running = max(row.in_flight, row.reported_running + row.sent_since_report)
-    if row.reported_waiting or running >= row.max_running:
+    return running < row.max_running and row.reported_waiting == 0
+
+
+def count_sent_prefill(
+    tables: Tables, row: UpstreamRow, tokens: int, now: float
+) -> None:
+    """Count a prefill that a peer has sent to a replica since its last load report."""
+    if tables.speeds is not None:
+        row.sent_since_report += 1
+        add_sent_tokens(tables.speeds.sent, tokens, now)
+
+
+def find_named_slowdown(row: UpstreamRow, now: float) -> float | None:
+    """Return the slowdown that the replica has named of late, if any."""
+    speed = row.speed
+    if speed is None or now - speed.slowdown_at > SLOWDOWN_HALF_LIFE_S:
         return None
-    before, _ = split_pending_tokens(tables.prefills, row.name, request.priority)
-    ahead = before + row.small_prefill_tokens
-    if ahead > uncached_tokens:
+    return speed.slowdown
+
+
+def time_prefill(
+    row: UpstreamRow, running: RunningRow, now: float
+) -> TimedPrefill | None:
+    """Return the own prefill that ends now, or None if it shows no speed."""
+    if not running.is_measurable:
         return None
-    speed = row.speed
-    is_known = speed is not None and now - speed.slowdown_at < SLOWDOWN_HALF_LIFE_S
-    slowdown = speed.slowdown if speed is not None and is_known else None
-    return PrefillStart(uncached_tokens, ahead, slowdown)
+    before = running.slowdown_at_dispatch
+    after = row.speed.slowdown if row.speed is not None else 1.0
+    if before is None:
+        slowdown, error = after, UNKNOWN_SLOWDOWN_ERROR
+    else:
+        slowdown, error = (before + after) / 2, abs(math.log(before / after)) / 2
+    return TimedPrefill(
+        running.uncached_tokens, running.dispatched_at, now, slowdown, error
+    )
 
 
-def learn_rate(
-    tables: Tables, row: UpstreamRow, running: RunningRow, now: float
+def record_prefill_end(
+    tables: Tables,
+    row: UpstreamRow,
+    prefill: TimedPrefill | None,
+    ended_at: float,
+    now: float,
 ) -> None:
-    """Learn the replica's rate from a prefill that has just ended, if it shows it."""
-    if tables.speeds is None or running.prefill_start is None:
+    """Record that a prefill has ended at a replica, and learn from those settled.
+
+    `prefill` is None if it shows no speed.
+    """
+    if tables.speeds is None:
         return
-    duration_s = now - running.dispatched_at
-    sample = measure_rate(row, running.prefill_start, duration_s)
-    if sample is not None:
-        running.rate_sample = sample
-        add_rate_sample(tables, row, sample)
+    speed = ensure_speed(row)
+    speed.recent_ends.append(ended_at)
+    if prefill is not None:
+        speed.unsettled.append(prefill)
+    while speed.unsettled and now - speed.unsettled[0].ended_at >= SETTLE_S:
+        sample = measure_rate(speed.unsettled.popleft(), speed.recent_ends)
+        if sample is not None:
+            add_rate_sample(tables, row, sample)
 
 
-def measure_rate(
-    row: UpstreamRow, start: PrefillStart, duration_s: float
-) -> RateSample | None:
+def measure_rate(prefill: TimedPrefill, ends: Iterable[float]) -> RateSample | None:
     """Return the usual rate that a prefill shows, or None if it shows too little.
 
-    Of what was queued ahead, half is taken to have been done when the prefill was sent.
+    It was read from the last end of another prefill there, as engines read one at a time.
     """
-    prefill_s = duration_s - FIXED_S
-    if prefill_s <= FIXED_S:
+    began_at, ended_at = prefill.began_at, prefill.ended_at
+    last_end = max((at for at in ends if began_at < at < ended_at), default=None)
+    if last_end is None:
+        prefill_s, timing_error_s = ended_at - began_at - FIXED_S, FIXED_S
+    else:
+        prefill_s, timing_error_s = ended_at - last_end, END_ERROR_S
+    if prefill_s <= timing_error_s:
         return None
-    after = row.speed.slowdown if row.speed is not None else 1.0
-    before = start.slowdown
-    slowdown_error = (
-        UNKNOWN_SLOWDOWN_ERROR if before is None else abs(math.log(before / after)) / 2
-    )
-    slowdown = after if before is None else (before + after) / 2
-    tokens = start.tokens + start.tokens_ahead / 2
-    error = math.hypot(
-        SAMPLE_ERROR,
-        FIXED_S / prefill_s,
-        QUEUE_ERROR * start.tokens_ahead / tokens,
-        slowdown_error,
-    )
+    error = math.hypot(SAMPLE_ERROR, timing_error_s / prefill_s, prefill.slowdown_error)
     if error > MAX_SAMPLE_ERROR:
         return None
-    return RateSample(tokens / prefill_s * slowdown, error)
+    return RateSample(prefill.tokens / prefill_s * prefill.slowdown, error)
 
 
 def add_rate_sample(tables: Tables, row: UpstreamRow, sample: RateSample) -> None:
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from .cache_store import CacheStoreIndex
     from .shedding import LateQueue
-    from .speeds import PrefillStart, RateSample, Speed, SpeedTable
+    from .speeds import Speed, SpeedTable, TimedPrefill
     from .transfers import TransferRates
 
 # Prefill backlog, in seconds, above which an upstream is sent no further requests.
@@ -140,8 +140,8 @@
     """Hold one request that was dispatched and has not ended.
 
     `was_prefilled_alone` is set if no other prefill was in progress at its dispatch.
-    `prefill_start` is set if its prefill may show the replica's speed, `rate_sample` once
-    it has.
+    `is_measurable` is set if its prefill may show the replica's speed, `timed_prefill`
+    once it has ended; `slowdown_at_dispatch` is what the replica had named of late.
     """
 
     request: ModelRequest
@@ -150,8 +150,9 @@
     uncached_tokens: int
     has_first_token: bool = False
     was_prefilled_alone: bool = False
-    prefill_start: PrefillStart | None = None
-    rate_sample: RateSample | None = None
+    is_measurable: bool = False
+    slowdown_at_dispatch: float | None = None
+    timed_prefill: TimedPrefill | None = None
 
 
 @dataclass(slots=True)
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -39,16 +39,17 @@
 
 
 class SharedLoad(msgspec.Struct, frozen=True, array_like=True):
-    """Carry the load that a replica has named, and the prefill rate that its call showed.
+    """Carry the load that a replica named at the end of a prefill, and the prefill's time.
 
-    `slowdown` is 0 if it named none; `tokens_per_s` is 0 if the call shows no rate, `error`
-    is the standard error of its logarithm.
+    `slowdown` is 0 if it named none.  `prefill_s` is 0 if the prefill shows no speed;
+    otherwise it ran at `mean_slowdown`, whose logarithm has the standard error `error`.
     """
 
     running: int
     waiting: int
     slowdown: float = 0.0
-    tokens_per_s: float = 0.0
+    prefill_s: float = 0.0
+    mean_slowdown: float = 1.0
     error: float = 0.0
 
 
--- a/catkintrack/instance/replica_loads.py
+++ b/catkintrack/instance/replica_loads.py
@@ -12,7 +12,7 @@
 
 from catkintrack.decisions.load import record_load_report
 from catkintrack.decisions.scheduler import record_remote_prefill_end
-from catkintrack.decisions.speeds import RateSample, add_rate_sample
+from catkintrack.decisions.speeds import TimedPrefill, record_prefill_end
 from catkintrack.decisions.tables import UpstreamRow
 from catkintrack.fleet import ReplicaLoad
 
@@ -77,15 +77,16 @@
     tables = instance.decisions
     if tables.speeds is None or load is None:
         return message
+    shared = SharedLoad(load.running, load.waiting, load.slowdown or 0.0)
     running = tables.running_by_id.get(message.id)
-    sample = running.rate_sample if running else None
-    shared = SharedLoad(
-        load.running,
-        load.waiting,
-        load.slowdown or 0.0,
-        sample.tokens_per_s if sample else 0.0,
-        sample.error if sample else 0.0,
-    )
+    timed = running.timed_prefill if running else None
+    if timed is not None:
+        shared = msgspec.structs.replace(
+            shared,
+            prefill_s=timed.ended_at - timed.began_at,
+            mean_slowdown=timed.slowdown,
+            error=timed.slowdown_error,
+        )
     return msgspec.structs.replace(message, load=shared)
 
 
@@ -96,10 +97,18 @@
     record_remote_prefill_end(tables, message.id, message.incarnation, now)
     row = tables.upstream_by_name.get(prefill.upstream) if prefill else None
     shared = message.load
-    if row is None or shared is None:
+    if prefill is None or row is None or shared is None:
         return
+    ended_at = now - MESSAGE_DELAY_S
     load = ReplicaLoad(shared.running, shared.waiting, slowdown=shared.slowdown or None)
-    record_load(instance, row, load, now - MESSAGE_DELAY_S)
-    if shared.tokens_per_s:
-        sample = RateSample(shared.tokens_per_s, shared.error)
-        add_rate_sample(tables, row, sample)
+    record_load(instance, row, load, ended_at)
+    timed = None
+    if shared.prefill_s > 0:
+        timed = TimedPrefill(
+            prefill.tokens,
+            ended_at - shared.prefill_s,
+            ended_at,
+            shared.mean_slowdown,
+            shared.error,
+        )
+    record_prefill_end(tables, row, timed, ended_at, now)
