--- a/catkintrack/decisions/load.py
+++ b/catkintrack/decisions/load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .failure_detection import record_request_sent
+from .memory import add_own_run, has_memory, remove_own_run
 from .prefills import (
     ANNOUNCED_MIN_TOKENS,
     Prefill,
@@ -48,7 +49,7 @@
     discount = after * (1 - LOWER_PRIORITY_WEIGHT)
     known = before + after - discount + row.small_prefill_tokens
     age_s = now - row.reported_at
-    if age_s > REPORT_MAX_AGE_S:
+    if age_s > REPORT_MAX_AGE_S or row.reported_prefill_tokens <= 0:
         return known
     rate = find_prefill_rate(tables, row, now)
     left = row.reported_prefill_tokens - age_s * rate - discount
@@ -75,8 +76,19 @@
     return prefill_s + excess * row.service_s / row.max_running
 
 
-def has_capacity(tables: Tables, row: UpstreamRow, now: float, priority: int) -> bool:
-    """Report whether the upstream may get another request from this process now."""
+def has_capacity(
+    tables: Tables,
+    row: UpstreamRow,
+    now: float,
+    priority: int,
+    request: ModelRequest | None = None,
+) -> bool:
+    """Report whether the upstream may get another request from this process now.
+
+    If `request` is named, its memory must also be free there.
+    """
+    if request is not None and not has_memory(tables, row, request, now):
+        return False
     prefill_tokens = estimate_prefill_tokens(tables, row, now, priority)
     rate = find_prefill_rate(tables, row, now)
     if prefill_tokens > tables.max_prefill_wait_s * rate:
@@ -125,6 +137,7 @@
     row.in_flight += 1
     record_request_sent(row, now)
     row.sent_since_report += 1
+    add_own_run(row, request)
     if tables.speeds is not None:
         add_sent_tokens(tables.speeds.sent, uncached, now)
     if uncached < ANNOUNCED_MIN_TOKENS:
@@ -166,6 +179,7 @@
     if running.has_first_token:
         return
     running.has_first_token = True
+    running.first_token_at = now
     if now is not None and tables.speeds is not None:
         running.timed_prefill = time_prefill(row, running, now)
         record_prefill_end(tables, row, running.timed_prefill, now, now)
@@ -184,6 +198,7 @@
         duration_s = now - running.dispatched_at
         row.service_s += SERVICE_TIME_SMOOTHING * (duration_s - row.service_s)
     record_prefilled(tables, row, running)
+    remove_own_run(tables, row, running.request, running.first_token_at, now)
     row.in_flight -= 1
     row.sent_since_report = max(0, row.sent_since_report - 1)
 
--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from random import Random
@@ -13,13 +14,14 @@
 from .ejection import is_ejected
 from .failure_detection import is_suspect
 from .load import estimate_running, estimate_wait_s
+from .memory import estimate_memory_wait_s
 from .named_limits import has_token
 from .prefills import find_pending
 from .prefix import find_affinity_depth
 from .residency import find_cached_depths
 from .rest import is_held
 from .speeds import find_prefill_rate, find_usual_rate
-from .spreading import draw_noise_s, estimate_spread_s
+from .spreading import MAX_SPREADS, draw_noise, estimate_spread_s
 from .tables import ModelRequest, Tables, UpstreamRow
 from .transfers import FETCH_EVICTION_WEIGHT, FetchSource, find_fetch_source
 
@@ -165,7 +167,7 @@
         fleet_cached = max(fleet_cached, request.count_tokens(pending[1]))
     spread_s = _find_spread_s(tables, eligible, now)
     best: Placement | None = None
-    best_drawn_s = 0.0
+    best_drawn_s = math.inf
     for rank, row in _pick_candidates(eligible, depth_by_bit_index, rng):
         depth = depth_by_bit_index.get(row.bit_index, 0)
         is_awaiting = False
@@ -186,8 +188,15 @@
             tables, request, row, rank, reusable, fleet_cached, now
         )
         cost_s += estimate_fetch_s(tables, row, source, now)
-        drawn_s = cost_s - draw_noise_s(spread_s, rng) if spread_s else cost_s
-        if best is None or drawn_s < best_drawn_s:
+        drawn_s = cost_s
+        if cost_s < best_drawn_s + MAX_SPREADS * spread_s:
+            memory_wait_s = estimate_memory_wait_s(tables, row, request, now)
+            cost_s += memory_wait_s
+            drawn_s = cost_s
+            # Where it would wait for memory, peers' unseen requests can only add to it.
+            if spread_s and not memory_wait_s:
+                drawn_s -= draw_noise(spread_s, rng)
+        if drawn_s < best_drawn_s:
             best_drawn_s = drawn_s
             uncached = request.prompt_tokens - reusable
             best = Placement(row, cost_s, uncached, best_cached, is_awaiting, source)
@@ -215,7 +224,9 @@
     row = placement.upstream
     fetch_s = placement.source.seconds if placement.source else 0.0
     prefill_s = placement.uncached_tokens / find_prefill_rate(tables, row, now)
-    return estimate_wait_s(tables, row, now, request.priority) + fetch_s + prefill_s
+    wait_s = estimate_wait_s(tables, row, now, request.priority)
+    wait_s += estimate_memory_wait_s(tables, row, request, now)
+    return wait_s + fetch_s + prefill_s
 
 
 def _may_wait_for_prefill(request: ModelRequest, now: float) -> bool:
--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -16,6 +16,7 @@
 from . import ejection, load
 from .deadlines import bound_deadline
 from .fairness import charge_workspace, compute_cost, order_workspaces
+from .memory import add_remote_run, expire_remote_runs, record_remote_first_token
 from .named_limits import reserve_token
 from .placement import POLICY_BY_NAME, WINDOWED_POLICIES, Placement, may_run
 from .prefills import (
@@ -178,6 +179,7 @@
 def tick(tables: Tables, now: float, rng: Random, policy: str) -> list[Decision]:
     """Return the dispatches and refusals that are due now."""
     expire_prefills(tables.prefills, now)
+    expire_remote_runs(tables, now)
     decisions: list[Decision] = []
     decisions += refuse_expired(tables, now)
     decisions += refuse_while_resting(tables, now, rng)
@@ -278,7 +280,9 @@
             continue
         must_wait = policy in WINDOWED_POLICIES and (
             placement.is_awaiting
-            or not load.has_capacity(tables, placement.upstream, now, request.priority)
+            or not load.has_capacity(
+                tables, placement.upstream, now, request.priority, request
+            )
         )
         if must_wait:
             # Requests behind this one must count it in the upstream's queue.
@@ -471,13 +475,19 @@
     tokens: int,
     priority: int,
     now: float,
+    held_tokens: int = 0,
+    max_tokens: int = 0,
 ) -> None:
-    """Record a long prefill that a peer has dispatched."""
+    """Record a long prefill that a peer has dispatched.
+
+    Its request will hold `held_tokens`, `max_tokens` of them output; 0 if unknown.
+    """
     row = tables.upstream_by_name.get(upstream)
     if row is None:
         return
     wait_s = load.estimate_wait_s(tables, row, now, priority)
     count_sent_prefill(tables, row, tokens, now)
+    add_remote_run(tables, row, prefill_id, held_tokens, max_tokens, now)
     rate = find_prefill_rate(tables, row, now)
     expires_at = compute_prefill_expiry(now, wait_s, tokens, rate)
     add_prefill(
@@ -490,6 +500,7 @@
     tables: Tables, prefill_id: str, incarnation: str, now: float
 ) -> None:
     """Record the end of a peer's prefill; `incarnation` is empty if it failed."""
+    record_remote_first_token(tables, prefill_id, not incarnation, now)
     prefill = end_prefill(tables.prefills, prefill_id)
     row = tables.upstream_by_name.get(prefill.upstream) if prefill else None
     if prefill is None or row is None or not incarnation:
--- a/catkintrack/decisions/services.py
+++ b/catkintrack/decisions/services.py
@@ -9,10 +9,14 @@
 from .ejection import is_ejected
 from .failure_detection import SUSPECT_AFTER_S, is_suspect
 from .load import estimate_running
+from .speeds import find_slowdown
+from .spreading import draw_noise
 from .tables import UpstreamRow
 
 # Running and waiting calls per slot up to which a replica of an ejected service is tried.
 PANIC_FILL = 2.0
+# Part of a replica's slots that calls of other instances fill between two reports.
+UNSEEN_FILL = 0.25
 
 
 @dataclass(slots=True)
@@ -48,7 +52,7 @@
         eligible,
         key=lambda name: (
             is_suspect(ensure_service_row(tables, name), now, silent_after_s),
-            *_sort_key(ensure_service_row(tables, name), zone, now),
+            *_sort_key(ensure_service_row(tables, name), zone, now, rng),
         ),
     )
 
@@ -90,11 +94,25 @@
     )
 
 
-def _sort_key(row: UpstreamRow, zone: str, now: float) -> tuple[bool, float]:
+def _sort_key(
+    row: UpstreamRow, zone: str, now: float, rng: Random
+) -> tuple[bool, float]:
     """Return the sort key: same zone and below capacity first, then by load."""
     fill = estimate_running(row, now) / max(1, row.max_running)
     is_local = row.zone == zone and fill < 1.0
-    return not is_local, fill
+    return not is_local, _estimate_load(row, fill, now, rng)
+
+
+def _estimate_load(row: UpstreamRow, fill: float, now: float, rng: Random) -> float:
+    """Return a replica's load with one more call, relative to its speed now if known.
+
+    Instances that share what they know of the loads choose at random among almost equal
+    ones, as in spreading.py.
+    """
+    if row.speed is None:
+        return fill
+    load = (fill + 1 / max(1, row.max_running)) * find_slowdown(row, now)
+    return load - draw_noise(UNSEEN_FILL, rng)
 
 
 def ensure_service_row(tables: ServiceTables, name: str) -> UpstreamRow:
--- a/catkintrack/decisions/speeds.py
+++ b/catkintrack/decisions/speeds.py
@@ -13,9 +13,12 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from .spreading import SentTokens, add_sent_tokens
-from .tables import RunningRow, Tables, UpstreamRow
+
+if TYPE_CHECKING:
+    from .tables import RunningRow, Tables, UpstreamRow
 
 # A slowdown loses half of its weight in this time: it changes within some 100 ms.
 SLOWDOWN_HALF_LIFE_S = 0.4
@@ -114,7 +117,7 @@
 
 def find_prefill_rate(tables: Tables, row: UpstreamRow, now: float) -> float:
     """Return the tokens/s that the replica prefills now."""
-    if row.speed is None:
+    if row.speed is None or row.speed.slowdown == 1.0:
         return row.prefill_tokens_per_s
     return row.prefill_tokens_per_s / find_slowdown(row, now)
 
@@ -134,10 +137,11 @@
     speed = row.speed
     if speed is None or speed.slowdown == 1.0:
         return 1.0
-    age_s = max(0.0, now - speed.slowdown_at)
+    age_s = now - speed.slowdown_at
     if age_s > SLOWDOWN_MAX_AGE_S:
         return 1.0
-    return 1.0 + (speed.slowdown - 1.0) * 0.5 ** (age_s / SLOWDOWN_HALF_LIFE_S)
+    left = 0.5 ** (age_s / SLOWDOWN_HALF_LIFE_S) if age_s > 0 else 1.0
+    return 1.0 + (speed.slowdown - 1.0) * left
 
 
 def record_slowdown(
--- a/catkintrack/decisions/spreading.py
+++ b/catkintrack/decisions/spreading.py
@@ -19,6 +19,8 @@
 RATE_SPAN_S = 1.0
 # Keeps the logarithm finite.
 MIN_DRAW = 1e-12
+# A random term of more than so many spreads is too rare to be drawn.
+MAX_SPREADS = 12.0
 MIN_SPREAD_S = 0.005
 MAX_SPREAD_S = 0.1
 
@@ -55,6 +57,6 @@
     return min(MAX_SPREAD_S, max(MIN_SPREAD_S, unseen_s))
 
 
-def draw_noise_s(spread_s: float, rng: Random) -> float:
-    """Return a random time, Gumbel distributed with scale `spread_s`."""
-    return -spread_s * math.log(-math.log(max(rng.random(), MIN_DRAW)))
+def draw_noise(spread: float, rng: Random) -> float:
+    """Return a random number, Gumbel distributed with scale `spread`."""
+    return -spread * math.log(-math.log(max(rng.random(), MIN_DRAW)))
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -10,6 +10,7 @@
 from catkintrack.weights import TargetWeights
 
 from .leaving import LeavingTable
+from .memory import MemoryTable, ReplicaMemory
 from .named_limits import NamedLimit, NamedLimitTable
 from .prefills import Prefills
 from .prefix import BLOCK_TOKENS
@@ -82,6 +83,7 @@
     ramp_started_at: float = -1e9
     last_heard_at: float = 0.0
     memory_tokens: int = 0
+    memory: ReplicaMemory = field(default_factory=ReplicaMemory)
     speed: Speed | None = None
 
 
@@ -142,6 +144,7 @@
     `was_prefilled_alone` is set if no other prefill was in progress at its dispatch.
     `is_measurable` is set if its prefill may show the replica's speed, `timed_prefill`
     once it has ended; `slowdown_at_dispatch` is what the replica had named of late.
+    `first_token_at` is None until it has a first token.
     """
 
     request: ModelRequest
@@ -153,6 +156,7 @@
     is_measurable: bool = False
     slowdown_at_dispatch: float | None = None
     timed_prefill: TimedPrefill | None = None
+    first_token_at: float | None = None
 
 
 @dataclass(slots=True)
@@ -187,6 +191,7 @@
     rests: RestTable = field(default_factory=RestTable)
     named_limits: NamedLimitTable = field(default_factory=NamedLimitTable)
     speeds: SpeedTable | None = None
+    memory: MemoryTable = field(default_factory=MemoryTable)
     has_uneven_replicas: bool = False
 
     @property
--- a/catkintrack/decisions/tests/test_speeds.py
+++ b/catkintrack/decisions/tests/test_speeds.py
@@ -4,9 +4,16 @@
 
 import math
 import unittest
+from collections import Counter
+from random import Random
 
 from catkintrack.decisions.load import estimate_wait_s, record_load_report
 from catkintrack.decisions.scheduler import put_upstream, record_remote_prefill
+from catkintrack.decisions.services import (
+    ServiceTables,
+    choose_replica,
+    ensure_service_row,
+)
 from catkintrack.decisions.speeds import (
     RateSample,
     TimedPrefill,
@@ -159,6 +166,27 @@
         self.assertEqual(find_prefill_rate(tables, row, 200.0), 85_000.0)
 
 
+class ServiceSpeedTest(unittest.TestCase):
+    """Guard against plain calls sent to a slowed replica, or all to the same one."""
+
+    def test_slowed_and_full_replicas_get_fewer_calls(self):
+        services = ServiceTables()
+        tables = make_tables(1)
+        for name, running, slowdown in (("a", 1, 1.0), ("b", 1, 2.5), ("c", 6, 1.0)):
+            row = ensure_service_row(services, name)
+            row.max_running = 6
+            record_load_report(tables, row, running, 0, slowdown, 100.0)
+        rng = Random(1)
+        names = ("a", "b", "c")
+        chosen = Counter(
+            choose_replica(services, names, 100.1, rng) for _ in range(1000)
+        )
+        self.assertGreater(chosen["a"], 2 * chosen["b"])
+        self.assertGreater(chosen["a"], 10 * chosen["c"])
+        # Other instances choose at the same time.
+        self.assertGreater(chosen["b"], 50)
+
+
 class UnevenFleetTest(unittest.TestCase):
     """Replay two thirds of the fleet's capacity on replicas at 0.7, 0.7 and 1.7.
 
--- a/catkintrack/instance/config_state.py
+++ b/catkintrack/instance/config_state.py
@@ -19,7 +19,7 @@
     is_written_again,
     judge_configuration,
 )
-from .fleet_state import resync_upstreams
+from .fleet_state import resync_upstreams, update_memory_sizes
 from .state import ConfigStamp, HeldConfig, Instance
 
 logger = logging.getLogger(__name__)
@@ -79,6 +79,7 @@
     _update_server_limits(instance)
     _update_transfer_rates(instance)
     resync_upstreams(instance)
+    update_memory_sizes(instance)
     logger.info(
         "configuration in force",
         extra={
--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -144,6 +144,7 @@
             INITIAL_PREFILL_TOKENS_PER_S,
         )
         row.software_version = upstream.software_version
+        row.memory_tokens = _find_memory_tokens(instance, upstream)
         _update_incarnation(instance, row, upstream, now)
         for weights in upstream.weights:
             apply_replica_weights(instance, upstream.id, weights, now)
@@ -155,6 +156,21 @@
     update_signals(instance, upstream.id, now)
 
 
+def _find_memory_tokens(instance: Instance, upstream: Upstream) -> int:
+    """Return the KV cache's capacity that the configuration names; 0 if it names none."""
+    config = instance.config
+    service = config.service_by_name.get(upstream.service) if config else None
+    return service.engine.kv_cache_tokens if service and service.engine else 0
+
+
+def update_memory_sizes(instance: Instance) -> None:
+    """Set the replicas' memory to that of the configuration in force."""
+    for upstream in instance.upstream_by_id.values():
+        row = instance.decisions.upstream_by_name.get(upstream.id)
+        if row is not None:
+            row.memory_tokens = _find_memory_tokens(instance, upstream)
+
+
 def _update_incarnation(
     instance: Instance, row: UpstreamRow, upstream: Upstream, now: float
 ) -> None:
--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -281,6 +281,8 @@
         message.tokens,
         message.priority,
         time.monotonic(),
+        message.held_tokens,
+        message.max_tokens,
     )
 
 
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -194,13 +194,18 @@
 
 
 class PrefillBegun(PeerMessage, frozen=True):
-    """Announce that a long prefill was sent to a replica."""
+    """Announce that a long prefill was sent to a replica.
+
+    Its request holds `held_tokens` in the end, `max_tokens` of them output; 0 if unknown.
+    """
 
     id: str
     upstream: str
     blocks: tuple[int, ...]
     tokens: int
     priority: int
+    held_tokens: int = 0
+    max_tokens: int = 0
 
 
 class PrefillEnded(PeerMessage, frozen=True):
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -24,6 +24,7 @@
     record_bytes_received,
     should_fail_over,
 )
+from catkintrack.decisions.memory import count_held_tokens
 from catkintrack.decisions.placement import has_healthy_upstream, may_run
 from catkintrack.decisions.prefills import ANNOUNCED_MIN_TOKENS
 from catkintrack.decisions.tables import UpstreamRow
@@ -395,5 +396,7 @@
         request.blocks,
         decision.uncached_tokens,
         request.priority,
+        count_held_tokens(request),
+        request.max_tokens,
     )
     await broadcast(instance, message)
