--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -189,13 +189,14 @@
         )
         cost_s += estimate_fetch_s(tables, row, source, now)
         drawn_s = cost_s
-        if cost_s < best_drawn_s + MAX_SPREADS * spread_s:
+        if spread_s and cost_s < best_drawn_s + MAX_SPREADS * spread_s:
+            drawn_s -= draw_noise(spread_s, rng)
+        if row.memory_tokens and drawn_s < best_drawn_s:
             memory_wait_s = estimate_memory_wait_s(tables, row, request, now)
-            cost_s += memory_wait_s
-            drawn_s = cost_s
-            # Where it would wait for memory, peers' unseen requests can only add to it.
-            if spread_s and not memory_wait_s:
-                drawn_s -= draw_noise(spread_s, rng)
+            if memory_wait_s:
+                # Unseen requests of peers can only lengthen a wait for memory.
+                cost_s += memory_wait_s
+                drawn_s = cost_s
         if drawn_s < best_drawn_s:
             best_drawn_s = drawn_s
             uncached = request.prompt_tokens - reusable
@@ -263,7 +264,7 @@
     rate = find_prefill_rate(tables, row, now)
     prefill_s = (uncached - credit) / rate
     wasted = max(0, fleet_cached_tokens - reusable_tokens)
-    recompute_s = wasted / find_usual_rate(tables, row)
+    recompute_s = wasted / find_usual_rate(tables, row) if wasted else 0.0
     return (
         estimate_wait_s(tables, row, now, request.priority)
         + prefill_s * (1 + DUPLICATION_WEIGHT)
--- a/catkintrack/decisions/spreading.py
+++ b/catkintrack/decisions/spreading.py
@@ -59,4 +59,4 @@
 
 def draw_noise(spread: float, rng: Random) -> float:
     """Return a random number, Gumbel distributed with scale `spread`."""
-    return -spread * math.log(-math.log(max(rng.random(), MIN_DRAW)))
+    return -spread * math.log(rng.expovariate(1.0) or MIN_DRAW)
