--- a/catkintrack/instance/dump.py
+++ b/catkintrack/instance/dump.py
@@ -10,6 +10,7 @@
 from catkintrack.fleet import Upstream
 
 from .peers import list_live_peers
+from .replica_loads import describe_replica
 from .replica_signals import may_send
 from .state import Instance
 
@@ -29,6 +30,7 @@
         "failures": row.consecutive_failures,
         "ejections": row.ejections,
         "ejected_for_s": round(max(0.0, row.ejected_until - now), 3),
+        **describe_replica(row, now),
     }
 
 
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -38,6 +38,8 @@
     peers: Gauge
     relayed_calls: Counter
     is_cut_off: Gauge
+    prefill_rates: Gauge
+    held_memory: Gauge
 
 
 def make_instance_metrics() -> InstanceMetrics:
@@ -85,4 +87,12 @@
         peers=gauge("peers_heard", "Peers heard of late."),
         relayed_calls=counter("relayed_calls_total", "Calls served through a peer."),
         is_cut_off=gauge("is_cut_off", "1 while no replica is reached."),
+        prefill_rates=gauge(
+            "prefill_tokens_per_second",
+            "Estimated rates of the replicas now: min, mean, max.",
+        ),
+        held_memory=gauge(
+            "held_memory_ratio",
+            "Part of the replicas' memory that requests hold: mean, max.",
+        ),
     )
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -75,6 +75,7 @@
 from .readiness import is_ready, open_readiness_server
 from .refusals import respond_to_bad_request
 from .reload import make_site_reload
+from .replica_loads import observe_replicas
 from .replica_signals import end_returned_rests, share_limits
 from .retry_budgets import share_retry_budgets
 from .state import Instance
@@ -279,6 +280,7 @@
     instance.limits.known_instances = known_count
     instance.limits.report_delay_s = estimate_report_delay_s(instance)
     share_retry_budgets(instance, now)
+    observe_replicas(instance, now)
 
 
 async def _stop(instance: Instance, server: Server) -> None:
--- a/catkintrack/instance/replica_loads.py
+++ b/catkintrack/instance/replica_loads.py
@@ -11,8 +11,14 @@
 import msgspec
 
 from catkintrack.decisions.load import record_load_report
+from catkintrack.decisions.memory import estimate_memory_tokens
 from catkintrack.decisions.scheduler import record_remote_prefill_end
-from catkintrack.decisions.speeds import TimedPrefill, record_prefill_end
+from catkintrack.decisions.speeds import (
+    TimedPrefill,
+    find_prefill_rate,
+    find_slowdown,
+    record_prefill_end,
+)
 from catkintrack.decisions.tables import UpstreamRow
 from catkintrack.fleet import ReplicaLoad
 
@@ -112,3 +118,38 @@
             shared.error,
         )
     record_prefill_end(tables, row, timed, ended_at, now)
+
+
+def observe_replicas(instance: Instance, now: float) -> None:
+    """Set the metrics of the replicas' speeds and memory, where these are learned."""
+    tables = instance.decisions
+    rows = tables.upstream_by_name.values()
+    if tables.speeds is None or not rows:
+        return
+    metrics = instance.metrics
+    rates = [find_prefill_rate(tables, row, now) for row in rows]
+    metrics.prefill_rates.set({"stat": "min"}, round(min(rates)))
+    metrics.prefill_rates.set({"stat": "mean"}, round(sum(rates) / len(rates)))
+    metrics.prefill_rates.set({"stat": "max"}, round(max(rates)))
+    shares = [
+        estimate_memory_tokens(row, now) / row.memory_tokens
+        for row in rows
+        if row.memory_tokens
+    ]
+    if shares:
+        mean = sum(shares) / len(shares)
+        metrics.held_memory.set({"stat": "mean"}, round(mean, 3))
+        metrics.held_memory.set({"stat": "max"}, round(max(shares), 3))
+
+
+def describe_replica(row: UpstreamRow, now: float) -> dict[str, float]:
+    """Return what is known of a replica's speed and memory, for the state dump."""
+    if row.speed is None:
+        return {}
+    return {
+        "prefill_tokens_per_s": round(row.prefill_tokens_per_s),
+        "rate_samples": row.speed.samples,
+        "slowdown": round(find_slowdown(row, now), 2),
+        "held_tokens": round(estimate_memory_tokens(row, now)),
+        "memory_tokens": row.memory_tokens,
+    }
--- a/catkintrack/instance/tests/test_replica_loads.py
+++ b/catkintrack/instance/tests/test_replica_loads.py
@@ -24,7 +24,9 @@
     add_shared_load,
     apply_gossiped_loads,
     apply_prefill_ended,
+    describe_replica,
     list_gossiped_loads,
+    observe_replicas,
     record_load,
     record_service_load,
 )
@@ -104,6 +106,17 @@
         self.assertEqual(row.speed.slowdown, 2.5)
         self.assertEqual(list_gossiped_loads(sender, 101.0), {})
 
+    def test_operators_see_speeds_and_memory(self):
+        instance, row = make_instance_with_replica()
+        row.memory_tokens = 100_000
+        run_prefill(instance, row, 100.0, 0.5, 2.5)
+        described = describe_replica(row, 100.5)
+        self.assertEqual(described["slowdown"], 2.5)
+        self.assertEqual(described["held_tokens"], (4 + 1) * (512 + 4870 + 6610 + 160))
+        observe_replicas(instance, 100.5)
+        rates = instance.metrics.prefill_rates
+        self.assertEqual(rates.get({"stat": "max"}), 85_000 / 2.5)
+
 
 if __name__ == "__main__":
     unittest.main()
