--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -64,7 +64,7 @@
     start_trial,
 )
 from .refusals import NotServed, OutcomeUnknown
-from .replica_loads import add_shared_load, record_load
+from .replica_loads import add_shared_load, record_load, record_verdict
 from .replica_signals import find_return_s
 from .reports import learn_weights
 from .retry_budgets import (
@@ -221,16 +221,18 @@
     is_long_prefill = decision.uncached_tokens >= ANNOUNCED_MIN_TOKENS
     has_response_head = False
     named_load: ReplicaLoad | None = None
+    is_rejected = False
     version = row.weights_version
     connected_before = progress.connected_attempts
     saved_blocks = _find_blocks_to_save(instance, request, version)
 
     async def handle_response_head(fields: ResponseFields) -> None:
-        nonlocal has_response_head, named_load
+        nonlocal has_response_head, named_load, is_rejected
         now = time.monotonic()
         if fields.load is not None:
             named_load = fields.load
             record_load(instance, row, fields.load, now)
+        is_rejected = record_verdict(instance, row, fields, now)
         if fields.weights_version is not None:
             weights = ModelWeights(prompt.model, fields.weights_version)
             apply_replica_weights(instance, upstream.id, weights, now)
@@ -342,7 +344,8 @@
         record_end(tables, request.id, time.monotonic())
         if is_long_prefill and not has_response_head:
             ended = PrefillEnded(request.id, "")
-            await broadcast(instance, add_shared_load(instance, ended, named_load))
+            ended = add_shared_load(instance, ended, named_load, is_rejected)
+            await broadcast(instance, ended)
 
 
 def _find_address(instance: Instance, name: str | None) -> Address | None:
