--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-import math
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from random import Random
@@ -21,7 +20,7 @@
 from .residency import find_cached_depths
 from .rest import is_held
 from .speeds import find_prefill_rate, find_usual_rate
-from .spreading import MAX_SPREADS, draw_noise, estimate_spread_s
+from .spreading import choose_cost, estimate_spread_s
 from .tables import ModelRequest, Tables, UpstreamRow
 from .transfers import FETCH_EVICTION_WEIGHT, FetchSource, find_fetch_source
 
@@ -165,9 +164,8 @@
         fleet_cached = max(fleet_cached, request.count_tokens(stored_depth))
     if pending is not None:
         fleet_cached = max(fleet_cached, request.count_tokens(pending[1]))
-    spread_s = _find_spread_s(tables, eligible, now)
-    best: Placement | None = None
-    best_drawn_s = math.inf
+    costs_s: list[float] = []
+    choices: list[tuple[UpstreamRow, int, bool, FetchSource | None]] = []
     for rank, row in _pick_candidates(eligible, depth_by_bit_index, rng):
         depth = depth_by_bit_index.get(row.bit_index, 0)
         is_awaiting = False
@@ -188,28 +186,47 @@
             tables, request, row, rank, reusable, fleet_cached, now
         )
         cost_s += estimate_fetch_s(tables, row, source, now)
-        drawn_s = cost_s
-        if spread_s and cost_s < best_drawn_s + MAX_SPREADS * spread_s:
-            drawn_s -= draw_noise(spread_s, rng)
-        if row.memory_tokens and drawn_s < best_drawn_s:
-            memory_wait_s = estimate_memory_wait_s(tables, row, request, now)
-            if memory_wait_s:
-                # Unseen requests of peers can only lengthen a wait for memory.
-                cost_s += memory_wait_s
-                drawn_s = cost_s
-        if drawn_s < best_drawn_s:
-            best_drawn_s = drawn_s
-            uncached = request.prompt_tokens - reusable
-            best = Placement(row, cost_s, uncached, best_cached, is_awaiting, source)
-    if best is None:
-        return None
+        costs_s.append(cost_s)
+        choices.append((row, request.prompt_tokens - reusable, is_awaiting, source))
+    rows = [choice[0] for choice in choices]
+    spread_s = _find_spread_s(tables, eligible, now)
+    index = _choose_index(tables, request, rows, costs_s, spread_s, now, rng)
+    row, uncached, is_awaiting, source = choices[index]
+    best = Placement(row, costs_s[index], uncached, best_cached, is_awaiting, source)
     return replace(
         best, first_token_s=estimate_first_token_s(tables, request, best, now)
     )
 
 
+def _choose_index(
+    tables: Tables,
+    request: ModelRequest,
+    rows: list[UpstreamRow],
+    costs_s: list[float],
+    spread_s: float,
+    now: float,
+    rng: Random,
+) -> int:
+    """Return the index of the least cost; with a spread, of a low one.
+
+    The wait for memory is added to the cost only of a replica that would be chosen.
+    """
+    if tables.speeds is None:
+        return costs_s.index(min(costs_s))
+    weighed: set[int] = set()
+    while True:
+        index = choose_cost(costs_s, spread_s, rng)
+        if index in weighed:
+            return index
+        wait_s = estimate_memory_wait_s(tables, rows[index], request, now)
+        if not wait_s:
+            return index
+        weighed.add(index)
+        costs_s[index] += wait_s
+
+
 def _find_spread_s(tables: Tables, rows: list[UpstreamRow], now: float) -> float:
-    """Return the size of the random term of costs, 0 where speeds are not shared."""
+    """Return the scale on which costs count as almost equal, 0 where none do."""
     if tables.speeds is None:
         return 0.0
     capacity_per_s = sum(row.prefill_tokens_per_s for row in rows)
--- a/catkintrack/decisions/speeds.py
+++ b/catkintrack/decisions/speeds.py
@@ -262,11 +262,9 @@
     step = math.log(sample.tokens_per_s / row.prefill_tokens_per_s)
     step = max(-MAX_LOG_STEP, min(MAX_LOG_STEP, step))
     row.prefill_tokens_per_s *= math.exp(min(1.0, weight / speed.precision) * step)
-    if speed.samples % PRIOR_INTERVAL_SAMPLES == 0:
-        speed.samples += 1
+    speed.samples += 1
+    if speed.samples % PRIOR_INTERVAL_SAMPLES == 1:
         _update_prior(tables, tables.speeds, row.models)
-    else:
-        speed.samples += 1
 
 
 def _update_prior(tables: Tables, speeds: SpeedTable, models: frozenset[str]) -> None:
--- a/catkintrack/decisions/spreading.py
+++ b/catkintrack/decisions/spreading.py
@@ -2,14 +2,15 @@
 
 Load: 8 to 195 instances that all know the same loads, some tenths of a second old, and
 would all send their next requests to the fastest idle replica.  What they have sent
-meanwhile is not known, but how much work that is on average: a random term of that size
-is taken from each replica's cost, so that the chance of a choice falls exponentially with
-its cost (softmin, by Gumbel noise).
+meanwhile is not known, but how much work that is on average: a replica is chosen at
+random on the scale of that time, so that the chance of a choice falls exponentially with
+its cost (softmin; with Gumbel noise on each cost the same).
 """
 
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -19,8 +20,6 @@
 RATE_SPAN_S = 1.0
 # Keeps the logarithm finite.
 MIN_DRAW = 1e-12
-# A random term of more than so many spreads is too rare to be drawn.
-MAX_SPREADS = 12.0
 MIN_SPREAD_S = 0.005
 MAX_SPREAD_S = 0.1
 
@@ -57,6 +56,15 @@
     return min(MAX_SPREAD_S, max(MIN_SPREAD_S, unseen_s))
 
 
+def choose_cost(costs: Sequence[float], spread: float, rng: Random) -> int:
+    """Return the index of a low cost; each further `spread` makes it e times rarer."""
+    lowest = min(costs)
+    if spread <= 0:
+        return costs.index(lowest)
+    weights = [math.exp((lowest - cost) / spread) for cost in costs]
+    return rng.choices(range(len(costs)), weights)[0]
+
+
 def draw_noise(spread: float, rng: Random) -> float:
     """Return a random number, Gumbel distributed with scale `spread`."""
     return -spread * math.log(rng.expovariate(1.0) or MIN_DRAW)
