--- a/catkintrack/decisions/speeds.py
+++ b/catkintrack/decisions/speeds.py
@@ -20,9 +20,14 @@
 if TYPE_CHECKING:
     from .tables import RunningRow, Tables, UpstreamRow
 
-# A slowdown loses half of its weight in this time: it changes within some 100 ms.
-SLOWDOWN_HALF_LIFE_S = 0.4
-SLOWDOWN_MAX_AGE_S = 2.0
+# A named slowdown fades to the replica's usual one in this time, as it changes within
+# some 100 ms.
+SLOWDOWN_SPAN_S = 0.8
+# A slowdown named longer ago than this says nothing of the begin of a prefill.
+SLOWDOWN_FRESH_S = 0.4
+# Weight of the first and of each later slowdown in the replica's usual one.
+SLOWDOWN_PRIOR_COUNT = 2
+SLOWDOWN_SMOOTHING = 0.03
 MAX_SLOWDOWN = 100.0
 # Network and the engine's step in progress: no part of a prefill.
 FIXED_S = 0.01
@@ -54,7 +59,8 @@
     """Hold what is known of a replica's speed.
 
     `precision` is the inverse variance of the logarithm of the usual prefill rate;
-    `slowdown` was named at `slowdown_at`.  `recent_ends` are when prefills there ended;
+    `slowdown` was named at `slowdown_at`, the last of `slowdowns`; `usual_slowdown` is their
+    mean.  A replica may always name one, as other work shares its machine.  `recent_ends` are when prefills there ended;
     `unsettled` are those whose queue may not be known yet.
     """
 
@@ -62,6 +68,8 @@
     samples: int = 0
     slowdown: float = 1.0
     slowdown_at: float = -math.inf
+    usual_slowdown: float = 1.0
+    slowdowns: int = 0
     recent_ends: deque[float] = field(
         default_factory=lambda: deque(maxlen=MAX_RECENT_ENDS)
     )
@@ -117,7 +125,7 @@
 
 def find_prefill_rate(tables: Tables, row: UpstreamRow, now: float) -> float:
     """Return the tokens/s that the replica prefills now."""
-    if row.speed is None or row.speed.slowdown == 1.0:
+    if row.speed is None:
         return row.prefill_tokens_per_s
     return row.prefill_tokens_per_s / find_slowdown(row, now)
 
@@ -133,15 +141,15 @@
 
 
 def find_slowdown(row: UpstreamRow, now: float) -> float:
-    """Return the factor by which work takes longer there now; it fades to 1."""
+    """Return the factor by which work takes longer there now; it fades to the usual."""
     speed = row.speed
-    if speed is None or speed.slowdown == 1.0:
-        return 1.0
-    age_s = now - speed.slowdown_at
-    if age_s > SLOWDOWN_MAX_AGE_S:
+    if speed is None:
         return 1.0
-    left = 0.5 ** (age_s / SLOWDOWN_HALF_LIFE_S) if age_s > 0 else 1.0
-    return 1.0 + (speed.slowdown - 1.0) * left
+    left = 1.0 - (now - speed.slowdown_at) / SLOWDOWN_SPAN_S
+    if left <= 0.0:
+        return speed.usual_slowdown
+    change = speed.slowdown - speed.usual_slowdown
+    return speed.usual_slowdown + change * min(1.0, left)
 
 
 def record_slowdown(
@@ -162,6 +170,10 @@
     if at >= speed.slowdown_at:
         speed.slowdown = slowdown
         speed.slowdown_at = at
+        speed.slowdowns += 1
+        weight = 1 / (speed.slowdowns + SLOWDOWN_PRIOR_COUNT)
+        change = slowdown - speed.usual_slowdown
+        speed.usual_slowdown += max(weight, SLOWDOWN_SMOOTHING) * change
 
 
 def may_measure(tables: Tables, row: UpstreamRow, is_fetched: bool) -> bool:
@@ -187,7 +199,7 @@
 def find_named_slowdown(row: UpstreamRow, now: float) -> float | None:
     """Return the slowdown that the replica has named of late, if any."""
     speed = row.speed
-    if speed is None or now - speed.slowdown_at > SLOWDOWN_HALF_LIFE_S:
+    if speed is None or now - speed.slowdown_at > SLOWDOWN_FRESH_S:
         return None
     return speed.slowdown
 
