--- a/catkintrack/decisions/load.py
+++ b/catkintrack/decisions/load.py
@@ -19,7 +19,7 @@
     record_slowdown,
     time_prefill,
 )
-from .spreading import add_sent_tokens
+from .spreading import ANNOUNCED_AFTER_S, add_sent_tokens
 from .tables import ModelRequest, RunningRow, Tables, UpstreamRow
 
 REPORT_MAX_AGE_S = 5.0
@@ -91,7 +91,7 @@
         return False
     prefill_tokens = estimate_prefill_tokens(tables, row, now, priority)
     rate = find_prefill_rate(tables, row, now)
-    if prefill_tokens > tables.max_prefill_wait_s * rate:
+    if prefill_tokens > _find_max_wait_s(tables) * rate:
         return False
     ramp = compute_ramp_fraction(row, now)
     if (
@@ -103,6 +103,17 @@
     return row.in_flight < max(1, round(share * ramp))
 
 
+def _find_max_wait_s(tables: Tables) -> float:
+    """Return the prefill backlog in seconds up to which an upstream gets requests.
+
+    Peers' messages that prefills have ended come late.  With the true rates an engine
+    would be idle until then.
+    """
+    if tables.speeds is None:
+        return tables.max_prefill_wait_s
+    return tables.max_prefill_wait_s + ANNOUNCED_AFTER_S
+
+
 def record_load_report(
     tables: Tables,
     row: UpstreamRow,
