--- a/catkintrack/decisions/admission.py
+++ b/catkintrack/decisions/admission.py
@@ -41,6 +41,7 @@
     record_asked,
     record_served,
 )
+from .speeds import find_prefill_rate
 from .tables import ModelRequest, Tables, UpstreamRow, ensure_workspace
 from .verdicts import Refusal, RefusalReason
 
@@ -216,7 +217,7 @@
     if table is None or is_below_floor(table.floors, request, now):
         return True
     row, rank = placement.upstream, request.priority
-    work_s = placement.uncached_tokens / row.prefill_tokens_per_s
+    work_s = placement.uncached_tokens / find_prefill_rate(tables, row, now)
     return is_within_pace(tables, row, work_s, now, rank)
 
 
@@ -329,7 +330,8 @@
 ) -> float:
     """Return the seconds until the replica's backlog is within its bound."""
     tokens = load.estimate_prefill_tokens(tables, row, now, request.priority)
-    return max(0.0, tokens / row.prefill_tokens_per_s - tables.max_prefill_wait_s)
+    rate = find_prefill_rate(tables, row, now)
+    return max(0.0, tokens / rate - tables.max_prefill_wait_s)
 
 
 def _update_work(tables: Tables, table: AdmissionTable, now: float) -> None:
@@ -340,17 +342,17 @@
         for request in row.waiting:
             work_s = known.get(request.id)
             if work_s is None:
-                work_s = _estimate_work_s(tables, request)
+                work_s = _estimate_work_s(tables, request, now)
                 record_asked(table.floors, request, now)
             table.work_s_by_id[request.id] = work_s
 
 
-def _estimate_work_s(tables: Tables, request: ModelRequest) -> float:
+def _estimate_work_s(tables: Tables, request: ModelRequest, now: float) -> float:
     """Return the seconds of prefill at a replica with the longest cached prefix."""
     depths = find_cached_depths(tables.residency, request.blocks)
     cached = request.count_tokens(max(depths.values(), default=0))
     rates = [
-        row.prefill_tokens_per_s
+        find_prefill_rate(tables, row, now)
         for row in tables.upstream_by_name.values()
         if request.model in row.models
     ]
--- a/catkintrack/decisions/load.py
+++ b/catkintrack/decisions/load.py
@@ -4,6 +4,7 @@
 
 from .decode_pace import record_stream
 from .failure_detection import record_request_sent
+from .memory import add_own_run, has_memory, remove_own_run
 from .pacing import estimate_pacing_s, record_prefill_work
 from .prefills import (
     ANNOUNCED_MIN_TOKENS,
@@ -14,6 +15,13 @@
     split_pending_tokens,
 )
 from .residency import clear_cached_blocks
+from .speeds import (
+    find_prefill_rate,
+    record_prefill_end,
+    record_slowdown,
+    time_prefill,
+)
+from .spreading import ANNOUNCED_AFTER_S, add_sent_tokens
 from .tables import ModelRequest, RunningRow, Tables, UpstreamRow
 
 REPORT_MAX_AGE_S = 5.0
@@ -43,9 +51,10 @@
     discount = after * (1 - LOWER_PRIORITY_WEIGHT)
     known = before + after - discount + row.small_prefill_tokens
     age_s = now - row.reported_at
-    if age_s > REPORT_MAX_AGE_S:
+    if age_s > REPORT_MAX_AGE_S or row.reported_prefill_tokens <= 0:
         return known
-    left = row.reported_prefill_tokens - age_s * row.prefill_tokens_per_s - discount
+    rate = find_prefill_rate(tables, row, now)
+    left = row.reported_prefill_tokens - age_s * rate - discount
     return max(left, known)
 
 
@@ -61,9 +70,8 @@
     tables: Tables, row: UpstreamRow, now: float, priority: int
 ) -> float:
     """Return the estimated seconds until the upstream begins a new prefill."""
-    prefill_s = (
-        estimate_prefill_tokens(tables, row, now, priority) / row.prefill_tokens_per_s
-    )
+    tokens = estimate_prefill_tokens(tables, row, now, priority)
+    prefill_s = tokens / find_prefill_rate(tables, row, now)
     prefill_s = max(prefill_s, estimate_pacing_s(tables, row, now, priority))
     excess = estimate_running(row, now) + row.queued_count + 1 - row.max_running
     if excess <= 0:
@@ -71,12 +79,24 @@
     return prefill_s + excess * row.service_s / row.max_running
 
 
-def has_capacity(tables: Tables, row: UpstreamRow, now: float, priority: int) -> bool:
-    """Report whether the upstream may get another request from this process now."""
+def has_capacity(
+    tables: Tables,
+    row: UpstreamRow,
+    now: float,
+    priority: int,
+    request: ModelRequest | None = None,
+) -> bool:
+    """Report whether the upstream may get another request from this process now.
+
+    If `request` is named, its memory must also be free there.
+    """
     if estimate_pacing_s(tables, row, now, priority) > 0:
         return False
+    if request is not None and not has_memory(tables, row, request, now):
+        return False
     prefill_tokens = estimate_prefill_tokens(tables, row, now, priority)
-    if prefill_tokens > tables.max_prefill_wait_s * row.prefill_tokens_per_s:
+    rate = find_prefill_rate(tables, row, now)
+    if prefill_tokens > _find_max_wait_s(tables) * rate:
         return False
     ramp = compute_ramp_fraction(row, now)
     if (
@@ -88,6 +108,36 @@
     return row.in_flight < max(1, round(share * ramp))
 
 
+def _find_max_wait_s(tables: Tables) -> float:
+    """Return the prefill backlog in seconds up to which an upstream gets requests.
+
+    Peers' messages that prefills have ended come late.  With the true rates an engine
+    would be idle until then.
+    """
+    if tables.speeds is None:
+        return tables.max_prefill_wait_s
+    return tables.max_prefill_wait_s + ANNOUNCED_AFTER_S
+
+
+def record_load_report(
+    tables: Tables,
+    row: UpstreamRow,
+    running: int,
+    waiting: int,
+    slowdown: float | None,
+    at: float,
+) -> None:
+    """Record a load that the upstream named `at` a time, unless a newer one is known."""
+    if at < row.reported_at:
+        return
+    row.reported_running = running
+    row.reported_waiting = waiting
+    row.reported_at = at
+    row.sent_since_report = 0
+    if slowdown is not None:
+        record_slowdown(tables, row, slowdown, at)
+
+
 def compute_ramp_fraction(row: UpstreamRow, now: float) -> float:
     """Return the fraction of the full window that applies during slow start."""
     age_s = now - row.ramp_started_at
@@ -104,11 +154,15 @@
     record_request_sent(row, now)
     row.sent_since_report += 1
     record_prefill_work(tables, row, uncached, request.priority, now, is_own=True)
+    add_own_run(row, request)
+    if tables.speeds is not None:
+        add_sent_tokens(tables.speeds.sent, uncached, now)
     if uncached < ANNOUNCED_MIN_TOKENS:
         row.small_prefill_tokens += uncached
         return
     wait_s = estimate_wait_s(tables, row, now, request.priority)
-    expires_at = compute_prefill_expiry(now, wait_s, uncached, row.prefill_tokens_per_s)
+    rate = find_prefill_rate(tables, row, now)
+    expires_at = compute_prefill_expiry(now, wait_s, uncached, rate)
     prefill = Prefill(
         request.id, row.name, request.blocks, uncached, expires_at, request.priority
     )
@@ -122,7 +176,10 @@
 
 
 def learn_prefill_rate(row: UpstreamRow, running: RunningRow, now: float) -> None:
-    """Update the upstream's prefill rate from a long prefill that did not queue."""
+    """Update the upstream's prefill rate from a long prefill that did not queue.
+
+    It applies where speeds are not shared (see speeds.py).
+    """
     duration_s = now - running.dispatched_at
     is_long_enough = running.uncached_tokens >= PREFILL_RATE_MIN_TOKENS
     if not (running.was_prefilled_alone and is_long_enough and duration_s > 0):
@@ -139,8 +196,11 @@
     if running.has_first_token:
         return
     running.has_first_token = True
-    if now is not None:
-        running.first_token_at = now
+    running.first_token_at = now
+    if now is not None and tables.speeds is not None:
+        running.timed_prefill = time_prefill(row, running, now)
+        record_prefill_end(tables, row, running.timed_prefill, now, now)
+    elif now is not None:
         learn_prefill_rate(row, running, now)
     if running.uncached_tokens < ANNOUNCED_MIN_TOKENS:
         row.small_prefill_tokens -= running.uncached_tokens
@@ -156,6 +216,7 @@
         row.service_s += SERVICE_TIME_SMOOTHING * (duration_s - row.service_s)
     _record_pace(tables, running, now)
     record_prefilled(tables, row, running)
+    remove_own_run(tables, row, running.request, running.first_token_at, now)
     row.in_flight -= 1
     row.sent_since_report = max(0, row.sent_since_report - 1)
 
--- a/catkintrack/decisions/pacing.py
+++ b/catkintrack/decisions/pacing.py
@@ -14,6 +14,7 @@
 
 from .decay import DecayingSum
 from .engine_priority import LATE_PRIORITY_OFFSET, MAX_ON_TIME_PRIORITY
+from .speeds import find_prefill_rate
 from .tables import Tables, UpstreamRow
 
 # Share of a replica's time that prefills may take; the rest decodes running streams.
@@ -66,7 +67,7 @@
         return
     pacing = tables.admission.pacing
     meter = pacing.meter_by_upstream.setdefault(row.name, PrefillMeter(0.0, now))
-    work_s = tokens / row.prefill_tokens_per_s
+    work_s = tokens / find_prefill_rate(tables, row, now)
     meter.level_s = _read_level(meter, now) + work_s
     meter.updated_at = max(meter.updated_at, now)
     pacing.fleet_work.add(work_s, now)
--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -12,11 +12,14 @@
 from .ejection import is_ejected
 from .failure_detection import is_suspect
 from .load import estimate_running, estimate_wait_s
+from .memory import estimate_memory_wait_s
 from .named_limits import has_token
 from .prefills import find_pending
 from .rendezvous import compute_affinity_key, score_rendezvous
 from .residency import find_cached_depths
 from .rest import is_held
+from .speeds import find_prefill_rate, find_usual_rate
+from .spreading import choose_cost, estimate_spread_s
 from .tables import ModelRequest, Tables, UpstreamRow
 from .transfers import (
     FETCH_EVICTION_WEIGHT,
@@ -88,7 +91,7 @@
         return False
     if not has_token(row.limit, now):
         return False
-    if row.is_loading or row.name in request.excluded:
+    if row.is_loading or row.name in request.excluded or now < row.rejecting_until:
         return False
     if not may_run(row, request) or now < row.loading_until:
         return False
@@ -158,7 +161,8 @@
         fleet_cached = max(fleet_cached, request.count_tokens(stored_depth))
     if pending is not None:
         fleet_cached = max(fleet_cached, request.count_tokens(pending[1]))
-    best: Placement | None = None
+    costs_s: list[float] = []
+    choices: list[tuple[UpstreamRow, int, bool, FetchSource | None]] = []
     for rank, row in _pick_candidates(eligible, depth_by_bit_index, rng):
         depth = depth_by_bit_index.get(row.bit_index, 0)
         is_awaiting = False
@@ -178,25 +182,66 @@
         cost_s = leaving_s_by_zone[row.zone] + estimate_cost_s(
             tables, request, row, rank, reusable, fleet_cached, now
         )
-        cost_s += estimate_fetch_s(row, source)
-        if best is None or cost_s < best.cost_s:
-            uncached = request.prompt_tokens - reusable
-            best = Placement(row, cost_s, uncached, best_cached, is_awaiting, source)
-    if best is None:
-        return None
+        cost_s += estimate_fetch_s(tables, row, source, now)
+        costs_s.append(cost_s)
+        choices.append((row, request.prompt_tokens - reusable, is_awaiting, source))
+    rows = [choice[0] for choice in choices]
+    spread_s = _find_spread_s(tables, eligible, now)
+    index = _choose_index(tables, request, rows, costs_s, spread_s, now, rng)
+    row, uncached, is_awaiting, source = choices[index]
+    best = Placement(row, costs_s[index], uncached, best_cached, is_awaiting, source)
     return replace(
         best, first_token_s=estimate_first_token_s(tables, request, best, now)
     )
 
 
+def _choose_index(
+    tables: Tables,
+    request: ModelRequest,
+    rows: list[UpstreamRow],
+    costs_s: list[float],
+    spread_s: float,
+    now: float,
+    rng: Random,
+) -> int:
+    """Return the index of the least cost; with a spread, of a low one.
+
+    The wait for memory is added to the cost only of a replica that would be chosen.
+    """
+    if tables.speeds is None:
+        return costs_s.index(min(costs_s))
+    weighed: set[int] = set()
+    while True:
+        index = choose_cost(costs_s, spread_s, rng)
+        if index in weighed:
+            return index
+        wait_s = estimate_memory_wait_s(tables, rows[index], request, now)
+        if not wait_s:
+            return index
+        weighed.add(index)
+        costs_s[index] += wait_s
+
+
+def _find_spread_s(tables: Tables, rows: list[UpstreamRow], now: float) -> float:
+    """Return the scale on which costs count as almost equal, 0 where none do."""
+    if tables.speeds is None:
+        return 0.0
+    capacity_per_s = sum(row.prefill_tokens_per_s for row in rows)
+    return estimate_spread_s(
+        tables.speeds.sent, capacity_per_s, tables.router_count, now
+    )
+
+
 def estimate_first_token_s(
     tables: Tables, request: ModelRequest, placement: Placement, now: float
 ) -> float:
     """Return the estimated time to first token of a request that is sent now."""
     row = placement.upstream
     fetch_s = placement.source.seconds if placement.source else 0.0
-    prefill_s = placement.uncached_tokens / row.prefill_tokens_per_s
-    return estimate_wait_s(tables, row, now, request.priority) + fetch_s + prefill_s
+    prefill_s = placement.uncached_tokens / find_prefill_rate(tables, row, now)
+    wait_s = estimate_wait_s(tables, row, now, request.priority)
+    wait_s += estimate_memory_wait_s(tables, row, request, now)
+    return wait_s + fetch_s + prefill_s
 
 
 def _may_wait_for_prefill(request: ModelRequest, now: float) -> bool:
@@ -204,11 +249,13 @@
     return now - request.arrived_at < AWAITED_PREFILL_MAX_S
 
 
-def estimate_fetch_s(row: UpstreamRow, source: FetchSource | None) -> float:
+def estimate_fetch_s(
+    tables: Tables, row: UpstreamRow, source: FetchSource | None, now: float
+) -> float:
     """Return the cost of a fetch in seconds: its duration and a part for evictions."""
     if source is None:
         return 0.0
-    evicted_s = source.tokens / row.prefill_tokens_per_s
+    evicted_s = source.tokens / find_prefill_rate(tables, row, now)
     return source.seconds + FETCH_EVICTION_WEIGHT * evicted_s
 
 
@@ -229,10 +276,10 @@
     """
     uncached = request.prompt_tokens - reusable_tokens
     credit = FIRST_CHOICE_CREDIT * uncached if rank == 0 else 0.0
-    prefill_s = (uncached - credit) / row.prefill_tokens_per_s
-    recompute_s = (
-        max(0, fleet_cached_tokens - reusable_tokens) / row.prefill_tokens_per_s
-    )
+    rate = find_prefill_rate(tables, row, now)
+    prefill_s = (uncached - credit) / rate
+    wasted = max(0, fleet_cached_tokens - reusable_tokens)
+    recompute_s = wasted / find_usual_rate(tables, row) if wasted else 0.0
     return (
         estimate_wait_s(tables, row, now, request.priority)
         + prefill_s * (1 + DUPLICATION_WEIGHT)
--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -16,6 +16,7 @@
 from . import admission, ejection, load, pacing
 from .deadlines import bound_deadline
 from .fairness import charge_workspace, compute_cost, order_workspaces
+from .memory import add_remote_run, expire_remote_runs, record_remote_first_token
 from .named_limits import reserve_token
 from .placement import POLICY_BY_NAME, WINDOWED_POLICIES, Placement
 from .prefills import (
@@ -40,6 +41,13 @@
 from .rest import record_placed
 from .retries import add_retry_credit, take_retry
 from .shedding import record_late_dispatch
+from .speeds import (
+    count_sent_prefill,
+    find_named_slowdown,
+    find_prefill_rate,
+    initialize_rate,
+    may_measure,
+)
 from .tables import (
     ModelRequest,
     RunningRow,
@@ -118,6 +126,7 @@
     if row.configured_prefill_tokens_per_s != prefill_tokens_per_s:
         row.configured_prefill_tokens_per_s = prefill_tokens_per_s
         row.prefill_tokens_per_s = prefill_tokens_per_s
+        initialize_rate(tables, row)
     return row
 
 
@@ -171,6 +180,7 @@
 def tick(tables: Tables, now: float, rng: Random, policy: str) -> list[Decision]:
     """Return the dispatches and refusals that are due now."""
     expire_prefills(tables.prefills, now)
+    expire_remote_runs(tables, now)
     decisions: list[Decision] = []
     decisions += refuse_expired(tables, now)
     decisions += refuse_while_resting(tables, now, rng)
@@ -285,7 +295,9 @@
             continue
         must_wait = policy in WINDOWED_POLICIES and (
             placement.is_awaiting
-            or not load.has_capacity(tables, placement.upstream, now, request.priority)
+            or not load.has_capacity(
+                tables, placement.upstream, now, request.priority, request
+            )
             or not admission.may_begin(tables, request, placement, now)
         )
         if must_wait:
@@ -324,6 +336,7 @@
 ) -> Dispatch:
     row = placement.upstream
     is_alone = load.is_prefill_idle(tables, row)
+    is_measurable = may_measure(tables, row, placement.source is not None)
     load.record_dispatch(tables, row, request, placement.uncached_tokens, now)
     ejection.begin_trial(row, now)
     record_placed(row.rest, now)
@@ -334,6 +347,8 @@
         now,
         placement.uncached_tokens,
         was_prefilled_alone=is_alone,
+        is_measurable=is_measurable,
+        slowdown_at_dispatch=find_named_slowdown(row, now),
     )
     return Dispatch(
         request,
@@ -467,14 +482,22 @@
     tokens: int,
     priority: int,
     now: float,
+    held_tokens: int = 0,
+    max_tokens: int = 0,
 ) -> None:
-    """Record a long prefill that a peer has dispatched."""
+    """Record a long prefill that a peer has dispatched.
+
+    Its request will hold `held_tokens`, `max_tokens` of them output; 0 if unknown.
+    """
     row = tables.upstream_by_name.get(upstream)
     if row is None:
         return
     pacing.record_prefill_work(tables, row, tokens, priority, now, is_own=False)
     wait_s = load.estimate_wait_s(tables, row, now, priority)
-    expires_at = compute_prefill_expiry(now, wait_s, tokens, row.prefill_tokens_per_s)
+    count_sent_prefill(tables, row, tokens, now)
+    add_remote_run(tables, row, prefill_id, held_tokens, max_tokens, now)
+    rate = find_prefill_rate(tables, row, now)
+    expires_at = compute_prefill_expiry(now, wait_s, tokens, rate)
     add_prefill(
         tables.prefills,
         Prefill(prefill_id, upstream, blocks, tokens, expires_at, priority),
@@ -485,6 +508,7 @@
     tables: Tables, prefill_id: str, incarnation: str, now: float
 ) -> None:
     """Record the end of a peer's prefill; `incarnation` is empty if it failed."""
+    record_remote_first_token(tables, prefill_id, not incarnation, now)
     prefill = end_prefill(tables.prefills, prefill_id)
     row = tables.upstream_by_name.get(prefill.upstream) if prefill else None
     if prefill is None or row is None or not incarnation:
--- a/catkintrack/decisions/services.py
+++ b/catkintrack/decisions/services.py
@@ -9,6 +9,8 @@
 from .ejection import is_ejected
 from .failure_detection import SUSPECT_AFTER_S, is_suspect
 from .load import estimate_running
+from .speeds import find_slowdown
+from .spreading import draw_noise
 from .tables import UpstreamRow
 from .zones import (
     ZoneTable,
@@ -26,6 +28,8 @@
 REMOTE_FULL_FILL = 0.75
 # About a kilobyte each way, with the heads.
 PLAIN_CALL_BYTES = 2000
+# Part of a replica's slots that calls of other instances fill between two reports.
+UNSEEN_FILL = 0.25
 
 
 @dataclass(slots=True)
@@ -85,7 +89,7 @@
     """Return the function that orders the replicas for one call."""
     zones = tables.zones
     if zones is None:
-        return lambda row: _sort_key(row, zone, now)
+        return lambda row: _sort_key(row, zone, now, rng)
     service_s = tables.service_s_by_service.get(service, DEFAULT_SERVICE_S)
     draw = rng.random()
     leaving_s_by_zone: dict[str, float] = {}
@@ -100,7 +104,9 @@
                 zones, row.zone, now, service, PLAIN_CALL_BYTES, draw
             )
         wait_s = estimate_service_wait_s(running, slots, service_s)
-        return is_full, wait_s + leaving_s_by_zone[row.zone], fill
+        wait_s *= find_slowdown(row, now)
+        cost_s = wait_s + leaving_s_by_zone[row.zone]
+        return is_full, cost_s, _estimate_load(row, fill, now, rng)
 
     return find_key
 
@@ -160,11 +166,25 @@
     )
 
 
-def _sort_key(row: UpstreamRow, zone: str, now: float) -> tuple[bool, float]:
+def _sort_key(
+    row: UpstreamRow, zone: str, now: float, rng: Random
+) -> tuple[bool, float]:
     """Return the sort key: same zone and below capacity first, then by load."""
     fill = estimate_running(row, now) / max(1, row.max_running)
     is_local = row.zone == zone and fill < 1.0
-    return not is_local, fill
+    return not is_local, _estimate_load(row, fill, now, rng)
+
+
+def _estimate_load(row: UpstreamRow, fill: float, now: float, rng: Random) -> float:
+    """Return a replica's load with one more call, relative to its speed now if known.
+
+    Instances that share what they know of the loads choose at random among almost equal
+    ones, as in spreading.py.
+    """
+    if row.speed is None:
+        return fill
+    load = (fill + 1 / max(1, row.max_running)) * find_slowdown(row, now)
+    return load - draw_noise(UNSEEN_FILL, rng)
 
 
 def ensure_service_row(tables: ServiceTables, name: str) -> UpstreamRow:
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -10,6 +10,7 @@
 from catkintrack.weights import TargetWeights
 
 from .leaving import LeavingTable
+from .memory import MemoryTable, ReplicaMemory
 from .named_limits import NamedLimit, NamedLimitTable
 from .prefills import Prefills
 from .prefix import BLOCK_TOKENS
@@ -21,6 +22,7 @@
     from .admission import AdmissionTable
     from .cache_store import CacheStoreIndex
     from .shedding import LateQueue
+    from .speeds import Speed, SpeedTable, TimedPrefill
     from .transfers import TransferRates
     from .zones import ZoneTable
 
@@ -41,7 +43,9 @@
     `is_unreachable` is set while the last failure was to connect, `trial_sent_at` while the
     request that was sent after an ejection is under way.
     `small_prefill_tokens` sums the prefills in progress that are too short to be
-    announced to peers.
+    announced to peers.  `memory_tokens` is its KV cache's capacity, 0 if unknown;
+    `speed` is set while speeds are learned, `prefill_tokens_per_s` is its usual one.
+    Until `rejecting_until` it gets nothing, as it rejects requests with free slots.
     """
 
     name: str
@@ -81,6 +85,10 @@
     trial_sent_at: float | None = None
     ramp_started_at: float = -1e9
     last_heard_at: float = 0.0
+    memory_tokens: int = 0
+    memory: ReplicaMemory = field(default_factory=ReplicaMemory)
+    speed: Speed | None = None
+    rejecting_until: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +146,9 @@
     """Hold one request that was dispatched and has not ended.
 
     `was_prefilled_alone` is set if no other prefill was in progress at its dispatch.
+    `is_measurable` is set if its prefill may show the replica's speed, `timed_prefill`
+    once it has ended; `slowdown_at_dispatch` is what the replica had named of late.
+    `first_token_at` is None until it has a first token.
     """
 
     request: ModelRequest
@@ -148,6 +159,9 @@
     was_prefilled_alone: bool = False
     first_token_at: float | None = None
     is_complete: bool = False
+    is_measurable: bool = False
+    slowdown_at_dispatch: float | None = None
+    timed_prefill: TimedPrefill | None = None
 
 
 @dataclass(slots=True)
@@ -156,7 +170,8 @@
 
     `router_count` is the number of processes that share the upstreams, this one
     included. Requests that are not dispatched at `dispatches_until`, in seconds, are
-    refused. `zones` is set where calls leave their zone by its load.
+    refused. `zones` is set where calls leave their zone by its load.  `speeds` is set where what is known of each replica is shared, and
+    `has_uneven_replicas` once a replica has named a slowdown.
     """
 
     upstream_by_name: dict[str, UpstreamRow] = field(default_factory=dict)
@@ -183,6 +198,8 @@
     zones: ZoneTable | None = None
     has_uneven_replicas: bool = False
     admission: AdmissionTable | None = None
+    speeds: SpeedTable | None = None
+    memory: MemoryTable = field(default_factory=MemoryTable)
 
     @property
     def cache_store(self) -> CacheStoreIndex | None:
--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -11,12 +11,14 @@
 
 from catkintrack.decisions import load
 from catkintrack.decisions.leaving import forget_unknown_life
+from catkintrack.decisions.rejections import record_acceptance
 from catkintrack.decisions.scheduler import (
     drop_upstream,
     put_upstream,
     set_incarnation,
 )
 from catkintrack.decisions.services import ensure_service_row
+from catkintrack.decisions.speeds import reset_precision
 from catkintrack.decisions.stream_origins import (
     name_unconfirmed_version,
     resolve_version,
@@ -143,6 +145,7 @@
             INITIAL_PREFILL_TOKENS_PER_S,
         )
         row.software_version = upstream.software_version
+        row.memory_tokens = _find_memory_tokens(instance, upstream)
         _update_incarnation(instance, row, upstream, now)
         for weights in upstream.weights:
             apply_replica_weights(instance, upstream.id, weights, now)
@@ -154,6 +157,21 @@
     update_signals(instance, upstream.id, now)
 
 
+def _find_memory_tokens(instance: Instance, upstream: Upstream) -> int:
+    """Return the KV cache's capacity that the configuration names; 0 if it names none."""
+    config = instance.config
+    service = config.service_by_name.get(upstream.service) if config else None
+    return service.engine.kv_cache_tokens if service and service.engine else 0
+
+
+def update_memory_sizes(instance: Instance) -> None:
+    """Set the replicas' memory to that of the configuration in force."""
+    for upstream in instance.upstream_by_id.values():
+        row = instance.decisions.upstream_by_name.get(upstream.id)
+        if row is not None:
+            row.memory_tokens = _find_memory_tokens(instance, upstream)
+
+
 def _update_incarnation(
     instance: Instance, row: UpstreamRow, upstream: Upstream, now: float
 ) -> None:
@@ -162,6 +180,7 @@
     if row.incarnation and row.incarnation != incarnation:
         logger.info("upstream restarted", extra={"upstream": upstream.id})
         instance.weights.order_count_by_upstream.pop(upstream.id, None)
+        reset_precision(row)
     set_incarnation(instance.decisions, row, incarnation, now, now)
 
 
@@ -180,6 +199,7 @@
         load.reset_cache(instance.decisions, row)
     row.weights_version = version
     row.loading_until = min(row.loading_until, now)
+    record_acceptance(row)
     logger.info(
         "upstream runs new weights",
         extra={"upstream": id, "version": version},
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -38,6 +38,27 @@
     highest_fencing: int = 0
 
 
+class SharedLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Carry the load that a replica named at the end of a prefill, and the prefill's time.
+
+    `slowdown` is 0 if it named none.  `prefill_s` is 0 if the prefill shows no speed;
+    otherwise it ran at `mean_slowdown`, whose logarithm has the standard error `error`.
+    `is_rejected` says that the replica rejected the request.
+    """
+
+    running: int
+    waiting: int
+    slowdown: float = 0.0
+    prefill_s: float = 0.0
+    mean_slowdown: float = 1.0
+    error: float = 0.0
+    is_rejected: bool = False
+
+
+# Running and waiting calls, the slowdown (0 if none is named), and the age in ms.
+GossipedLoad = tuple[int, int, float, int]
+
+
 class GossipMessage(PeerMessage, frozen=True, tag="News"):
     """Announce that the sender is alive, with its fleet state and its limits' usage.
 
@@ -52,7 +73,8 @@
     `limited_upstreams` are the replicas with a limit in which the sender has a share.
     `quarantined` holds the remaining and the whole seconds of each part's quarantine,
     `quarantined_contents` those of each content's.  `callers_port` is where the sender takes
-    calls, `is_cut_off` says that it reaches no replica.
+    calls, `is_cut_off` says that it reaches no replica.  `load_by_upstream` holds the loads
+    that replicas without engines have named to the sender of late.
     """
 
     instance: str
@@ -85,6 +107,7 @@
     quarantined_contents: dict[int, tuple[float, float]] = {}
     callers_port: int = 0
     is_cut_off: bool = False
+    load_by_upstream: dict[str, GossipedLoad] = {}
 
 
 class ZoneRelay(PeerMessage, frozen=True, tag="Relayed"):
@@ -184,20 +207,25 @@
 
 
 class PrefillBegun(PeerMessage, frozen=True):
-    """Announce that a long prefill was sent to a replica."""
+    """Announce that a long prefill was sent to a replica.
+
+    Its request holds `held_tokens` in the end, `max_tokens` of them output; 0 if unknown.
+    """
 
     id: str
     upstream: str
     blocks: tuple[int, ...]
     tokens: int
     priority: int
+    held_tokens: int = 0
+    max_tokens: int = 0
 
 
 class PrefillEnded(PeerMessage, frozen=True):
     """Announce that a prefill has ended; `incarnation` is empty if it failed.
 
     `kept` are the blocks that the replica saves to the cache store `store`, `version` is
-    that of the weights that computed them.
+    that of the weights that computed them, `load` is what the replica named at its end.
     """
 
     id: str
@@ -205,6 +233,7 @@
     version: int = 0
     kept: tuple[int, ...] = ()
     store: str = ""
+    load: SharedLoad | None = None
 
 
 class ReplicaLost(PeerMessage, frozen=True):
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -44,6 +44,8 @@
     zone_calls: Counter
     zone_share: Gauge
     admission_refusals: Counter
+    prefill_rates: Gauge
+    held_memory: Gauge
 
 
 def make_instance_metrics() -> InstanceMetrics:
@@ -114,4 +116,12 @@
             "admission_refusals_total",
             "Calls that could not be finished in time, by priority and workspace.",
         ),
+        prefill_rates=gauge(
+            "prefill_tokens_per_second",
+            "Estimated rates of the replicas now: min, mean, max.",
+        ),
+        held_memory=gauge(
+            "held_memory_ratio",
+            "Part of the replicas' memory that requests hold: mean, max.",
+        ),
     )
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -34,10 +34,12 @@
     record_bytes_received,
     should_fail_over,
 )
+from catkintrack.decisions.memory import count_held_tokens
 from catkintrack.decisions.placement import has_healthy_upstream, may_run
 from catkintrack.decisions.prefills import ANNOUNCED_MIN_TOKENS
+from catkintrack.decisions.speeds import find_prefill_rate
 from catkintrack.decisions.tables import UpstreamRow
-from catkintrack.fleet import Call, Feature, ModelWeights, Prompt
+from catkintrack.fleet import Call, Feature, ModelWeights, Prompt, ReplicaLoad
 from catkintrack.http import (
     Address,
     Connection,
@@ -73,6 +75,7 @@
     start_trial,
 )
 from .refusals import NotServed, OutcomeUnknown
+from .replica_loads import add_shared_load, record_load, record_verdict
 from .replica_signals import find_return_s
 from .reports import learn_weights
 from .retry_budgets import (
@@ -246,24 +249,26 @@
     progress.cached_tokens = prompt.prompt_tokens - decision.uncached_tokens
     is_long_prefill = decision.uncached_tokens >= ANNOUNCED_MIN_TOKENS
     has_response_head = False
+    named_load: ReplicaLoad | None = None
+    is_rejected = False
     version = row.weights_version
     connected_before = progress.connected_attempts
     store = choose_store(tables, request)
     saved_blocks = _find_blocks_to_save(instance, store, request, version)
 
     async def handle_response_head(fields: ResponseFields) -> None:
-        nonlocal has_response_head
+        nonlocal has_response_head, named_load, is_rejected
         now = time.monotonic()
         if fields.load is not None:
-            row.reported_running, row.reported_waiting = fields.load
-            row.reported_at = now
-            row.sent_since_report = 0
+            named_load = fields.load
+            record_load(instance, row, fields.load, now)
         wait_s = 0.0
         # The time of a fetch is no sign of a queue.
         if decision.fetch_from is None:
-            prefill_s = decision.uncached_tokens / row.prefill_tokens_per_s
+            prefill_s = decision.uncached_tokens / find_prefill_rate(tables, row, now)
             wait_s = now - sent_at - prefill_s
         record_zone_answer(instance, request.model, row, fields, wait_s)
+        is_rejected = record_verdict(instance, row, fields, now)
         if fields.weights_version is not None:
             weights = ModelWeights(prompt.model, fields.weights_version)
             apply_replica_weights(instance, upstream.id, weights, now)
@@ -273,7 +278,7 @@
             record_first_token(tables, request.id, row.incarnation, now)
             if is_long_prefill or saved_blocks:
                 await _broadcast_prefill_ended(
-                    instance, request, row, version, saved_blocks, store
+                    instance, request, row, version, saved_blocks, store, fields.load
                 )
 
     has_event = False
@@ -383,7 +388,9 @@
     finally:
         record_end(tables, request.id, time.monotonic())
         if is_long_prefill and not has_response_head:
-            await broadcast(instance, PrefillEnded(request.id, ""))
+            ended = PrefillEnded(request.id, "")
+            ended = add_shared_load(instance, ended, named_load, is_rejected)
+            await broadcast(instance, ended)
 
 
 def _find_address(instance: Instance, name: str | None) -> Address | None:
@@ -420,6 +427,7 @@
     version: int,
     saved_blocks: tuple[int, ...],
     store: CacheStoreIndex | None,
+    load: ReplicaLoad | None,
 ) -> None:
     if row.weights_version != version:
         saved_blocks = ()
@@ -427,7 +435,7 @@
         add_stored_blocks(store, version, saved_blocks)
     name = store.name if store is not None else ""
     message = PrefillEnded(request.id, row.incarnation, version, saved_blocks, name)
-    await broadcast(instance, message)
+    await broadcast(instance, add_shared_load(instance, message, load))
 
 
 async def _broadcast_prefill_begun(
@@ -439,5 +447,7 @@
         request.blocks,
         decision.uncached_tokens,
         decision.request.priority,
+        count_held_tokens(request),
+        request.max_tokens,
     )
     await broadcast(instance, message)
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -20,6 +20,7 @@
 from catkintrack.decisions.admission import AdmissionTable
 from catkintrack.decisions.fleet_shares import forget_peer_totals
 from catkintrack.decisions.shedding import LateQueue
+from catkintrack.decisions.speeds import enable_speeds
 from catkintrack.fleet import Feature, Site
 from catkintrack.http import (
     DRAIN_READ_S,
@@ -75,6 +76,7 @@
 from .readiness import is_ready, open_readiness_server
 from .refusals import respond_to_bad_request
 from .reload import make_site_reload
+from .replica_loads import observe_replicas
 from .replica_signals import end_returned_rests, share_limits
 from .retry_budgets import share_retry_budgets
 from .slow_readers import make_server_limits, make_slow_readers
@@ -153,6 +155,7 @@
     switch_on_zones(instance)
     if Feature.ADMISSION in site.features:
         instance.decisions.admission = AdmissionTable()
+        enable_speeds(instance.decisions)
     else:
         instance.decisions.late_queue = LateQueue()
     if Feature.SLOW_READERS in site.features:
@@ -290,6 +293,7 @@
     if instance.decisions.admission is not None:
         known = {peer.instance for peer in instance.peer_by_address.values()}
         forget_peer_totals(instance.decisions.admission.shares, known)
+    observe_replicas(instance, now)
 
 
 async def _stop(instance: Instance, server: Server) -> None:
