--- a/catkintrack/decisions/fleet_shares.py
+++ b/catkintrack/decisions/fleet_shares.py
@@ -19,6 +19,8 @@
 
 # Time constant of the usage that decides on the order.
 SHARE_AVERAGE_S = 4.0
+# A workspace with less recent usage than that of a short call asks for no share.
+MIN_USAGE_TOKENS = 100.0
 
 
 @dataclass(slots=True)
@@ -70,6 +72,13 @@
         del shares.total_by_peer_and_workspace[key]
 
 
+def forget_idle_workspaces(shares: FleetShares, now: float) -> None:
+    """Forget the usage of workspaces that have hardly any."""
+    usages = shares.usage_by_workspace
+    for name in [n for n, u in usages.items() if abs(u.read(now)) < 1.0]:
+        del usages[name]
+
+
 def read_weighted_usage(shares: FleetShares, row: WorkspaceRow, now: float) -> float:
     """Return a workspace's recent usage in tokens, divided by its weight."""
     usage = shares.usage_by_workspace.get(row.name)
@@ -77,14 +86,17 @@
 
 
 def compute_mean_usage(tables: Tables, shares: FleetShares, now: float) -> float:
-    """Return the recent usage in tokens per weight of all workspaces that have any.
+    """Return the recent usage in tokens per weight of all workspaces that have some.
 
     A workspace that used more than that is over its share.
     """
     rows = tables.workspace_by_name
     total = weights = 0.0
     for name, usage in shares.usage_by_workspace.items():
-        total += max(0.0, usage.read(now))
+        tokens = usage.read(now)
+        if tokens < MIN_USAGE_TOKENS:
+            continue
+        total += tokens
         weights += rows[name].weight if name in rows else 1.0
     return total / weights if weights else 0.0
 
--- a/catkintrack/decisions/tests/test_fleet_shares.py
+++ b/catkintrack/decisions/tests/test_fleet_shares.py
@@ -5,13 +5,15 @@
 from catkintrack.decisions.fleet_shares import (
     SHARE_AVERAGE_S,
     FleetShares,
+    compute_mean_usage,
+    forget_idle_workspaces,
     forget_peer_totals,
     read_weighted_usage,
     record_own_usage,
     record_peer_total,
 )
 from catkintrack.decisions.tables import WorkspaceRow
-from testkit.decision_tables import make_request
+from testkit.decision_tables import make_request, make_tables
 
 
 def read(shares, name, now, weight=1.0):
@@ -29,6 +31,22 @@
         self.assertAlmostEqual(read(shares, "hot", 0.5), 61 * 7_000)
         self.assertGreater(read(shares, "hot", 0.5), read(shares, "calm", 0.5))
 
+    def test_idle_workspaces_do_not_lower_the_share(self):
+        """Guards against a mean below which no workspace that asks can stay."""
+        shares, tables = FleetShares(), make_tables()
+        for number in range(100):
+            request = make_request(f"r{number}", f"idle{number}", prompt_tokens=2_000)
+            record_own_usage(shares, request, 0.0)
+        now = 20 * SHARE_AVERAGE_S
+        for workspace, tokens in (("calm", 1_000), ("hot", 7_000)):
+            request = make_request(workspace, workspace, prompt_tokens=tokens)
+            record_own_usage(shares, request, now)
+        share = compute_mean_usage(tables, shares, now)
+        self.assertLess(read(shares, "calm", now), share)
+        self.assertGreater(read(shares, "hot", now), share)
+        forget_idle_workspaces(shares, now)
+        self.assertEqual(set(shares.usage_by_workspace), {"calm", "hot"})
+
     def test_weights_divide_usage(self):
         shares = FleetShares()
         record_own_usage(shares, make_request("r1", "w1", prompt_tokens=984), 0.0)
