--- a/catkintrack/decisions/admission.py
+++ b/catkintrack/decisions/admission.py
@@ -22,22 +22,26 @@
 from .fleet_shares import (
     FleetShares,
     compute_mean_usage,
+    forget_idle_workspaces,
     read_weighted_usage,
     record_own_usage,
 )
 from .pacing import (
-    MAX_PREFILL_SHARE,
     Pacing,
     estimate_own_share,
     estimate_rate,
+    find_needed_s,
     find_spare_s,
+    forget_meters,
     is_within_pace,
 )
 from .placement import Placement, list_eligible
 from .residency import find_cached_depths
 from .served_floors import (
     ServedFloors,
+    forget_unasked,
     is_below_floor,
+    make_floor_check,
     record_asked,
     record_served,
 )
@@ -60,13 +64,17 @@
 class Room:
     """Hold the room of a model's replicas for this instance, in seconds of prefills.
 
-    `begins_in_s` is the time until any replica takes a call, `spare_s` the work that they
-    take at once then, and `rate` what they take per second after that.
+    `begins_in_s` is the time until any replica takes a call, `largest_s` the most work
+    that one of them takes now, below 0 if some has to drain first, and `spare_s` what all
+    take at once.  `rate` is what they take per second after that, `drain_rate` what each
+    of them drains beside the calls of better ranks.
     """
 
     begins_in_s: float
+    largest_s: float
     spare_s: float
     rate: float
+    drain_rate: float
 
 
 @dataclass(slots=True)
@@ -74,7 +82,8 @@
     """Hold what admission knows.
 
     `work_s_by_id` holds the estimated prefill work of each queued request, `late_ids`
-    those that are expected to begin late, `room_by_kind` the rooms found at `rooms_at`.
+    those that are expected to begin late and `held_ids` those that an earlier tick let
+    wait.  `room_by_kind` holds the rooms found at `rooms_at`.
     `returns_at` is when the fleet has room for the last caller that was refused.
     """
 
@@ -84,6 +93,7 @@
     pace: DecodePace = field(default_factory=DecodePace)
     work_s_by_id: dict[str, float] = field(default_factory=dict)
     late_ids: set[str] = field(default_factory=set)
+    held_ids: set[str] = field(default_factory=set)
     room_by_kind: dict[RequestKind, Room | None] = field(default_factory=dict)
     rooms_at: float = -math.inf
     returns_at: float = 0.0
@@ -110,10 +120,11 @@
     is_over_by_name = {
         row.name: read_weighted_usage(table.shares, row, now) > share for row in rows
     }
+    is_below = make_floor_check(table.floors, now)
 
     def make_key(request: ModelRequest) -> tuple[bool, int, bool, int, float]:
         return (
-            not is_below_floor(table.floors, request, now),
+            not is_below(request),
             request.priority,
             is_over_by_name[request.workspace],
             request.prompt_tokens.bit_length(),
@@ -163,15 +174,18 @@
         work_s = table.work_s_by_id[request.id]
         ahead_s = ahead_s_by_model[request.model]
         room = _find_known_room(tables, request, now)
-        wait_s = estimate_queue_s(room, ahead_s + work_s)
+        wait_s = estimate_queue_s(room, ahead_s, work_s, request.priority)
         is_on_time = request.priority < LATE_PRIORITY_OFFSET
         if is_on_time and now + wait_s + work_s > request.target_at:
             # It will wait as a late one does.
             table.late_ids.add(request.id)
             late = replace(request, priority=request.priority + LATE_PRIORITY_OFFSET)
             room = _find_known_room(tables, late, now)
-            wait_s = estimate_queue_s(room, ahead_s + work_s)
-        if room is None or may_finish(table, request, wait_s + work_s, now):
+            wait_s = estimate_queue_s(room, ahead_s, work_s, late.priority)
+        # A request that was held is refused only once it surely can't be finished.
+        least_wait_s = 0.0 if request.id in table.held_ids else wait_s
+        if room is None or may_finish(table, request, least_wait_s + work_s, now):
+            table.held_ids.add(request.id)
             ahead_s_by_model[request.model] += work_s
             continue
         queued = remove_queued(tables, request)
@@ -179,14 +193,19 @@
     return refusals
 
 
-def estimate_queue_s(room: Room | None, queued_s: float) -> float:
-    """Return the time until a request begins; `queued_s` is its work and that before it.
+def estimate_queue_s(
+    room: Room | None, ahead_s: float, work_s: float, rank: int
+) -> float:
+    """Return the time until a request begins that has `ahead_s` of work before it.
 
-    While the replicas are full, even the first one waits until it is this instance's turn.
+    It begins once a replica has the room that it needs for itself, which parts of the
+    room of several replicas don't give, and once its turn at this instance has come.
     """
     if room is None:
         return 0.0
-    return room.begins_in_s + max(0.0, queued_s - room.spare_s) / room.rate
+    missing_s = find_needed_s(work_s, rank) - room.largest_s
+    own_s = max(room.begins_in_s, missing_s / room.drain_rate)
+    return own_s + max(0.0, ahead_s + work_s - room.spare_s) / room.rate
 
 
 def remove_queued(tables: Tables, request: ModelRequest) -> ModelRequest:
@@ -225,9 +244,10 @@
 ) -> bool:
     """Report whether a request that is sent now as placed would end too late."""
     table = tables.admission
-    return table is not None and not may_finish(
-        table, request, placement.first_token_s, now
-    )
+    if table is None or load.is_prefill_idle(tables, placement.upstream):
+        # The pace of streams beside prefills says nothing about an idle replica.
+        return False
+    return not may_finish(table, request, placement.first_token_s, now)
 
 
 def rank_as_placed(
@@ -282,22 +302,35 @@
         running.is_complete = True
 
 
+def forget_old_rows(tables: Tables, now: float) -> None:
+    """Forget workspaces and sizes without recent requests, and removed upstreams."""
+    table = tables.admission
+    if table is not None:
+        forget_idle_workspaces(table.shares, now)
+        forget_unasked(table.floors, now)
+        forget_meters(table.pacing, tables.upstream_by_name)
+
+
 def find_room(tables: Tables, request: ModelRequest, now: float) -> Room | None:
     """Return the room that the request's replicas have, None without any."""
     rows = list_eligible(tables, request, now)
     if not rows:
         return None
     own_share = estimate_own_share(tables, now)
+    rate = estimate_rate(tables, request.priority, len(rows), now)
+    drain_rate = rate / len(rows)
     spare_s = [find_spare_s(tables, row, now, request.priority) for row in rows]
     # The backlog drains while the replica's pace holds calls back.
     begins_in_s = min(
-        max(-spare / MAX_PREFILL_SHARE, _estimate_excess_s(tables, row, request, now))
+        max(-spare / drain_rate, _estimate_excess_s(tables, row, request, now))
         for spare, row in zip(spare_s, rows, strict=True)
     )
     return Room(
         begins_in_s,
+        max(spare_s),
         own_share * sum(max(0.0, spare) for spare in spare_s),
-        own_share * estimate_rate(tables, request.priority, len(rows), now),
+        own_share * rate,
+        drain_rate,
     )
 
 
@@ -343,6 +376,7 @@
                 work_s = _estimate_work_s(tables, request)
                 record_asked(table.floors, request, now)
             table.work_s_by_id[request.id] = work_s
+    table.held_ids.intersection_update(table.work_s_by_id)
 
 
 def _estimate_work_s(tables: Tables, request: ModelRequest) -> float:
--- a/catkintrack/decisions/pacing.py
+++ b/catkintrack/decisions/pacing.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from .decay import DecayingSum
@@ -94,8 +95,12 @@
     """Report whether the replica may get `work_s` now; more than a window needs all of it."""
     if tables.admission is None:
         return True
-    needed_s = min(ROOM_PER_WORK * work_s, _find_window_s(rank))
-    return find_spare_s(tables, row, now, rank) >= needed_s
+    return find_spare_s(tables, row, now, rank) >= find_needed_s(work_s, rank)
+
+
+def find_needed_s(work_s: float, rank: int) -> float:
+    """Return the spare work that a replica must have for a call of `work_s`."""
+    return min(ROOM_PER_WORK * work_s, _find_window_s(rank))
 
 
 def _find_window_s(rank: int) -> float:
@@ -112,6 +117,12 @@
     return max(0.0, -find_spare_s(tables, row, now, rank)) / MAX_PREFILL_SHARE
 
 
+def forget_meters(pacing: Pacing, upstreams: Collection[str]) -> None:
+    """Forget the meters of upstreams that are not in `upstreams`."""
+    for name in [n for n in pacing.meter_by_upstream if n not in upstreams]:
+        del pacing.meter_by_upstream[name]
+
+
 def estimate_own_share(tables: Tables, now: float) -> float:
     """Return the part of the fleet's prefill work that this instance sends."""
     least = 1.0 / max(1, tables.router_count)
--- a/catkintrack/decisions/served_floors.py
+++ b/catkintrack/decisions/served_floors.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from .decay import DecayingSum
@@ -17,6 +18,7 @@
 FLOOR_WINDOW_S = 8.0
 # Fewer requests in the window say nothing about a class.
 MIN_ASKED = 3.0
+FORGOTTEN_ASKED = 0.01
 
 ServedClass = tuple[str, str]
 ALL: ServedClass = ("all", "")
@@ -64,6 +66,28 @@
     )
 
 
+def make_floor_check(
+    floors: ServedFloors, now: float
+) -> Callable[[ModelRequest], bool]:
+    """Return a check of requests that looks at each class once."""
+    known: dict[tuple[ServedClass, ServedClass], bool] = {}
+
+    def is_below(request: ModelRequest) -> bool:
+        classes = list_classes(request)
+        if classes not in known:
+            known[classes] = is_below_floor(floors, request, now)
+        return known[classes]
+
+    return is_below
+
+
+def forget_unasked(floors: ServedFloors, now: float) -> None:
+    """Forget the classes without recent requests."""
+    counts = floors.counts_by_class
+    for name in [n for n, c in counts.items() if c.asked.read(now) < FORGOTTEN_ASKED]:
+        del counts[name]
+
+
 def _is_below(
     floors: ServedFloors, served_class: ServedClass, floor: float, now: float
 ) -> bool:
--- a/catkintrack/decisions/tests/test_admission.py
+++ b/catkintrack/decisions/tests/test_admission.py
@@ -5,7 +5,12 @@
 from random import Random
 
 from catkintrack.decisions import Dispatch, Refusal, submit, tick
-from catkintrack.decisions.admission import AdmissionTable, find_room
+from catkintrack.decisions.admission import (
+    AdmissionTable,
+    estimate_queue_s,
+    find_room,
+    forget_old_rows,
+)
 from catkintrack.decisions.decode_pace import (
     DecodePace,
     estimate_token_s,
@@ -18,6 +23,7 @@
     estimate_pacing_s,
 )
 from catkintrack.decisions.scheduler import (
+    drop_upstream,
     record_remote_prefill,
     record_remote_prefill_end,
 )
@@ -41,6 +47,7 @@
 LEAST_SHARE = 0.25
 # Least gain in the share of calls on time, where most had been late.
 LEAST_GAIN = 0.1
+LATE_REFUSAL_S = 0.05 + 1e-6
 WORKSPACES = {f"w{number}": 1.0 for number in range(6)}
 
 
@@ -59,6 +66,10 @@
     return [outcome for outcome in outcomes if outcome.kind is kind]
 
 
+def list_refusal_waits(outcomes):
+    return [wait for outcome in outcomes for wait in outcome.refused_at]
+
+
 def make_full_tables(backlog_s=3.0, upstreams=3):
     tables = make_tables(upstreams, max_running=64)
     tables.admission = AdmissionTable()
@@ -97,6 +108,19 @@
             ]
             self.assertLess(len(cut), 0.02 * len(outcomes))
 
+    def test_hardly_any_caller_is_refused_after_a_wait(self):
+        """Guards against calls that wait for room which better ones take."""
+        equal = (replace(SHORT, priority=1), replace(LONG, priority=1))
+        for kinds in ((SHORT, LONG), equal):
+            waits = list_refusal_waits(replay(3.5, kinds=kinds))
+            late = sum(wait > LATE_REFUSAL_S for wait in waits)
+            self.assertGreater(len(waits), 50)
+            self.assertLess(late, 0.25 * len(waits), kinds)
+
+    def test_refusals_come_within_50_ms(self):
+        waits = list_refusal_waits(replay(3.5))
+        self.assertEqual([wait for wait in waits if wait > LATE_REFUSAL_S], [])
+
     def test_no_size_kind_or_workspace_starves(self):
         outcomes = replay(4.0)
         all_share = count_fraction(outcomes)
@@ -189,6 +213,48 @@
         decisions = tick(tables, drained_at, Random(1), "catkintrack")
         self.assertEqual([d.request.id for d in decisions], ["r2", "r3", "r1"])
 
+    def test_held_call_is_not_refused_for_calls_that_come_later(self):
+        """Guards against a caller that is refused after it has waited."""
+        tables = make_full_tables(backlog_s=1.0)
+        submit(tables, make_request("r1", priority=2, queue_timeout_s=4.0), 0.0)
+        self.assertEqual(tick(tables, 0.0, Random(1), "catkintrack"), [])
+        for name in tables.upstream_by_name:
+            for number in range(6):
+                id = f"{name}-{number}"
+                tokens = round(0.5 * tables.upstream_by_name[name].prefill_tokens_per_s)
+                record_remote_prefill(tables, id, name, (), tokens, 0, 0.01)
+        submit(tables, make_request("r2", priority=2, queue_timeout_s=4.0), 0.1)
+        (decision,) = tick(tables, 0.1, Random(1), "catkintrack")
+        self.assertEqual(decision.request.id, "r2")
+        self.assertEqual(tables.waiting_count, 1)
+
+    def test_room_in_parts_is_not_room_for_a_large_call(self):
+        """Guards against a wait for room that no replica has."""
+        tables = make_full_tables(backlog_s=0.3, upstreams=20)
+        room = find_room(tables, make_request("r1", priority=0), 0.0)
+        self.assertEqual(estimate_queue_s(room, 0.0, 0.05, 0), 0.0)
+        self.assertGreater(estimate_queue_s(room, 0.0, 0.2, 0), 0.1)
+
+    def test_idle_replicas_take_calls_however_slow_streams_were(self):
+        """Guards against streams of slow readers that close a free fleet."""
+        tables = make_full_tables(backlog_s=0.0)
+        for _ in range(20):
+            record_stream(tables.admission.pace, 100, 30.0, True, 0.0)
+        submit(tables, make_request("r1", priority=0, queue_timeout_s=5.0), 0.0)
+        (decision,) = tick(tables, 0.0, Random(1), "catkintrack")
+        self.assertIsInstance(decision, Dispatch)
+
+    def test_rows_of_what_is_gone_are_forgotten(self):
+        tables = make_full_tables(backlog_s=0.0)
+        submit(tables, make_request("r1", priority=0), 0.0)
+        (decision,) = tick(tables, 0.0, Random(1), "catkintrack")
+        drop_upstream(tables, decision.upstream)
+        forget_old_rows(tables, 100.0)
+        table = tables.admission
+        self.assertNotIn(decision.upstream, table.pacing.meter_by_upstream)
+        self.assertEqual(table.floors.counts_by_class, {})
+        self.assertEqual(table.shares.usage_by_workspace, {})
+
 
 class PacingTest(unittest.TestCase):
     def test_prefills_leave_time_for_running_streams(self):
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -17,7 +17,7 @@
 from returns.result import Failure, Success
 
 from catkintrack.calls import run_ticks
-from catkintrack.decisions.admission import AdmissionTable
+from catkintrack.decisions.admission import AdmissionTable, forget_old_rows
 from catkintrack.decisions.fleet_shares import forget_peer_totals
 from catkintrack.decisions.shedding import LateQueue
 from catkintrack.fleet import Feature, Site
@@ -284,6 +284,7 @@
     if instance.decisions.admission is not None:
         known = {peer.instance for peer in instance.peer_by_address.values()}
         forget_peer_totals(instance.decisions.admission.shares, known)
+        forget_old_rows(instance.decisions, now)
 
 
 async def _stop(instance: Instance, server: Server) -> None:
