--- a/catkintrack/decisions/admission.py
+++ b/catkintrack/decisions/admission.py
@@ -56,7 +56,9 @@
 # About one tick of the scheduler.
 ROOM_MAX_AGE_S = 0.01
 
-# Model, software version if one is required, and priority.
+# Model, and software version if one is required.
+Service = tuple[str, str | None]
+# The same and the priority.
 RequestKind = tuple[str, str | None, int]
 
 
@@ -83,7 +85,7 @@
 
     `work_s_by_id` holds the estimated prefill work of each queued request, `late_ids`
     those that are expected to begin late and `held_ids` those that an earlier tick let
-    wait.  `room_by_kind` holds the rooms found at `rooms_at`.
+    wait.  `room_by_kind` and `rows_by_service` hold what was found at `rooms_at`.
     `returns_at` is when the fleet has room for the last caller that was refused.
     """
 
@@ -95,6 +97,7 @@
     late_ids: set[str] = field(default_factory=set)
     held_ids: set[str] = field(default_factory=set)
     room_by_kind: dict[RequestKind, Room | None] = field(default_factory=dict)
+    rows_by_service: dict[Service, list[UpstreamRow]] = field(default_factory=dict)
     rooms_at: float = -math.inf
     returns_at: float = 0.0
 
@@ -110,7 +113,7 @@
     assert table is not None
     rows = [row for row in tables.workspace_by_name.values() if row.waiting]
     ranked = [
-        replace(request, priority=_find_rank(table, request, now))
+        _set_rank(request, _find_rank(table, request, now))
         for row in rows
         for request in row.waiting
     ]
@@ -134,6 +137,10 @@
     return sorted(ranked, key=make_key)
 
 
+def _set_rank(request: ModelRequest, rank: int) -> ModelRequest:
+    return request if request.priority == rank else replace(request, priority=rank)
+
+
 def _find_rank(table: AdmissionTable, request: ModelRequest, now: float) -> int:
     """Return the rank that engines would give the request; late ones come last."""
     work_s = table.work_s_by_id.get(request.id, 0.0)
@@ -173,15 +180,15 @@
     for request in order_requests(tables, now):
         work_s = table.work_s_by_id[request.id]
         ahead_s = ahead_s_by_model[request.model]
-        room = _find_known_room(tables, request, now)
+        room = _find_known_room(tables, request, request.priority, now)
         wait_s = estimate_queue_s(room, ahead_s, work_s, request.priority)
         is_on_time = request.priority < LATE_PRIORITY_OFFSET
         if is_on_time and now + wait_s + work_s > request.target_at:
             # It will wait as a late one does.
             table.late_ids.add(request.id)
-            late = replace(request, priority=request.priority + LATE_PRIORITY_OFFSET)
-            room = _find_known_room(tables, late, now)
-            wait_s = estimate_queue_s(room, ahead_s, work_s, late.priority)
+            rank = request.priority + LATE_PRIORITY_OFFSET
+            room = _find_known_room(tables, request, rank, now)
+            wait_s = estimate_queue_s(room, ahead_s, work_s, rank)
         # A request that was held is refused only once it surely can't be finished.
         least_wait_s = 0.0 if request.id in table.held_ids else wait_s
         if room is None or may_finish(table, request, least_wait_s + work_s, now):
@@ -311,39 +318,61 @@
         forget_meters(table.pacing, tables.upstream_by_name)
 
 
-def find_room(tables: Tables, request: ModelRequest, now: float) -> Room | None:
-    """Return the room that the request's replicas have, None without any."""
-    rows = list_eligible(tables, request, now)
+def find_room(
+    tables: Tables, request: ModelRequest, rank: int, now: float
+) -> Room | None:
+    """Return the room for requests of `rank` at the request's replicas, None without any."""
+    rows = _find_fresh_rows(tables, request, now)
     if not rows:
         return None
     own_share = estimate_own_share(tables, now)
-    rate = estimate_rate(tables, request.priority, len(rows), now)
+    rate = estimate_rate(tables, rank, len(rows), now)
     drain_rate = rate / len(rows)
-    spare_s = [find_spare_s(tables, row, now, request.priority) for row in rows]
-    # The backlog drains while the replica's pace holds calls back.
-    begins_in_s = min(
-        max(-spare / drain_rate, _estimate_excess_s(tables, row, request, now))
-        for spare, row in zip(spare_s, rows, strict=True)
-    )
+    pairs = [(find_spare_s(tables, row, now, rank), row) for row in rows]
+    pairs.sort(key=lambda pair: pair[0], reverse=True)
+    begins_in_s = math.inf
+    for spare_s, row in pairs:
+        paced_s = -spare_s / drain_rate
+        if begins_in_s <= max(0.0, paced_s):
+            # No other replica takes a call earlier.
+            break
+        excess_s = _estimate_excess_s(tables, row, rank, now)
+        # The backlog drains while the replica's pace holds calls back.
+        begins_in_s = min(begins_in_s, max(0.0, paced_s, excess_s))
     return Room(
         begins_in_s,
-        max(spare_s),
-        own_share * sum(max(0.0, spare) for spare in spare_s),
+        pairs[0][0],
+        own_share * sum(max(0.0, spare_s) for spare_s, _ in pairs),
         own_share * rate,
         drain_rate,
     )
 
 
-def _find_known_room(tables: Tables, request: ModelRequest, now: float) -> Room | None:
+def _find_known_room(
+    tables: Tables, request: ModelRequest, rank: int, now: float
+) -> Room | None:
     """Return the room for a request, at most ROOM_MAX_AGE_S old."""
     assert tables.admission is not None
     room_by_kind = _find_fresh_rooms(tables.admission, now)
-    kind = _find_kind(request)
+    kind = request.model, request.software_version, rank
     if kind not in room_by_kind:
-        room_by_kind[kind] = find_room(tables, request, now)
+        room_by_kind[kind] = find_room(tables, request, rank, now)
     return room_by_kind[kind]
 
 
+def _find_fresh_rows(
+    tables: Tables, request: ModelRequest, now: float
+) -> list[UpstreamRow]:
+    """Return the request's eligible upstreams, at most ROOM_MAX_AGE_S old."""
+    table = tables.admission
+    assert table is not None
+    _find_fresh_rooms(table, now)
+    service = request.model, request.software_version
+    if service not in table.rows_by_service:
+        table.rows_by_service[service] = list_eligible(tables, request, now)
+    return table.rows_by_service[service]
+
+
 def _find_kind(request: ModelRequest) -> RequestKind:
     return request.model, request.software_version, request.priority
 
@@ -353,15 +382,16 @@
 ) -> dict[RequestKind, Room | None]:
     if now - table.rooms_at >= ROOM_MAX_AGE_S:
         table.room_by_kind = {}
+        table.rows_by_service = {}
         table.rooms_at = now
     return table.room_by_kind
 
 
 def _estimate_excess_s(
-    tables: Tables, row: UpstreamRow, request: ModelRequest, now: float
+    tables: Tables, row: UpstreamRow, rank: int, now: float
 ) -> float:
     """Return the seconds until the replica's backlog is within its bound."""
-    tokens = load.estimate_prefill_tokens(tables, row, now, request.priority)
+    tokens = load.estimate_prefill_tokens(tables, row, now, rank)
     return max(0.0, tokens / row.prefill_tokens_per_s - tables.max_prefill_wait_s)
 
 
--- a/catkintrack/decisions/tests/test_admission.py
+++ b/catkintrack/decisions/tests/test_admission.py
@@ -231,7 +231,7 @@
     def test_room_in_parts_is_not_room_for_a_large_call(self):
         """Guards against a wait for room that no replica has."""
         tables = make_full_tables(backlog_s=0.3, upstreams=20)
-        room = find_room(tables, make_request("r1", priority=0), 0.0)
+        room = find_room(tables, make_request("r1"), 0, 0.0)
         self.assertEqual(estimate_queue_s(room, 0.0, 0.05, 0), 0.0)
         self.assertGreater(estimate_queue_s(room, 0.0, 0.2, 0), 0.1)
 
@@ -278,8 +278,8 @@
         self.assertEqual(estimate_pacing_s(tables, row, 0.0, 0), 0.0)
         self.assertGreater(estimate_pacing_s(tables, row, 0.0, 2), 0.0)
         first, second = make_request("r1", priority=0), make_request("r2", priority=2)
-        self.assertEqual(find_room(tables, first, 0.0).begins_in_s, 0.0)
-        self.assertGreater(find_room(tables, second, 0.0).begins_in_s, 0.0)
+        self.assertEqual(find_room(tables, first, 0, 0.0).begins_in_s, 0.0)
+        self.assertGreater(find_room(tables, second, 2, 0.0).begins_in_s, 0.0)
 
     def test_without_admission_nothing_is_paced(self):
         tables = make_tables()
