--- a/catkintrack/decisions/admission.py
+++ b/catkintrack/decisions/admission.py
@@ -212,7 +212,9 @@
         return 0.0
     missing_s = find_needed_s(work_s, rank) - room.largest_s
     own_s = max(room.begins_in_s, missing_s / room.drain_rate)
-    return own_s + max(0.0, ahead_s + work_s - room.spare_s) / room.rate
+    if ahead_s <= 0 and own_s <= 0:
+        return 0.0
+    return max(0.0, own_s) + max(0.0, ahead_s + work_s - room.spare_s) / room.rate
 
 
 def remove_queued(tables: Tables, request: ModelRequest) -> ModelRequest:
--- a/catkintrack/decisions/tests/test_admission.py
+++ b/catkintrack/decisions/tests/test_admission.py
@@ -235,6 +235,13 @@
         self.assertEqual(estimate_queue_s(room, 0.0, 0.05, 0), 0.0)
         self.assertGreater(estimate_queue_s(room, 0.0, 0.2, 0), 0.1)
 
+    def test_largest_prompt_is_not_refused_while_replicas_are_idle(self):
+        """Guards against an instance's small part of the fleet's work as its limit."""
+        tables = make_full_tables(backlog_s=0.0)
+        tables.router_count = 62
+        room = find_room(tables, make_request("r1"), 0, 0.0)
+        self.assertEqual(estimate_queue_s(room, 0.0, 5.5, 0), 0.0)
+
     def test_idle_replicas_take_calls_however_slow_streams_were(self):
         """Guards against streams of slow readers that close a free fleet."""
         tables = make_full_tables(backlog_s=0.0)
