--- a/catkintrack/decisions/admission.py
+++ b/catkintrack/decisions/admission.py
@@ -53,6 +53,8 @@
 # Least part of the time to return that callers are spread over.
 RETURN_SPREAD = 0.5
 MIN_RETURN_S = 0.05
+# Part of the estimated wait by which requests that wait already are judged.
+HELD_WAIT_FACTOR = 0.1
 # About one tick of the scheduler.
 ROOM_MAX_AGE_S = 0.01
 
@@ -189,9 +191,9 @@
             rank = request.priority + LATE_PRIORITY_OFFSET
             room = _find_known_room(tables, request, rank, now)
             wait_s = estimate_queue_s(room, ahead_s, work_s, rank)
-        # A request that was held is refused only once it surely can't be finished.
-        least_wait_s = 0.0 if request.id in table.held_ids else wait_s
-        if room is None or may_finish(table, request, least_wait_s + work_s, now):
+        # Hysteresis: few callers are refused after they have waited.
+        factor = HELD_WAIT_FACTOR if request.id in table.held_ids else 1.0
+        if room is None or may_finish(table, request, factor * wait_s + work_s, now):
             table.held_ids.add(request.id)
             ahead_s_by_model[request.model] += work_s
             continue
