--- a/catkintrack/decisions/admission.py
+++ b/catkintrack/decisions/admission.py
@@ -22,22 +22,26 @@
 from .fleet_shares import (
     FleetShares,
     compute_mean_usage,
+    forget_idle_workspaces,
     read_weighted_usage,
     record_own_usage,
 )
 from .pacing import (
-    MAX_PREFILL_SHARE,
     Pacing,
     estimate_own_share,
     estimate_rate,
+    find_needed_s,
     find_spare_s,
+    forget_meters,
     is_within_pace,
 )
 from .placement import Placement, list_eligible
 from .residency import find_cached_depths
 from .served_floors import (
     ServedFloors,
+    forget_unasked,
     is_below_floor,
+    make_floor_check,
     record_asked,
     record_served,
 )
@@ -50,10 +54,14 @@
 # Least part of the time to return that callers are spread over.
 RETURN_SPREAD = 0.5
 MIN_RETURN_S = 0.05
+# Part of the estimated wait by which requests that wait already are judged.
+HELD_WAIT_FACTOR = 0.1
 # About one tick of the scheduler.
 ROOM_MAX_AGE_S = 0.01
 
-# Model, software version if one is required, and priority.
+# Model, and software version if one is required.
+Service = tuple[str, str | None]
+# The same and the priority.
 RequestKind = tuple[str, str | None, int]
 
 
@@ -61,13 +69,17 @@
 class Room:
     """Hold the room of a model's replicas for this instance, in seconds of prefills.
 
-    `begins_in_s` is the time until any replica takes a call, `spare_s` the work that they
-    take at once then, and `rate` what they take per second after that.
+    `begins_in_s` is the time until any replica takes a call, `largest_s` the most work
+    that one of them takes now, below 0 if some has to drain first, and `spare_s` what all
+    take at once.  `rate` is what they take per second after that, `drain_rate` what each
+    of them drains beside the calls of better ranks.
     """
 
     begins_in_s: float
+    largest_s: float
     spare_s: float
     rate: float
+    drain_rate: float
 
 
 @dataclass(slots=True)
@@ -75,7 +87,8 @@
     """Hold what admission knows.
 
     `work_s_by_id` holds the estimated prefill work of each queued request, `late_ids`
-    those that are expected to begin late, `room_by_kind` the rooms found at `rooms_at`.
+    those that are expected to begin late and `held_ids` those that an earlier tick let
+    wait.  `room_by_kind` and `rows_by_service` hold what was found at `rooms_at`.
     `returns_at` is when the fleet has room for the last caller that was refused.
     """
 
@@ -85,7 +98,9 @@
     pace: DecodePace = field(default_factory=DecodePace)
     work_s_by_id: dict[str, float] = field(default_factory=dict)
     late_ids: set[str] = field(default_factory=set)
+    held_ids: set[str] = field(default_factory=set)
     room_by_kind: dict[RequestKind, Room | None] = field(default_factory=dict)
+    rows_by_service: dict[Service, list[UpstreamRow]] = field(default_factory=dict)
     rooms_at: float = -math.inf
     returns_at: float = 0.0
 
@@ -101,7 +116,7 @@
     assert table is not None
     rows = [row for row in tables.workspace_by_name.values() if row.waiting]
     ranked = [
-        replace(request, priority=_find_rank(table, request, now))
+        _set_rank(request, _find_rank(table, request, now))
         for row in rows
         for request in row.waiting
     ]
@@ -111,10 +126,11 @@
     is_over_by_name = {
         row.name: read_weighted_usage(table.shares, row, now) > share for row in rows
     }
+    is_below = make_floor_check(table.floors, now)
 
     def make_key(request: ModelRequest) -> tuple[bool, int, bool, int, float]:
         return (
-            not is_below_floor(table.floors, request, now),
+            not is_below(request),
             request.priority,
             is_over_by_name[request.workspace],
             request.prompt_tokens.bit_length(),
@@ -124,6 +140,10 @@
     return sorted(ranked, key=make_key)
 
 
+def _set_rank(request: ModelRequest, rank: int) -> ModelRequest:
+    return request if request.priority == rank else replace(request, priority=rank)
+
+
 def _find_rank(table: AdmissionTable, request: ModelRequest, now: float) -> int:
     """Return the rank that engines would give the request; late ones come last."""
     work_s = table.work_s_by_id.get(request.id, 0.0)
@@ -163,16 +183,19 @@
     for request in order_requests(tables, now):
         work_s = table.work_s_by_id[request.id]
         ahead_s = ahead_s_by_model[request.model]
-        room = _find_known_room(tables, request, now)
-        wait_s = estimate_queue_s(room, ahead_s + work_s)
+        room = _find_known_room(tables, request, request.priority, now)
+        wait_s = estimate_queue_s(room, ahead_s, work_s, request.priority)
         is_on_time = request.priority < LATE_PRIORITY_OFFSET
         if is_on_time and now + wait_s + work_s > request.target_at:
             # It will wait as a late one does.
             table.late_ids.add(request.id)
-            late = replace(request, priority=request.priority + LATE_PRIORITY_OFFSET)
-            room = _find_known_room(tables, late, now)
-            wait_s = estimate_queue_s(room, ahead_s + work_s)
-        if room is None or may_finish(table, request, wait_s + work_s, now):
+            rank = request.priority + LATE_PRIORITY_OFFSET
+            room = _find_known_room(tables, request, rank, now)
+            wait_s = estimate_queue_s(room, ahead_s, work_s, rank)
+        # Hysteresis: few callers are refused after they have waited.
+        factor = HELD_WAIT_FACTOR if request.id in table.held_ids else 1.0
+        if room is None or may_finish(table, request, factor * wait_s + work_s, now):
+            table.held_ids.add(request.id)
             ahead_s_by_model[request.model] += work_s
             continue
         queued = remove_queued(tables, request)
@@ -180,14 +203,21 @@
     return refusals
 
 
-def estimate_queue_s(room: Room | None, queued_s: float) -> float:
-    """Return the time until a request begins; `queued_s` is its work and that before it.
+def estimate_queue_s(
+    room: Room | None, ahead_s: float, work_s: float, rank: int
+) -> float:
+    """Return the time until a request begins that has `ahead_s` of work before it.
 
-    While the replicas are full, even the first one waits until it is this instance's turn.
+    It begins once a replica has the room that it needs for itself, which parts of the
+    room of several replicas don't give, and once its turn at this instance has come.
     """
     if room is None:
         return 0.0
-    return room.begins_in_s + max(0.0, queued_s - room.spare_s) / room.rate
+    missing_s = find_needed_s(work_s, rank) - room.largest_s
+    own_s = max(room.begins_in_s, missing_s / room.drain_rate)
+    if ahead_s <= 0 and own_s <= 0:
+        return 0.0
+    return max(0.0, own_s) + max(0.0, ahead_s + work_s - room.spare_s) / room.rate
 
 
 def remove_queued(tables: Tables, request: ModelRequest) -> ModelRequest:
@@ -226,9 +256,10 @@
 ) -> bool:
     """Report whether a request that is sent now as placed would end too late."""
     table = tables.admission
-    return table is not None and not may_finish(
-        table, request, placement.first_token_s, now
-    )
+    if table is None or load.is_prefill_idle(tables, placement.upstream):
+        # The pace of streams beside prefills says nothing about an idle replica.
+        return False
+    return not may_finish(table, request, placement.first_token_s, now)
 
 
 def rank_as_placed(
@@ -283,35 +314,70 @@
         running.is_complete = True
 
 
-def find_room(tables: Tables, request: ModelRequest, now: float) -> Room | None:
-    """Return the room that the request's replicas have, None without any."""
-    rows = list_eligible(tables, request, now)
+def forget_old_rows(tables: Tables, now: float) -> None:
+    """Forget workspaces and sizes without recent requests, and removed upstreams."""
+    table = tables.admission
+    if table is not None:
+        forget_idle_workspaces(table.shares, now)
+        forget_unasked(table.floors, now)
+        forget_meters(table.pacing, tables.upstream_by_name)
+
+
+def find_room(
+    tables: Tables, request: ModelRequest, rank: int, now: float
+) -> Room | None:
+    """Return the room for requests of `rank` at the request's replicas, None without any."""
+    rows = _find_fresh_rows(tables, request, now)
     if not rows:
         return None
     own_share = estimate_own_share(tables, now)
-    spare_s = [find_spare_s(tables, row, now, request.priority) for row in rows]
-    # The backlog drains while the replica's pace holds calls back.
-    begins_in_s = min(
-        max(-spare / MAX_PREFILL_SHARE, _estimate_excess_s(tables, row, request, now))
-        for spare, row in zip(spare_s, rows, strict=True)
-    )
+    rate = estimate_rate(tables, rank, len(rows), now)
+    drain_rate = rate / len(rows)
+    pairs = [(find_spare_s(tables, row, now, rank), row) for row in rows]
+    pairs.sort(key=lambda pair: pair[0], reverse=True)
+    begins_in_s = math.inf
+    for spare_s, row in pairs:
+        paced_s = -spare_s / drain_rate
+        if begins_in_s <= max(0.0, paced_s):
+            # No other replica takes a call earlier.
+            break
+        excess_s = _estimate_excess_s(tables, row, rank, now)
+        # The backlog drains while the replica's pace holds calls back.
+        begins_in_s = min(begins_in_s, max(0.0, paced_s, excess_s))
     return Room(
         begins_in_s,
-        own_share * sum(max(0.0, spare) for spare in spare_s),
-        own_share * estimate_rate(tables, request.priority, len(rows), now),
+        pairs[0][0],
+        own_share * sum(max(0.0, spare_s) for spare_s, _ in pairs),
+        own_share * rate,
+        drain_rate,
     )
 
 
-def _find_known_room(tables: Tables, request: ModelRequest, now: float) -> Room | None:
+def _find_known_room(
+    tables: Tables, request: ModelRequest, rank: int, now: float
+) -> Room | None:
     """Return the room for a request, at most ROOM_MAX_AGE_S old."""
     assert tables.admission is not None
     room_by_kind = _find_fresh_rooms(tables.admission, now)
-    kind = _find_kind(request)
+    kind = request.model, request.software_version, rank
     if kind not in room_by_kind:
-        room_by_kind[kind] = find_room(tables, request, now)
+        room_by_kind[kind] = find_room(tables, request, rank, now)
     return room_by_kind[kind]
 
 
+def _find_fresh_rows(
+    tables: Tables, request: ModelRequest, now: float
+) -> list[UpstreamRow]:
+    """Return the request's eligible upstreams, at most ROOM_MAX_AGE_S old."""
+    table = tables.admission
+    assert table is not None
+    _find_fresh_rooms(table, now)
+    service = request.model, request.software_version
+    if service not in table.rows_by_service:
+        table.rows_by_service[service] = list_eligible(tables, request, now)
+    return table.rows_by_service[service]
+
+
 def _find_kind(request: ModelRequest) -> RequestKind:
     return request.model, request.software_version, request.priority
 
@@ -321,15 +387,16 @@
 ) -> dict[RequestKind, Room | None]:
     if now - table.rooms_at >= ROOM_MAX_AGE_S:
         table.room_by_kind = {}
+        table.rows_by_service = {}
         table.rooms_at = now
     return table.room_by_kind
 
 
 def _estimate_excess_s(
-    tables: Tables, row: UpstreamRow, request: ModelRequest, now: float
+    tables: Tables, row: UpstreamRow, rank: int, now: float
 ) -> float:
     """Return the seconds until the replica's backlog is within its bound."""
-    tokens = load.estimate_prefill_tokens(tables, row, now, request.priority)
+    tokens = load.estimate_prefill_tokens(tables, row, now, rank)
     rate = find_prefill_rate(tables, row, now)
     return max(0.0, tokens / rate - tables.max_prefill_wait_s)
 
@@ -345,6 +412,7 @@
                 work_s = _estimate_work_s(tables, request, now)
                 record_asked(table.floors, request, now)
             table.work_s_by_id[request.id] = work_s
+    table.held_ids.intersection_update(table.work_s_by_id)
 
 
 def _estimate_work_s(tables: Tables, request: ModelRequest, now: float) -> float:
