--- a/catkintrack/decisions/memory.py
+++ b/catkintrack/decisions/memory.py
@@ -21,9 +21,14 @@
 CACHED_SHARE = 0.1
 # Until a peer's request has its first token it counts for at most this long.
 UNENDED_PREFILL_MAX_S = 15.0
-# Seconds per output token until it is measured, and smoothing of what is measured.
-INITIAL_TOKEN_S = 0.01
+# Output and its duration until they are measured, and smoothing of what is measured.
+INITIAL_OUTPUT_TOKENS = 200.0
+INITIAL_OUTPUT_S = 2.0
 TOKEN_TIME_SMOOTHING = 0.05
+# Smaller requests would take each freed part of the memory before one that holds more
+# than this share of it; it waits for memory at most this long after its arrival.
+LARGE_SHARE = 0.25
+LARGE_WAIT_MAX_S = 1.0
 # A fresher report of the replica's load corrects the count of its requests.
 REPORT_MAX_AGE_S = 1.0
 
@@ -50,11 +55,12 @@
 
 @dataclass(slots=True)
 class MemoryTable:
-    """Hold the peers' requests, a heap of (end, id), and the time per output token."""
+    """Hold the peers' requests, a heap of (end, id), and the mean output of a request."""
 
     run_by_id: dict[str, RemoteRun] = field(default_factory=dict)
     ends: list[tuple[float, str]] = field(default_factory=list)
-    token_s: float = INITIAL_TOKEN_S
+    output_tokens: float = INITIAL_OUTPUT_TOKENS
+    output_s: float = INITIAL_OUTPUT_S
 
 
 def count_held_tokens(request: ModelRequest) -> int:
@@ -80,18 +86,21 @@
     row.memory.own_tokens = max(0, tokens)
     row.memory.own_count = max(0, row.memory.own_count - 1)
     if first_token_at is not None and request.max_tokens > 0:
-        token_s = (now - first_token_at) / request.max_tokens / find_slowdown(row, now)
+        output_s = (now - first_token_at) / find_slowdown(row, now)
         table = tables.memory
-        table.token_s += TOKEN_TIME_SMOOTHING * (token_s - table.token_s)
+        table.output_s += TOKEN_TIME_SMOOTHING * (output_s - table.output_s)
+        change = request.max_tokens - table.output_tokens
+        table.output_tokens += TOKEN_TIME_SMOOTHING * change
 
 
 def add_remote_run(
     tables: Tables, row: UpstreamRow, id: str, tokens: int, max_tokens: int, now: float
 ) -> None:
-    """Count a request that a peer has sent."""
-    table = tables.memory
-    if tokens <= 0 or id in table.run_by_id:
+    """Count a request that a peer has sent; a retry of it replaces the attempt before."""
+    if tables.speeds is None or tokens <= 0:
         return
+    table = tables.memory
+    _remove_remote_run(tables, id)
     run = RemoteRun(row.name, tokens, max_tokens, now + UNENDED_PREFILL_MAX_S)
     table.run_by_id[id] = run
     heapq.heappush(table.ends, (run.ends_at, id))
@@ -109,7 +118,8 @@
         return
     row = tables.upstream_by_name.get(run.upstream)
     slowdown = find_slowdown(row, now) if row is not None else 1.0
-    output_s = 0.0 if has_failed else run.max_tokens * table.token_s * slowdown
+    token_s = table.output_s / table.output_tokens
+    output_s = 0.0 if has_failed else run.max_tokens * token_s * slowdown
     run.ends_at = min(run.ends_at, now + output_s)
     heapq.heappush(table.ends, (run.ends_at, id))
 
@@ -122,11 +132,22 @@
         run = table.run_by_id.get(id)
         if run is None or run.ends_at != at:
             continue
-        del table.run_by_id[id]
-        row = tables.upstream_by_name.get(run.upstream)
-        if row is not None:
-            row.memory.remote_tokens = max(0, row.memory.remote_tokens - run.tokens)
-            row.memory.remote_count = max(0, row.memory.remote_count - 1)
+        _remove_remote_run(tables, id)
+
+
+def drop_remote_runs(tables: Tables, upstream: str) -> None:
+    """Remove the peers' requests at a replica that has left or restarted."""
+    runs = tables.memory.run_by_id
+    for id in [id for id, run in runs.items() if run.upstream == upstream]:
+        _remove_remote_run(tables, id)
+
+
+def _remove_remote_run(tables: Tables, id: str) -> None:
+    run = tables.memory.run_by_id.pop(id, None)
+    row = tables.upstream_by_name.get(run.upstream) if run else None
+    if run is not None and row is not None:
+        row.memory.remote_tokens -= run.tokens
+        row.memory.remote_count -= 1
 
 
 def estimate_memory_tokens(row: UpstreamRow, now: float) -> float:
@@ -153,7 +174,8 @@
 ) -> bool:
     """Report whether the request fits into the replica's memory beside those that run.
 
-    One that is larger than the memory allows runs alone.
+    One that is larger than the memory runs alone.  A large one that has waited for
+    LARGE_WAIT_MAX_S is sent, and the replica judges.
     """
     return find_missing_tokens(tables, row, request, now) <= 0
 
@@ -164,9 +186,13 @@
     """Return the tokens that must be freed before the request fits; 0 if it does."""
     if tables.speeds is None or row.memory_tokens <= 0:
         return 0.0
+    tokens = count_held_tokens(request)
+    is_large = LARGE_SHARE < tokens / row.memory_tokens <= 1
+    if is_large and now - request.arrived_at >= LARGE_WAIT_MAX_S:
+        return 0.0
     held = estimate_memory_tokens(row, now)
     allowed = row.memory_tokens * (1 - CACHED_SHARE)
-    return min(held, max(0.0, held + count_held_tokens(request) - allowed))
+    return min(held, max(0.0, held + tokens - allowed))
 
 
 def estimate_memory_wait_s(
--- a/catkintrack/decisions/scheduler.py
+++ b/catkintrack/decisions/scheduler.py
@@ -16,7 +16,12 @@
 from . import ejection, load
 from .deadlines import bound_deadline
 from .fairness import charge_workspace, compute_cost, order_workspaces
-from .memory import add_remote_run, expire_remote_runs, record_remote_first_token
+from .memory import (
+    add_remote_run,
+    drop_remote_runs,
+    expire_remote_runs,
+    record_remote_first_token,
+)
 from .named_limits import reserve_token
 from .placement import POLICY_BY_NAME, WINDOWED_POLICIES, Placement, may_run
 from .prefills import (
@@ -131,6 +136,7 @@
 
 def drop_upstream(tables: Tables, name: str) -> None:
     """Remove an upstream, its cached blocks and the prefills in progress there."""
+    drop_remote_runs(tables, name)
     row = tables.upstream_by_name.pop(name, None)
     drop_prefills(tables.prefills, name)
     if row is not None:
@@ -414,6 +420,7 @@
     if row.incarnation:
         row.past_incarnations.append(row.incarnation)
         clear_cached_blocks(tables.residency, row.bit_index)
+        drop_remote_runs(tables, row.name)
         row.ramp_started_at = now
     row.incarnation = incarnation
     row.incarnation_seen_at = observed_at
--- a/catkintrack/decisions/tests/test_memory.py
+++ b/catkintrack/decisions/tests/test_memory.py
@@ -12,17 +12,22 @@
 from catkintrack.decisions import Dispatch, submit, tick
 from catkintrack.decisions.load import has_capacity, record_load_report
 from catkintrack.decisions.memory import (
+    add_own_run,
     estimate_memory_tokens,
     estimate_memory_wait_s,
     expire_remote_runs,
     has_memory,
+    remove_own_run,
 )
 from catkintrack.decisions.placement import place_by_cost
 from catkintrack.decisions.scheduler import (
+    drop_upstream,
+    put_upstream,
     record_end,
     record_first_token,
     record_remote_prefill,
     record_remote_prefill_end,
+    set_incarnation,
 )
 from catkintrack.decisions.speeds import enable_speeds
 from testkit.loads import make_long_request, make_site_tables
@@ -82,7 +87,7 @@
     def test_requests_of_peers_end_after_the_usual_time_of_their_output(self):
         tables = make_tables()
         row = tables.upstream_by_name["u0"]
-        tables.memory.token_s = 0.01
+        tables.memory.output_tokens, tables.memory.output_s = 100.0, 1.0
         for id in ("p1", "p2"):
             begin_remote(tables, id, 10.0)
         record_remote_prefill_end(tables, "p1", "life", 10.2)
@@ -111,6 +116,53 @@
         begin_remote(tables, "p1", 10.0)
         self.assertFalse(has_memory(tables, row, large, 10.0))
 
+    def test_large_request_is_sent_though_smaller_ones_fill_what_is_freed(self):
+        tables = make_tables()
+        row = tables.upstream_by_name["u0"]
+        large = replace(make_long_request("r", 7, 10.0), prompt_tokens=100_000)
+        for number in range(18):
+            begin_remote(tables, f"p{number}", 10.0)
+        self.assertFalse(has_memory(tables, row, large, 10.5))
+        self.assertTrue(has_memory(tables, row, large, 11.0))
+        for number in range(4):
+            begin_remote(tables, f"q{number}", 10.0)
+        usual = make_long_request("s", 8, 10.0)
+        self.assertFalse(has_memory(tables, row, usual, 11.0))
+
+    def test_retry_at_another_replica_moves_what_a_request_holds(self):
+        tables = make_tables(2)
+        first, second = tables.upstream_by_name.values()
+        begin_remote(tables, "p", 10.0, first.name)
+        record_remote_prefill_end(tables, "p", "", 10.0)
+        begin_remote(tables, "p", 10.0, second.name)
+        expire_remote_runs(tables, 10.1)
+        held = [estimate_memory_tokens(row, 10.1) for row in (first, second)]
+        self.assertEqual(held, [0.0, HELD])
+
+    def test_replica_that_has_restarted_or_come_back_holds_nothing(self):
+        tables = make_tables(2)
+        restarted, left = tables.upstream_by_name.values()
+        for row in (restarted, left):
+            begin_remote(tables, f"p-{row.name}", 10.0, row.name)
+        set_incarnation(tables, restarted, "life-2", 10.1, 10.1)
+        self.assertEqual(estimate_memory_tokens(restarted, 10.1), 0.0)
+        drop_upstream(tables, left.name)
+        new = put_upstream(tables, left.name, "z0", left.models, 64, False, 85_000.0)
+        begin_remote(tables, "q", 11.0, new.name)
+        expire_remote_runs(tables, 25.5)
+        self.assertEqual(estimate_memory_tokens(new, 25.5), HELD)
+
+    def test_short_output_of_a_slow_reader_hardly_changes_the_time_per_token(self):
+        tables = make_tables()
+        row = tables.upstream_by_name["u0"]
+        request = replace(make_long_request("r", 7), max_tokens=1)
+        add_own_run(row, request)
+        remove_own_run(tables, row, request, 10.0, 13.0)
+        begin_remote(tables, "p", 13.0)
+        record_remote_prefill_end(tables, "p", "life", 13.0)
+        expire_remote_runs(tables, 15.0)
+        self.assertEqual(estimate_memory_tokens(row, 15.0), 0.0)
+
     def test_nothing_is_bounded_where_it_is_not_switched_on(self):
         tables = make_tables()
         row = tables.upstream_by_name["u0"]
