--- a/catkintrack/decisions/load.py
+++ b/catkintrack/decisions/load.py
@@ -38,12 +38,17 @@
 
 
 def estimate_prefill_tokens(
-    tables: Tables, row: UpstreamRow, now: float, priority: int
+    tables: Tables,
+    row: UpstreamRow,
+    now: float,
+    priority: int,
+    rate: float | None = None,
 ) -> float:
     """Return the prefill backlog in tokens that a request of `priority` waits for.
 
     Engines run prefills of lower priority after the request's.  They hardly delay it,
-    but it delays them, so their tokens count in part, by LOWER_PRIORITY_WEIGHT.
+    but it delays them, so their tokens count in part, by LOWER_PRIORITY_WEIGHT.  `rate` is
+    the upstream's prefill rate now, where the caller has it.
     """
     before, after = split_pending_tokens(tables.prefills, row.name, priority)
     discount = after * (1 - LOWER_PRIORITY_WEIGHT)
@@ -51,7 +56,8 @@
     age_s = now - row.reported_at
     if age_s > REPORT_MAX_AGE_S or row.reported_prefill_tokens <= 0:
         return known
-    rate = find_prefill_rate(tables, row, now)
+    if rate is None:
+        rate = find_prefill_rate(tables, row, now)
     left = row.reported_prefill_tokens - age_s * rate - discount
     return max(left, known)
 
@@ -65,11 +71,19 @@
 
 
 def estimate_wait_s(
-    tables: Tables, row: UpstreamRow, now: float, priority: int
+    tables: Tables,
+    row: UpstreamRow,
+    now: float,
+    priority: int,
+    rate: float | None = None,
 ) -> float:
-    """Return the estimated seconds until the upstream begins a new prefill."""
-    tokens = estimate_prefill_tokens(tables, row, now, priority)
-    prefill_s = tokens / find_prefill_rate(tables, row, now)
+    """Return the estimated seconds until the upstream begins a new prefill.
+
+    `rate` is its prefill rate now, where the caller has it.
+    """
+    if rate is None:
+        rate = find_prefill_rate(tables, row, now)
+    prefill_s = estimate_prefill_tokens(tables, row, now, priority, rate) / rate
     excess = estimate_running(row, now) + row.queued_count + 1 - row.max_running
     if excess <= 0:
         return prefill_s
@@ -89,8 +103,8 @@
     """
     if request is not None and not has_memory(tables, row, request, now):
         return False
-    prefill_tokens = estimate_prefill_tokens(tables, row, now, priority)
     rate = find_prefill_rate(tables, row, now)
+    prefill_tokens = estimate_prefill_tokens(tables, row, now, priority, rate)
     if prefill_tokens > _find_max_wait_s(tables) * rate:
         return False
     ramp = compute_ramp_fraction(row, now)
@@ -154,8 +168,8 @@
     if uncached < ANNOUNCED_MIN_TOKENS:
         row.small_prefill_tokens += uncached
         return
-    wait_s = estimate_wait_s(tables, row, now, request.priority)
     rate = find_prefill_rate(tables, row, now)
+    wait_s = estimate_wait_s(tables, row, now, request.priority, rate)
     expires_at = compute_prefill_expiry(now, wait_s, uncached, rate)
     prefill = Prefill(
         request.id, row.name, request.blocks, uncached, expires_at, request.priority
--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -19,7 +19,7 @@
 from .prefix import find_affinity_depth
 from .residency import find_cached_depths
 from .rest import is_held
-from .speeds import find_prefill_rate, find_usual_rate
+from .speeds import SpeedTable, find_prefill_rate, find_usual_rate
 from .spreading import choose_cost, estimate_spread_s
 from .tables import ModelRequest, Tables, UpstreamRow
 from .transfers import FETCH_EVICTION_WEIGHT, FetchSource, find_fetch_source
@@ -65,6 +65,8 @@
     first_token_s: float = 0.0
 
 
+# A row, its uncached tokens, whether it awaits a prefill there, and where it fetches from.
+Choice = tuple[UpstreamRow, int, bool, FetchSource | None]
 Policy = Callable[[Tables, ModelRequest, float, Random], Placement | None]
 
 
@@ -165,7 +167,7 @@
     if pending is not None:
         fleet_cached = max(fleet_cached, request.count_tokens(pending[1]))
     costs_s: list[float] = []
-    choices: list[tuple[UpstreamRow, int, bool, FetchSource | None]] = []
+    choices: list[Choice] = []
     for rank, row in _pick_candidates(eligible, depth_by_bit_index, rng):
         depth = depth_by_bit_index.get(row.bit_index, 0)
         is_awaiting = False
@@ -182,15 +184,17 @@
         if source is not None and source.tokens:
             is_awaiting = False
         reusable = cached + (source.tokens if source else 0)
+        rate = find_prefill_rate(tables, row, now)
         cost_s = estimate_cost_s(
-            tables, request, row, rank, reusable, fleet_cached, now
+            tables, request, row, rank, reusable, fleet_cached, now, rate
         )
-        cost_s += estimate_fetch_s(tables, row, source, now)
+        cost_s += estimate_fetch_s(source, rate)
         costs_s.append(cost_s)
         choices.append((row, request.prompt_tokens - reusable, is_awaiting, source))
-    rows = [choice[0] for choice in choices]
-    spread_s = _find_spread_s(tables, eligible, now)
-    index = _choose_index(tables, request, rows, costs_s, spread_s, now, rng)
+    index = costs_s.index(min(costs_s))
+    if tables.speeds is not None:
+        spread_s = _find_spread_s(tables.speeds, tables, eligible, now)
+        index = _choose_index(tables, request, choices, costs_s, spread_s, now, rng)
     row, uncached, is_awaiting, source = choices[index]
     best = Placement(row, costs_s[index], uncached, best_cached, is_awaiting, source)
     return replace(
@@ -201,38 +205,37 @@
 def _choose_index(
     tables: Tables,
     request: ModelRequest,
-    rows: list[UpstreamRow],
+    choices: list[Choice],
     costs_s: list[float],
     spread_s: float,
     now: float,
     rng: Random,
 ) -> int:
-    """Return the index of the least cost; with a spread, of a low one.
+    """Return the index of the least cost, or of a low one that wastes no more tokens.
 
     The wait for memory is added to the cost only of a replica that would be chosen.
     """
-    if tables.speeds is None:
-        return costs_s.index(min(costs_s))
     weighed: set[int] = set()
     while True:
-        index = choose_cost(costs_s, spread_s, rng)
+        best = costs_s.index(min(costs_s))
+        uncached = choices[best][1]
+        equals = [i for i, choice in enumerate(choices) if choice[1] <= uncached]
+        index = equals[choose_cost([costs_s[i] for i in equals], spread_s, rng)]
         if index in weighed:
             return index
-        wait_s = estimate_memory_wait_s(tables, rows[index], request, now)
+        wait_s = estimate_memory_wait_s(tables, choices[index][0], request, now)
         if not wait_s:
             return index
         weighed.add(index)
         costs_s[index] += wait_s
 
 
-def _find_spread_s(tables: Tables, rows: list[UpstreamRow], now: float) -> float:
-    """Return the scale on which costs count as almost equal, 0 where none do."""
-    if tables.speeds is None:
-        return 0.0
-    capacity_per_s = sum(row.prefill_tokens_per_s for row in rows)
-    return estimate_spread_s(
-        tables.speeds.sent, capacity_per_s, tables.router_count, now
-    )
+def _find_spread_s(
+    speeds: SpeedTable, tables: Tables, rows: list[UpstreamRow], now: float
+) -> float:
+    """Return the scale on which costs count as almost equal."""
+    capacity_per_s = sum([row.prefill_tokens_per_s for row in rows])
+    return estimate_spread_s(speeds.sent, capacity_per_s, tables.router_count, now)
 
 
 def estimate_first_token_s(
@@ -241,8 +244,9 @@
     """Return the estimated time to first token of a request that is sent now."""
     row = placement.upstream
     fetch_s = placement.source.seconds if placement.source else 0.0
-    prefill_s = placement.uncached_tokens / find_prefill_rate(tables, row, now)
-    wait_s = estimate_wait_s(tables, row, now, request.priority)
+    rate = find_prefill_rate(tables, row, now)
+    prefill_s = placement.uncached_tokens / rate
+    wait_s = estimate_wait_s(tables, row, now, request.priority, rate)
     wait_s += estimate_memory_wait_s(tables, row, request, now)
     return wait_s + fetch_s + prefill_s
 
@@ -252,13 +256,14 @@
     return now - request.arrived_at < AWAITED_PREFILL_MAX_S
 
 
-def estimate_fetch_s(
-    tables: Tables, row: UpstreamRow, source: FetchSource | None, now: float
-) -> float:
-    """Return the cost of a fetch in seconds: its duration and a part for evictions."""
+def estimate_fetch_s(source: FetchSource | None, rate: float) -> float:
+    """Return the cost of a fetch in seconds: its duration and a part for evictions.
+
+    `rate` is the tokens/s that the fetching upstream prefills now.
+    """
     if source is None:
         return 0.0
-    evicted_s = source.tokens / find_prefill_rate(tables, row, now)
+    evicted_s = source.tokens / rate
     return source.seconds + FETCH_EVICTION_WEIGHT * evicted_s
 
 
@@ -270,20 +275,21 @@
     reusable_tokens: int,
     fleet_cached_tokens: int,
     now: float,
+    rate: float,
 ) -> float:
     """Return the cost in seconds of a placement, to this request and to others.
 
     `reusable_tokens` need no prefill at this upstream.  `fleet_cached_tokens` are
     cached, or being prefilled, anywhere in the fleet, so computing them again is waste.
+    `rate` is the tokens/s that the upstream prefills now.
     """
     uncached = request.prompt_tokens - reusable_tokens
     credit = FIRST_CHOICE_CREDIT * uncached if rank == 0 else 0.0
-    rate = find_prefill_rate(tables, row, now)
     prefill_s = (uncached - credit) / rate
     wasted = max(0, fleet_cached_tokens - reusable_tokens)
     recompute_s = wasted / find_usual_rate(tables, row) if wasted else 0.0
     return (
-        estimate_wait_s(tables, row, now, request.priority)
+        estimate_wait_s(tables, row, now, request.priority, rate)
         + prefill_s * (1 + DUPLICATION_WEIGHT)
         + recompute_s * RECOMPUTE_WEIGHT
         + (OTHER_ZONE_COST_S if tables.zone not in ("", row.zone) else 0.0)
--- a/catkintrack/decisions/tests/test_speeds.py
+++ b/catkintrack/decisions/tests/test_speeds.py
@@ -8,6 +8,8 @@
 from random import Random
 
 from catkintrack.decisions.load import estimate_wait_s, record_load_report
+from catkintrack.decisions.placement import place_by_cost
+from catkintrack.decisions.residency import add_cached_blocks
 from catkintrack.decisions.scheduler import put_upstream, record_remote_prefill
 from catkintrack.decisions.services import (
     ServiceTables,
@@ -29,7 +31,7 @@
     add_sent_tokens,
     estimate_spread_s,
 )
-from testkit.loads import make_site_tables
+from testkit.loads import make_long_request, make_site_tables
 from testkit.uneven_fleet import (
     TARGET_S,
     make_mixed_load,
@@ -219,6 +221,20 @@
                     find_percentile(shared, 0.95), find_percentile(apart, 0.95)
                 )
 
+    def test_random_choice_leaves_no_cached_prompt_without_need(self):
+        tables = make_tables(24)
+        tables.transfer_rates = None
+        tables.router_count = 64
+        holder = tables.upstream_by_name["u0"]
+        request = make_long_request("r", 7, 10.0)
+        add_cached_blocks(tables.residency, holder.bit_index, request.blocks[:1])
+        add_sent_tokens(tables.speeds.sent, 24 * 85_000, 10.0)
+        rng = Random(1)
+        chosen = {
+            place_by_cost(tables, request, 10.0, rng).upstream.name for _ in range(200)
+        }
+        self.assertEqual(chosen, {holder.name})
+
     def test_random_term_follows_the_load_and_stays_bounded(self):
         sent = SentTokens()
         for number in range(100):
--- a/testkit/uneven_fleet.py
+++ b/testkit/uneven_fleet.py
@@ -157,7 +157,7 @@
     first_at = engine.free_at + NETWORK_S
     play.waits_s.append(first_at - request.arrived_at)
 
-    def hear_begin(at: float) -> None:
+    def announce_begin(at: float) -> None:
         for peer in play.instances:
             if peer is not tables:
                 record_remote_prefill(
@@ -179,25 +179,25 @@
         timed = tables.running_by_id[request.id].timed_prefill
         _tick(play, tables, at)
 
-        def hear_end(heard_at: float) -> None:
+        def announce_end(arrived_at: float) -> None:
             for peer in play.instances:
                 if peer is tables:
                     continue
-                record_remote_prefill_end(peer, request.id, "life", heard_at)
+                record_remote_prefill_end(peer, request.id, "life", arrived_at)
                 if peer.speeds is None:
                     continue
                 peer_row = peer.upstream_by_name[name]
                 record_load_report(peer, peer_row, *load, at)
-                record_prefill_end(peer, peer_row, timed, at, heard_at)
+                record_prefill_end(peer, peer_row, timed, at, arrived_at)
 
-        _schedule(play, at + MESSAGE_DELAY_S, hear_end)
+        _schedule(play, at + MESSAGE_DELAY_S, announce_end)
 
     def end_run(at: float) -> None:
         engine.running -= 1
         record_end(tables, request.id, at)
         _tick(play, tables, at)
 
-    _schedule(play, now + MESSAGE_DELAY_S, hear_begin)
+    _schedule(play, now + MESSAGE_DELAY_S, announce_begin)
     _schedule(play, first_at, end_prefill)
     _schedule(play, first_at + DECODE_S, end_run)
 
