--- a/catkintrack/decisions/services.py
+++ b/catkintrack/decisions/services.py
@@ -10,13 +10,15 @@
 from .failure_detection import SUSPECT_AFTER_S, is_suspect
 from .load import estimate_running
 from .speeds import find_slowdown
-from .spreading import draw_noise
+from .spreading import choose_cost
 from .tables import UpstreamRow
 
 # Running and waiting calls per slot up to which a replica of an ejected service is tried.
 PANIC_FILL = 2.0
-# Part of a replica's slots that calls of other instances fill between two reports.
+# Calls of other instances between two reports: at most this part of a replica's slots,
+# and of the mean load.
 UNSEEN_FILL = 0.25
+UNSEEN_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -48,13 +50,30 @@
     if not eligible:
         return None
     rng.shuffle(eligible)
-    return min(
-        eligible,
-        key=lambda name: (
-            is_suspect(ensure_service_row(tables, name), now, silent_after_s),
-            *_sort_key(ensure_service_row(tables, name), zone, now, rng),
-        ),
-    )
+    rows = [ensure_service_row(tables, name) for name in eligible]
+    has_speeds = any(row.speed is not None for row in rows)
+    keys = [
+        (
+            is_suspect(row, now, silent_after_s),
+            *_sort_key(row, zone, now, has_speeds),
+        )
+        for row in rows
+    ]
+    best = min(keys)
+    index = keys.index(best)
+    if has_speeds:
+        equals = [i for i, key in enumerate(keys) if key[:2] == best[:2]]
+        index = equals[_draw_load([keys[i][2] for i in equals], rng)]
+    return rows[index].name
+
+
+def _draw_load(loads: list[float], rng: Random) -> int:
+    """Return the index of a low load, at random among almost equal ones.
+
+    Instances that share what they know of the loads would all choose the same replica.
+    """
+    mean = sum(loads) / len(loads)
+    return choose_cost(loads, min(UNSEEN_FILL, UNSEEN_SHARE * mean), rng)
 
 
 def _list_eligible(tables: ServiceTables, names: list[str], now: float) -> list[str]:
@@ -95,24 +114,18 @@
 
 
 def _sort_key(
-    row: UpstreamRow, zone: str, now: float, rng: Random
+    row: UpstreamRow, zone: str, now: float, has_speeds: bool
 ) -> tuple[bool, float]:
-    """Return the sort key: same zone and below capacity first, then by load."""
-    fill = estimate_running(row, now) / max(1, row.max_running)
-    is_local = row.zone == zone and fill < 1.0
-    return not is_local, _estimate_load(row, fill, now, rng)
-
+    """Return the sort key: same zone and below capacity first, then by load.
 
-def _estimate_load(row: UpstreamRow, fill: float, now: float, rng: Random) -> float:
-    """Return a replica's load with one more call, relative to its speed now if known.
-
-    Instances that share what they know of the loads choose at random among almost equal
-    ones, as in spreading.py.
+    Where speeds are known, the load is that with one more call, relative to the speed now.
     """
-    if row.speed is None:
-        return fill
-    load = (fill + 1 / max(1, row.max_running)) * find_slowdown(row, now)
-    return load - draw_noise(UNSEEN_FILL, rng)
+    slots = max(1, row.max_running)
+    fill = estimate_running(row, now) / slots
+    is_local = row.zone == zone and fill < 1.0
+    if has_speeds:
+        return not is_local, (fill + 1 / slots) * find_slowdown(row, now)
+    return not is_local, fill
 
 
 def ensure_service_row(tables: ServiceTables, name: str) -> UpstreamRow:
--- a/catkintrack/decisions/spreading.py
+++ b/catkintrack/decisions/spreading.py
@@ -4,7 +4,7 @@
 would all send their next requests to the fastest idle replica.  What they have sent
 meanwhile is not known, but how much work that is on average: a replica is chosen at
 random on the scale of that time, so that the chance of a choice falls exponentially with
-its cost (softmin; with Gumbel noise on each cost the same).
+its cost (softmin).
 """
 
 from __future__ import annotations
@@ -18,8 +18,6 @@
 ANNOUNCED_AFTER_S = 0.15
 # Span over which the fleet's prefills are averaged.
 RATE_SPAN_S = 1.0
-# Keeps the logarithm finite.
-MIN_DRAW = 1e-12
 MIN_SPREAD_S = 0.005
 MAX_SPREAD_S = 0.1
 
@@ -63,8 +61,3 @@
         return costs.index(lowest)
     weights = [math.exp((lowest - cost) / spread) for cost in costs]
     return rng.choices(range(len(costs)), weights)[0]
-
-
-def draw_noise(spread: float, rng: Random) -> float:
-    """Return a random number, Gumbel distributed with scale `spread`."""
-    return -spread * math.log(rng.expovariate(1.0) or MIN_DRAW)
--- a/catkintrack/decisions/tests/test_speeds.py
+++ b/catkintrack/decisions/tests/test_speeds.py
@@ -203,6 +203,20 @@
         # Other instances choose at the same time.
         self.assertGreater(chosen["b"], 50)
 
+    def test_idle_replica_that_is_slowed_gets_few_calls_whatever_its_slots(self):
+        services = ServiceTables()
+        tables = make_tables(1)
+        for name, slowdown in (("a", 1.0), ("b", 2.5)):
+            row = ensure_service_row(services, name)
+            row.max_running = 64
+            record_load_report(tables, row, 0, 0, slowdown, 100.0)
+        rng = Random(1)
+        names = ("a", "b")
+        chosen = Counter(
+            choose_replica(services, names, 100.1, rng) for _ in range(1000)
+        )
+        self.assertGreater(chosen["a"], 3 * chosen["b"])
+
 
 class UnevenFleetTest(unittest.TestCase):
     """Replay two thirds of the fleet's capacity on replicas at 0.7, 0.7 and 1.7.
--- a/catkintrack/instance/replica_loads.py
+++ b/catkintrack/instance/replica_loads.py
@@ -76,7 +76,8 @@
         row = instance.services.row_by_name.get(id)
         if row is not None:
             load = ReplicaLoad(running, waiting, slowdown=slowdown or None)
-            record_load(instance, row, load, now - MESSAGE_DELAY_S - age_ms / 1e3)
+            age_s = max(0, age_ms) / 1e3
+            record_load(instance, row, load, now - MESSAGE_DELAY_S - age_s)
 
 
 def record_verdict(
--- a/catkintrack/instance/tests/test_replica_loads.py
+++ b/catkintrack/instance/tests/test_replica_loads.py
@@ -109,6 +109,13 @@
         self.assertEqual(row.speed.slowdown, 2.5)
         self.assertEqual(list_gossiped_loads(sender, 101.0), {})
 
+    def test_gossiped_load_of_a_negative_age_blocks_no_later_one(self):
+        receiver, _ = make_instance_with_replica()
+        row = ensure_service_row(receiver.services, "s0")
+        apply_gossiped_loads(receiver, {"s0": (9, 0, 0.0, -(10**9))}, 100.0)
+        record_service_load(receiver, row, ReplicaLoad(1, 0), 100.1)
+        self.assertEqual(row.reported_running, 1)
+
     def test_replica_that_rejects_with_free_slots_is_paused_by_all(self):
         """While it loaded weights it looked idle and rejected each call sent to it."""
         sender, sender_row = make_instance_with_replica()
