--- a/catkintrack/pooling/buckets.py
+++ b/catkintrack/pooling/buckets.py
@@ -37,7 +37,10 @@
 
 @dataclass(slots=True)
 class PeerUsage:
-    """Hold the cumulative usage that a peer last reported, and when it last grew."""
+    """Hold the cumulative usage that a peer last reported, and when it last grew.
+
+    `grown_at` leaves out the time for which the bucket was overdrawn.
+    """
 
     incarnation: int
     total: float
@@ -50,7 +53,8 @@
 
     `unreported` holds the time and cost of the own calls that peers may not know yet.
     `draw` decides on calls above the own share until `draw_until`.  The level of a
-    bucket that `is_provisional` is a guess, which a peer's level replaces.
+    bucket that `is_provisional` is a guess, which a peer's level replaces.  While it is
+    overdrawn, for `overdrawn_s` in all, peers use nothing although they have demand.
     """
 
     level: float
@@ -65,6 +69,7 @@
     draw_until: float = -math.inf
     is_provisional: bool = False
     refused_at: float = -math.inf
+    overdrawn_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -110,11 +115,11 @@
         bucket = _make_bucket(limits, workspace, limit)
         limits.bucket_by_workspace[workspace] = bucket
     capacity = limit.burst * limits.reporting_fraction
-    refill = (
-        limit.rate_per_s
-        * limits.reporting_fraction
-        * max(0.0, now - bucket.refilled_at)
-    )
+    rate = limit.rate_per_s * limits.reporting_fraction
+    elapsed_s = max(0.0, now - bucket.refilled_at)
+    refill = rate * elapsed_s
+    if bucket.level < 0 < rate:
+        bucket.overdrawn_s += min(elapsed_s, -bucket.level / rate)
     bucket.level = min(capacity, bucket.level + refill)
     bucket.refilled_at = now
     return bucket
@@ -195,7 +200,7 @@
     Usage that is not yet reported at all instances must add up to no more than the
     bucket holds.
     """
-    active_since = now - USAGE_AVERAGE_S
+    active_since = now - bucket.overdrawn_s - USAGE_AVERAGE_S
     active_peers = sum(
         use.grown_at > active_since for use in bucket.usage_by_peer.values()
     )
@@ -302,5 +307,5 @@
     known.incarnation = incarnation
     known.total = total
     if used > 0:
-        known.grown_at = now
+        known.grown_at = now - bucket.overdrawn_s
         bucket.peer_average.add(used, now)
--- a/catkintrack/pooling/tests/test_limit_fleet.py
+++ b/catkintrack/pooling/tests/test_limit_fleet.py
@@ -114,6 +114,22 @@
                 self.assert_limit_kept(fleet)
                 self.assert_served_like_central(fleet, MIN_GRANTED_FRACTION)
 
+    def test_peers_that_only_refuse_while_the_limit_is_overdrawn_are_not_forgotten(
+        self,
+    ):
+        """Guards against a joint burst of all instances after each overdraft.
+
+        With 20 instances and lost reports a workspace got 787,194 tokens in 8 s where
+        754,000 were allowed.
+        """
+        load = replace(
+            SMALL, instances=20, demand_factor=10.0, skew=0.25, loss=0.25, delay_s=0.3
+        )
+        for seed in range(1, 9):
+            fleet = simulate(load, seed)
+            self.assert_limit_kept(fleet)
+            self.assert_served_like_central(fleet, 0.9)
+
     def test_usage_inside_the_rate_is_served(self):
         for size in (*SIZES, DESIGN_SIZE):
             load = replace(LARGE, instances=size, demand_factor=0.8)
