--- a/catkintrack/decisions/speeds.py
+++ b/catkintrack/decisions/speeds.py
@@ -60,8 +60,9 @@
 
     `precision` is the inverse variance of the logarithm of the usual prefill rate;
     `slowdown` was named at `slowdown_at`, the last of `slowdowns`; `usual_slowdown` is their
-    mean.  A replica may always name one, as other work shares its machine.  `recent_ends` are when prefills there ended;
-    `unsettled` are those whose queue may not be known yet.
+    mean, which isn't 1 where other work always shares the replica's machine.
+    `recent_ends` are when prefills there ended, `unsettled` those whose queue may not be
+    known yet.
     """
 
     precision: float = PRIOR_ERROR**-2
--- a/catkintrack/platform/requests.py
+++ b/catkintrack/platform/requests.py
@@ -97,7 +97,8 @@
 class ResponseFields:
     """Hold the parsed status and headers of a replica's response.
 
-    `load` is what the replica says of its load.  `upstream_id` names the replica that answered.  `is_leaving` is set if it accepts no new work.
+    `load` is what the replica says of its load.  `upstream_id` names the replica that
+    answered.  `is_leaving` is set if it accepts no new work.
     `retry_after_s` is NaN if it is no number of seconds.  `limit_per_s` is the number of
     requests a second that the replica takes from all instances, NaN if it is no number.
     """
