--- a/catkintrack/decisions/load.py
+++ b/catkintrack/decisions/load.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from .decode_pace import record_stream
 from .failure_detection import record_request_sent
 from .memory import add_own_run, has_memory, remove_own_run
+from .pacing import estimate_pacing_s, record_prefill_work
 from .prefills import (
     ANNOUNCED_MIN_TOKENS,
     Prefill,
@@ -84,6 +86,7 @@
     if rate is None:
         rate = find_prefill_rate(tables, row, now)
     prefill_s = estimate_prefill_tokens(tables, row, now, priority, rate) / rate
+    prefill_s = max(prefill_s, estimate_pacing_s(tables, row, now, priority))
     excess = estimate_running(row, now) + row.queued_count + 1 - row.max_running
     if excess <= 0:
         return prefill_s
@@ -101,6 +104,8 @@
 
     If `request` is named, its memory must also be free there.
     """
+    if estimate_pacing_s(tables, row, now, priority) > 0:
+        return False
     if request is not None and not has_memory(tables, row, request, now):
         return False
     rate = find_prefill_rate(tables, row, now)
@@ -162,6 +167,7 @@
     row.in_flight += 1
     record_request_sent(row, now)
     row.sent_since_report += 1
+    record_prefill_work(tables, row, uncached, request.priority, now, is_own=True)
     add_own_run(row, request)
     if tables.speeds is not None:
         add_sent_tokens(tables.speeds.sent, uncached, now)
@@ -222,12 +228,24 @@
     if running.has_first_token:
         duration_s = now - running.dispatched_at
         row.service_s += SERVICE_TIME_SMOOTHING * (duration_s - row.service_s)
+    _record_pace(tables, running, now)
     record_prefilled(tables, row, running)
     remove_own_run(tables, row, running.request, running.first_token_at, now)
     row.in_flight -= 1
     row.sent_since_report = max(0, row.sent_since_report - 1)
 
 
+def _record_pace(tables: Tables, running: RunningRow, now: float) -> None:
+    if tables.admission is not None and running.first_token_at is not None:
+        record_stream(
+            tables.admission.pace,
+            running.request.max_tokens,
+            now - running.first_token_at,
+            running.is_complete,
+            now,
+        )
+
+
 def reset_cache(tables: Tables, row: UpstreamRow) -> None:
     """Clear the upstream's cached blocks; its running requests are unaffected."""
     clear_cached_blocks(tables.residency, row.bit_index)
--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -2,27 +2,37 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from random import Random
 
 from catkintrack.weights import find_replaced_at
 
-from .cache_store import count_stored_prefix
+from .cache_store import choose_store, count_stored_prefix
 from .ejection import is_ejected
 from .failure_detection import is_suspect
 from .load import estimate_running, estimate_wait_s
 from .memory import estimate_memory_wait_s
 from .named_limits import has_token
 from .prefills import find_pending
-from .prefix import find_affinity_depth
+from .rendezvous import compute_affinity_key, score_rendezvous
 from .residency import find_cached_depths
 from .rest import is_held
 from .speeds import SpeedTable, find_prefill_rate, find_usual_rate
 from .spreading import choose_cost, estimate_spread_s
 from .tables import ModelRequest, Tables, UpstreamRow
-from .transfers import FETCH_EVICTION_WEIGHT, FetchSource, find_fetch_source
+from .transfers import (
+    FETCH_EVICTION_WEIGHT,
+    RECOMPUTE_WEIGHT,
+    FetchSource,
+    find_fetch_source,
+)
+from .zones import (
+    compute_draw,
+    estimate_moved_bytes,
+    estimate_zone_cost_s,
+    observe_model_waits,
+)
 
 # Caching a prefix on one more replica evicts as many tokens of other prefixes, which
 # costs as much as the prefill itself.
@@ -31,14 +41,13 @@
 FIRST_CHOICE_CREDIT = 0.1
 # Prefers a better rendezvous rank at nearly equal cost.
 RANK_COST_S = 0.001
-# Traffic between zones costs operators more than a short wait costs callers.
+# Traffic between zones costs operators more than a short wait costs callers.  Where the
+# tables hold the state of zones, it replaces this.
 OTHER_ZONE_COST_S = 0.03
 # Recomputing fewer tokens is faster than waiting for another request's prefill.
 AWAITED_PREFILL_MIN_TOKENS = 64
 # A small part of the shortest target for the time to first token.
 AWAITED_PREFILL_MAX_S = 0.15
-# Users weigh recomputed shared tokens far above the prefill time they take.
-RECOMPUTE_WEIGHT = 8.0
 # 1 s below the users' bound of 6 s, to cover network delay and queueing upstream.
 STALE_WEIGHTS_MAX_S = 5.0
 FULL_SCAN_MAX_UPSTREAMS = 32
@@ -122,24 +131,6 @@
     )
 
 
-def compute_affinity_key(request: ModelRequest) -> int:
-    """Return the block hash by which all instances rank the upstreams alike."""
-    if request.block_ends:
-        # The last part is private to the request, the one before is shared.
-        return request.blocks[max(0, len(request.blocks) - 2)]
-    depth = find_affinity_depth(len(request.blocks))
-    return request.blocks[depth - 1] if depth else 0
-
-
-def score_rendezvous(key: int, name: str) -> int:
-    """Return the score of an upstream for `key` in rendezvous hashing.
-
-    Thaler and Ravishankar, "A name-based mapping scheme for rendezvous", 1996.
-    """
-    data = key.to_bytes(8, "big") + name.encode()
-    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest(), "big")
-
-
 def place_by_cost(
     tables: Tables, request: ModelRequest, now: float, rng: Random
 ) -> Placement | None:
@@ -147,6 +138,11 @@
     eligible = list_eligible(tables, request, now)
     if not eligible:
         return None
+    if tables.zones is not None:
+        observe_model_waits(tables, tables.zones, request, eligible, now)
+    leaving_s_by_zone = _estimate_leaving_s_by_zone(
+        tables, request, {row.zone for row in eligible}, now
+    )
     depth_by_bit_index = find_cached_depths(tables.residency, request.blocks)
     if request.blocks:
         key = compute_affinity_key(request)
@@ -160,9 +156,10 @@
     fleet_cached = max(
         [request.count_tokens(d) for d in depth_by_bit_index.values()], default=0
     )
-    if tables.cache_store is not None:
+    store = choose_store(tables, request)
+    if store is not None:
         version = max(row.weights_version for row in eligible)
-        stored_depth = count_stored_prefix(tables.cache_store, version, request.blocks)
+        stored_depth = count_stored_prefix(store, version, request.blocks)
         fleet_cached = max(fleet_cached, request.count_tokens(stored_depth))
     if pending is not None:
         fleet_cached = max(fleet_cached, request.count_tokens(pending[1]))
@@ -179,13 +176,13 @@
             depth = max(depth, pending[1])
         cached = request.count_tokens(depth)
         source = find_fetch_source(
-            tables, request, row, cached, holders, depth_by_bit_index
+            tables, request, row, cached, holders, depth_by_bit_index, store
         )
         if source is not None and source.tokens:
             is_awaiting = False
         reusable = cached + (source.tokens if source else 0)
         rate = find_prefill_rate(tables, row, now)
-        cost_s = estimate_cost_s(
+        cost_s = leaving_s_by_zone[row.zone] + estimate_cost_s(
             tables, request, row, rank, reusable, fleet_cached, now, rate
         )
         cost_s += estimate_fetch_s(source, rate)
@@ -279,6 +276,7 @@
 ) -> float:
     """Return the cost in seconds of a placement, to this request and to others.
 
+    What it costs to leave the zone is not included.
     `reusable_tokens` need no prefill at this upstream.  `fleet_cached_tokens` are
     cached, or being prefilled, anywhere in the fleet, so computing them again is waste.
     `rate` is the tokens/s that the upstream prefills now.
@@ -292,11 +290,29 @@
         estimate_wait_s(tables, row, now, request.priority, rate)
         + prefill_s * (1 + DUPLICATION_WEIGHT)
         + recompute_s * RECOMPUTE_WEIGHT
-        + (OTHER_ZONE_COST_S if tables.zone not in ("", row.zone) else 0.0)
         + rank * RANK_COST_S
     )
 
 
+def _estimate_leaving_s_by_zone(
+    tables: Tables, request: ModelRequest, zones: set[str], now: float
+) -> dict[str, float]:
+    """Return the cost in seconds of sending a request to each zone, 0 for the own one."""
+    if tables.zones is None:
+        return {
+            zone: OTHER_ZONE_COST_S if tables.zone not in ("", zone) else 0.0
+            for zone in zones
+        }
+    draw = compute_draw(request.id)
+    moved_bytes = estimate_moved_bytes(request)
+    return {
+        zone: estimate_zone_cost_s(
+            tables.zones, zone, now, request.model, moved_bytes, draw
+        )
+        for zone in zones
+    }
+
+
 def _pick_candidates(
     ranked: list[UpstreamRow], depth_by_bit_index: dict[int, int], rng: Random
 ) -> list[tuple[int, UpstreamRow]]:
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -19,10 +19,12 @@
 from .retries import RetryBudget, make_router_budget
 
 if TYPE_CHECKING:
+    from .admission import AdmissionTable
     from .cache_store import CacheStoreIndex
     from .shedding import LateQueue
     from .speeds import Speed, SpeedTable, TimedPrefill
     from .transfers import TransferRates
+    from .zones import ZoneTable
 
 # Prefill backlog, in seconds, above which an upstream is sent no further requests.
 # Routers use this default; an instance sets a shorter one of the same name.
@@ -155,10 +157,11 @@
     uncached_tokens: int
     has_first_token: bool = False
     was_prefilled_alone: bool = False
+    first_token_at: float | None = None
+    is_complete: bool = False
     is_measurable: bool = False
     slowdown_at_dispatch: float | None = None
     timed_prefill: TimedPrefill | None = None
-    first_token_at: float | None = None
 
 
 @dataclass(slots=True)
@@ -167,7 +170,7 @@
 
     `router_count` is the number of processes that share the upstreams, this one
     included. Requests that are not dispatched at `dispatches_until`, in seconds, are
-    refused. `speeds` is set where what is known of each replica is shared, and
+    refused. `zones` is set where calls leave their zone by its load.  `speeds` is set where what is known of each replica is shared, and
     `has_uneven_replicas` once a replica has named a slowdown.
     """
 
@@ -188,13 +191,25 @@
     target_by_model: dict[str, TargetWeights] = field(default_factory=dict)
     zone: str = ""
     transfer_rates: TransferRates | None = None
-    cache_store: CacheStoreIndex | None = None
+    cache_stores: list[CacheStoreIndex] = field(default_factory=list)
     leaving: LeavingTable = field(default_factory=LeavingTable)
     rests: RestTable = field(default_factory=RestTable)
     named_limits: NamedLimitTable = field(default_factory=NamedLimitTable)
+    zones: ZoneTable | None = None
+    has_uneven_replicas: bool = False
+    admission: AdmissionTable | None = None
     speeds: SpeedTable | None = None
     memory: MemoryTable = field(default_factory=MemoryTable)
-    has_uneven_replicas: bool = False
+
+    @property
+    def cache_store(self) -> CacheStoreIndex | None:
+        """Return the first cache store, if any."""
+        return self.cache_stores[0] if self.cache_stores else None
+
+    @cache_store.setter
+    def cache_store(self, store: CacheStoreIndex | None) -> None:
+        """Use one cache store, or none."""
+        self.cache_stores = [] if store is None else [store]
 
     @property
     def waiting_count(self) -> int:
--- a/catkintrack/instance/calls.py
+++ b/catkintrack/instance/calls.py
@@ -11,7 +11,13 @@
 
 from catkintrack.decisions.engine_priority import estimate_first_attempt_at
 from catkintrack.fleet import Call, Configuration, Route, Workspace, choose_service
-from catkintrack.http import CallerDisconnected, Connection, Request, hold_bytes
+from catkintrack.http import (
+    CallerDisconnected,
+    CallerTooSlow,
+    Connection,
+    Request,
+    hold_bytes,
+)
 from catkintrack.platform import RequestFields, parse_request_headers
 from catkintrack.pooling import refund, take
 from catkintrack.timeouts import timeout_after
@@ -20,6 +26,7 @@
 from .clocks import read_boot_clock
 from .ending_calls import register_call
 from .gossip import is_store_heard
+from .late_calls import check_caller_waits, check_time_left
 from .model_calls import serve_model_call
 from .pauses import limit_after_own_pause
 from .peers import list_live_peers
@@ -38,6 +45,7 @@
 from .relaying import may_relay, relay_call
 from .retry_budgets import take_next_attempt
 from .service_calls import serve_service_call
+from .slow_readers import hold_for_caller
 from .state import Instance
 
 logger = logging.getLogger(__name__)
@@ -54,8 +62,12 @@
     instance: Instance, request: Request, connection: Connection
 ) -> None:
     """Serve a request and log its outcome."""
+    read_at = time.monotonic()
+    arrived_at = read_at if request.arrived_at is None else request.arrived_at
+    instance.metrics.read_delay_seconds.observe({}, read_at - arrived_at)
     with hold_bytes(instance.pool.budget) as held:
-        progress = CallProgress(time.monotonic(), held=held)
+        progress = CallProgress(arrived_at, held=held)
+        progress.read_after_s = read_at - arrived_at
         await _handle_call(instance, request, progress, connection)
 
 
@@ -71,9 +83,12 @@
     try:
         fields = _parse_request(request)
         request_id = fields.id
-        call = make_call(instance, request, fields, progress.arrived_at)
+        check_caller_waits(connection)
+        call = make_call(instance, request, fields, time.monotonic())
+        check_time_left(call, progress.may_have_run, time.monotonic())
         async with register_call(instance, call, progress, connection):
-            await _serve_before_deadline(instance, call, progress, connection)
+            with hold_for_caller(instance, call, connection) as progress.reader:
+                await _serve_before_deadline(instance, call, progress, connection)
     except CallError as error:
         outcome = error.code
         if not connection.has_response_started:
@@ -84,6 +99,10 @@
             outcome = f"cut:{error.code}"
             await connection.close()
         progress.reason = error.message
+    except CallerTooSlow as error:
+        outcome = "caller_too_slow"
+        progress.reason = str(error)
+        raise
     except (CallerDisconnected, curio.CancelledError):
         outcome = "caller_gone"
         raise
@@ -106,12 +125,16 @@
 def make_call(
     instance: Instance, request: Request, fields: RequestFields, now: float
 ) -> Call:
-    """Return the request as a `Call`; raise CallError if it is rejected."""
+    """Return the request as a `Call`; raise CallError if it is rejected.
+
+    Its time runs from its arrival, which may be before `now`.
+    """
     config = instance.config
     if config is None:
         raise NotServed("no configuration is known yet", CONFIG_RETRY_AFTER_S)
     route = _find_route(instance, config, fields, request.path, now)
     workspace = _authenticate(instance, config, route, fields, now)
+    arrived_at = now if request.arrived_at is None else request.arrived_at
     timeout_s = route.timeout_s
     if fields.deadline_s is not None:
         timeout_s = min(timeout_s, fields.deadline_s)
@@ -123,13 +146,13 @@
         body=request.body,
         route=route,
         workspace=workspace,
-        arrived_at=now,
-        deadline_at=min(now + timeout_s, instance.calls_end_at),
+        arrived_at=arrived_at,
+        deadline_at=min(arrived_at + timeout_s, instance.calls_end_at),
         prompt=fields.prompt,
         last_event_id=fields.last_event_id,
         resumed_id=fields.resumed_id,
         service=choose_service(route, instance.rng),
-        asked_at=_estimate_asked_at(instance, route, fields, now),
+        asked_at=_estimate_asked_at(instance, route, fields, arrived_at),
     )
 
 
@@ -293,11 +316,15 @@
             "config": instance.config.revision if instance.config else None,
             "first_byte_s": first_byte_s and round(first_byte_s, 4),
             "waited_s": round(progress.waited_s, 4),
+            "expected_wait_s": progress.expected_wait_s
+            and round(progress.expected_wait_s, 3),
+            "priority": call and call.priority,
             "asked_before_s": call and round(call.arrived_at - call.asked_at, 3),
             "allowed_s": call and round(call.deadline_at - call.arrived_at, 3),
             "cached": progress.cached_tokens,
             "prompt": call.prompt.prompt_tokens if call and call.prompt else None,
             "may_have_run": progress.may_have_run,
+            "read_after_s": round(progress.read_after_s, 4),
             "duration_s": round(now - progress.arrived_at, 4),
         },
     )
--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -11,8 +11,10 @@
 from catkintrack.decisions.cache_store import (
     add_stored_blocks,
     clear_stored_blocks,
+    find_store,
     remove_stored_blocks,
 )
+from catkintrack.decisions.fleet_shares import record_peer_total
 from catkintrack.decisions.named_limits import confirm_limits
 from catkintrack.decisions.scheduler import record_remote_prefill
 from catkintrack.fleet import ModelWeights
@@ -38,6 +40,7 @@
 from .fleet_state import (
     apply_replica_weights,
     apply_target_weights,
+    record_load_result,
 )
 from .gossip import make_gossip, send_gossip
 from .hubs import (
@@ -56,6 +59,7 @@
     GossipMessage,
     HubRelay,
     LoadBegun,
+    LoadEnded,
     PartsServed,
     PrefillBegun,
     PrefillEnded,
@@ -252,10 +256,20 @@
     if gossip.incarnation < instance.incarnation:
         for workspace, level in gossip.level_by_workspace.items():
             adopt_level(instance.limits, workspace, level, now)
+    admission = instance.decisions.admission
     for workspace, total in gossip.used_by_workspace.items():
         record_peer_usage(
             instance.limits, gossip.instance, gossip.incarnation, workspace, total, now
         )
+        if admission is not None:
+            record_peer_total(
+                admission.shares,
+                gossip.instance,
+                gossip.incarnation,
+                workspace,
+                total,
+                now,
+            )
     if gossip.lease is not None:
         row = gossip.lease
         observe_era(instance.store, row.era, gossip.instance)
@@ -272,6 +286,11 @@
         row.loading_until = time.monotonic() + message.ready_in_s
 
 
+async def _handle_load_ended(instance: Instance, message: LoadEnded) -> None:
+    weights = ModelWeights(message.model, message.version)
+    record_load_result(instance, message.upstream, weights, time.monotonic())
+
+
 async def _handle_prefill_begun(instance: Instance, message: PrefillBegun) -> None:
     record_remote_prefill(
         instance.decisions,
@@ -289,7 +308,7 @@
 async def _handle_prefill_ended(instance: Instance, message: PrefillEnded) -> None:
     now = time.monotonic()
     apply_prefill_ended(instance, message, now)
-    store = instance.decisions.cache_store
+    store = find_store(instance.decisions, message.store)
     if store is not None:
         add_stored_blocks(store, message.version, message.kept)
 
@@ -297,7 +316,7 @@
 async def _handle_cache_store_cleared(
     instance: Instance, message: CacheStoreCleared
 ) -> None:
-    store = instance.decisions.cache_store
+    store = find_store(instance.decisions, message.store)
     if store is not None:
         clear_stored_blocks(store)
         store.is_absent = message.is_absent
@@ -306,7 +325,7 @@
 async def _handle_cache_store_changed(
     instance: Instance, message: CacheStoreChanged
 ) -> None:
-    store = instance.decisions.cache_store
+    store = find_store(instance.decisions, message.store)
     if store is not None:
         apply_change = add_stored_blocks if message.is_stored else remove_stored_blocks
         apply_change(store, message.version, message.blocks)
@@ -324,6 +343,7 @@
     StoredUpstreams: handle_stored_upstreams,
     UpstreamsChanged: handle_upstream_changes,
     LoadBegun: _handle_load_begun,
+    LoadEnded: _handle_load_ended,
     PrefillBegun: _handle_prefill_begun,
     PrefillEnded: _handle_prefill_ended,
     ReplicaLost: handle_replica_lost,
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -187,7 +187,10 @@
 
 
 class LoadBegun(PeerMessage, frozen=True):
-    """Announce that a replica will be ordered to load weights, and how long it takes."""
+    """Announce that a replica will be ordered to load weights.
+
+    It takes no calls until LoadEnded, or for `ready_in_s` if that message is lost.
+    """
 
     upstream: str
     model: str
@@ -195,6 +198,14 @@
     ready_in_s: float
 
 
+class LoadEnded(PeerMessage, frozen=True):
+    """Announce that a replica takes calls again, and the weights that it runs."""
+
+    upstream: str
+    model: str
+    version: int
+
+
 class PrefillBegun(PeerMessage, frozen=True):
     """Announce that a long prefill was sent to a replica.
 
@@ -213,14 +224,15 @@
 class PrefillEnded(PeerMessage, frozen=True):
     """Announce that a prefill has ended; `incarnation` is empty if it failed.
 
-    `kept` are the blocks that the replica saves to the cache store, `version` is that of
-    the weights that computed them, `load` is what the replica named at its end.
+    `kept` are the blocks that the replica saves to the cache store `store`, `version` is
+    that of the weights that computed them, `load` is what the replica named at its end.
     """
 
     id: str
     incarnation: str
     version: int = 0
     kept: tuple[int, ...] = ()
+    store: str = ""
     load: SharedLoad | None = None
 
 
@@ -243,17 +255,19 @@
 
 
 class CacheStoreCleared(PeerMessage, frozen=True, tag="StoreEmptied"):
-    """Announce that the cache store has restarted empty, or is gone from its address."""
+    """Announce that a cache store has restarted empty, or is gone from its address."""
 
     is_absent: bool = False
+    store: str = ""
 
 
 class CacheStoreChanged(PeerMessage, frozen=True, tag="StoreChanged"):
-    """Announce which blocks the cache store has gained or lost."""
+    """Announce which blocks a cache store has gained or lost."""
 
     version: int
     is_stored: bool
     blocks: tuple[int, ...]
+    store: str = ""
 
 
 AnyPeerMessage = (
@@ -268,6 +282,7 @@
     | StoredUpstreams
     | UpstreamsChanged
     | LoadBegun
+    | LoadEnded
     | PrefillBegun
     | PrefillEnded
     | ReplicaLost
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -18,6 +18,9 @@
     registry: Registry
     requests: Counter
     first_byte_seconds: Histogram
+    read_delay_seconds: Histogram
+    slow_reader_bytes: Gauge
+    slow_readers_closed: Counter
     retries: Counter
     retry_budget: Gauge
     resumed_streams: Counter
@@ -38,6 +41,9 @@
     peers: Gauge
     relayed_calls: Counter
     is_cut_off: Gauge
+    zone_calls: Counter
+    zone_share: Gauge
+    admission_refusals: Counter
     prefill_rates: Gauge
     held_memory: Gauge
 
@@ -55,6 +61,19 @@
             registry=registry,
             buckets=(*SECONDS_BUCKETS, float("inf")),
         ),
+        read_delay_seconds=Histogram(
+            "catkintrack_read_delay_seconds",
+            "Time that calls waited to be read after they had arrived.",
+            registry=registry,
+            buckets=(*SECONDS_BUCKETS, float("inf")),
+        ),
+        slow_reader_bytes=gauge(
+            "slow_reader_bytes", "Bytes held for peers that read slowly."
+        ),
+        slow_readers_closed=counter(
+            "slow_readers_closed_total",
+            "Callers given up as readers, by reason.",
+        ),
         retries=counter(
             "retries_total", "Retries by service and outcome: allowed, refused."
         ),
@@ -87,6 +106,16 @@
         peers=gauge("peers_heard", "Peers heard of late."),
         relayed_calls=counter("relayed_calls_total", "Calls served through a peer."),
         is_cut_off=gauge("is_cut_off", "1 while no replica is reached."),
+        zone_calls=counter(
+            "zone_calls_total", "Attempts by service and choice: home, other."
+        ),
+        zone_share=gauge(
+            "zone_share", "Share of calls that may leave, by service and zone."
+        ),
+        admission_refusals=counter(
+            "admission_refusals_total",
+            "Calls that could not be finished in time, by priority and workspace.",
+        ),
         prefill_rates=gauge(
             "prefill_tokens_per_second",
             "Estimated rates of the replicas now: min, mean, max.",
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -13,13 +13,23 @@
 from catkintrack.decisions import (
     ModelRequest,
     Refusal,
+    RefusalReason,
     record_answer,
     record_end,
     record_failure,
     record_first_token,
 )
-from catkintrack.decisions.cache_store import add_stored_blocks, should_store_prefix
-from catkintrack.decisions.engine_priority import compute_engine_priority
+from catkintrack.decisions.admission import record_completion
+from catkintrack.decisions.cache_store import (
+    CacheStoreIndex,
+    add_stored_blocks,
+    choose_store,
+    should_store_prefix,
+)
+from catkintrack.decisions.engine_priority import (
+    compute_engine_priority,
+    compute_urgency,
+)
 from catkintrack.decisions.failure_detection import (
     record_bytes_received,
     should_fail_over,
@@ -27,8 +37,9 @@
 from catkintrack.decisions.memory import count_held_tokens
 from catkintrack.decisions.placement import has_healthy_upstream, may_run
 from catkintrack.decisions.prefills import ANNOUNCED_MIN_TOKENS
+from catkintrack.decisions.speeds import find_prefill_rate
 from catkintrack.decisions.tables import UpstreamRow
-from catkintrack.fleet import Call, ModelWeights, Prompt, ReplicaLoad
+from catkintrack.fleet import Call, Feature, ModelWeights, Prompt, ReplicaLoad
 from catkintrack.http import (
     Address,
     Connection,
@@ -40,7 +51,6 @@
 from catkintrack.platform import Dispatch, ResponseFields
 
 from .attempts import (
-    DEADLINE_MARGIN_S,
     AttemptCallbacks,
     CallProgress,
     ReplicaRejected,
@@ -51,6 +61,7 @@
 from .broadcasting import broadcast
 from .fleet_state import apply_replica_weights
 from .health import log_ejection
+from .late_calls import DEADLINE_MARGIN_S
 from .lives import has_other_life
 from .messages import PrefillBegun, PrefillEnded
 from .prompts import hash_prompt_blocks, make_cache_salt
@@ -81,6 +92,7 @@
     forget_origin,
     record_begun_stream,
 )
+from .zone_choices import record_zone_answer, record_zone_choice, record_zone_loss
 
 logger = logging.getLogger(__name__)
 
@@ -102,7 +114,7 @@
     assert prompt is not None
     credit_request(instance, call)
     progress.software_version = await find_resumption_version(instance, call)
-    request = _make_request(call, prompt)
+    request = _make_request(instance, call, prompt)
     for _ in range(MAX_TRIES):
         if not take_next_attempt(instance, call, progress):
             progress.reason = "the retry budget is used up"
@@ -115,6 +127,8 @@
         progress.waited_s += time.monotonic() - queued_at
         if isinstance(decision, Refusal):
             progress.reason = decision.reason.value
+            progress.expected_wait_s = decision.wait_s
+            _count_admission_refusal(instance, call, decision)
             if progress.may_have_run:
                 break
             raise NotServed(progress.reason, decision.retry_after_s)
@@ -163,6 +177,14 @@
     raise NotServed(progress.reason or "no replica can take the call", RETRY_AFTER_S)
 
 
+def _count_admission_refusal(instance: Instance, call: Call, refusal: Refusal) -> None:
+    if refusal.reason is not RefusalReason.ADMISSION:
+        return
+    instance.metrics.admission_refusals.inc(
+        {"priority": str(call.priority), "workspace": refusal.request.workspace}
+    )
+
+
 async def _check_origin(
     instance: Instance, call: Call, progress: CallProgress, name: str
 ) -> None:
@@ -184,7 +206,14 @@
         await learn_weights(instance, upstream)
 
 
-def _make_request(call: Call, prompt: Prompt) -> ModelRequest:
+def _find_priority(instance: Instance, call: Call) -> int:
+    """Return the priority by which a call competes with others for room."""
+    if Feature.ADMISSION not in instance.site.features or call.workspace is None:
+        return call.priority
+    return compute_urgency(call.workspace.priority, call.route.priority)
+
+
+def _make_request(instance: Instance, call: Call, prompt: Prompt) -> ModelRequest:
     blocks, block_ends = hash_prompt_blocks(call, prompt)
     return ModelRequest(
         id=call.id.decode("latin-1"),
@@ -193,7 +222,7 @@
         blocks=blocks,
         prompt_tokens=prompt.prompt_tokens,
         max_tokens=prompt.max_output_tokens,
-        priority=call.priority,
+        priority=_find_priority(instance, call),
         arrived_at=call.arrived_at,
         deadline=call.deadline_at - MIN_SERVICE_S,
         block_ends=block_ends,
@@ -224,7 +253,8 @@
     is_rejected = False
     version = row.weights_version
     connected_before = progress.connected_attempts
-    saved_blocks = _find_blocks_to_save(instance, request, version)
+    store = choose_store(tables, request)
+    saved_blocks = _find_blocks_to_save(instance, store, request, version)
 
     async def handle_response_head(fields: ResponseFields) -> None:
         nonlocal has_response_head, named_load, is_rejected
@@ -232,6 +262,12 @@
         if fields.load is not None:
             named_load = fields.load
             record_load(instance, row, fields.load, now)
+        wait_s = 0.0
+        # The time of a fetch is no sign of a queue.
+        if decision.fetch_from is None:
+            prefill_s = decision.uncached_tokens / find_prefill_rate(tables, row, now)
+            wait_s = now - sent_at - prefill_s
+        record_zone_answer(instance, request.model, row, fields, wait_s)
         is_rejected = record_verdict(instance, row, fields, now)
         if fields.weights_version is not None:
             weights = ModelWeights(prompt.model, fields.weights_version)
@@ -242,7 +278,7 @@
             record_first_token(tables, request.id, row.incarnation, now)
             if is_long_prefill or saved_blocks:
                 await _broadcast_prefill_ended(
-                    instance, request, row, version, saved_blocks, fields.load
+                    instance, request, row, version, saved_blocks, store, fields.load
                 )
 
     has_event = False
@@ -258,6 +294,7 @@
         await report_served(instance, prompt)
 
     async def handle_completion() -> None:
+        record_completion(tables, request.id)
         await report_completed(instance, call)
 
     executions = progress.executions + 1
@@ -291,10 +328,12 @@
         cache_salt=make_cache_salt(call, prompt.model, row.weights_version),
         weights_version=row.weights_version or None,
         fetch_from=_find_address(instance, decision.fetch_from),
-        save_to=instance.cache_store_address if saved_blocks else None,
+        save_to=_find_address(instance, store.name)
+        if store is not None and saved_blocks
+        else None,
         last_event_id=find_last_event_id(call, progress),
         rank=compute_engine_priority(
-            call.priority, call.target_at, MIN_FIRST_TOKEN_S, time.monotonic()
+            request.priority, call.target_at, MIN_FIRST_TOKEN_S, time.monotonic()
         ),
     )
     progress.record_attempt(
@@ -309,7 +348,9 @@
         reported_s_ago=round(time.monotonic() - row.reported_at, 3),
         rank=dispatch.rank,
         zone=row.zone,
+        **record_zone_choice(instance, request.model, row),
     )
+    sent_at = time.monotonic()
     try:
         if is_long_prefill:
             await _broadcast_prefill_begun(instance, request, decision)
@@ -320,6 +361,7 @@
     except UpstreamUnreachable as error:
         if record_failure(tables, request.id, time.monotonic(), True):
             log_ejection(row, f"unreachable: {error}")
+        record_zone_loss(instance, request.model, row)
         await report_unreachable(instance, upstream)
         raise
     except curio.CancelledError:
@@ -339,6 +381,9 @@
         progress.record_break(has_response_head, has_event, parts)
         if record_failure(tables, request.id, time.monotonic(), False):
             log_ejection(row, str(error))
+        # A replica that breaks off its response was reached.
+        if not has_response_head:
+            record_zone_loss(instance, request.model, row)
         raise
     finally:
         record_end(tables, request.id, time.monotonic())
@@ -349,22 +394,24 @@
 
 
 def _find_address(instance: Instance, name: str | None) -> Address | None:
-    store = instance.decisions.cache_store
-    if store is not None and name == store.name:
-        return instance.cache_store_address
+    address = instance.store_address_by_name.get(name or "")
+    if address is not None:
+        return address
     upstream = instance.upstream_by_id.get(name or "")
     return upstream.address if upstream else None
 
 
 def _find_blocks_to_save(
-    instance: Instance, request: ModelRequest, version: int
+    instance: Instance,
+    store: CacheStoreIndex | None,
+    request: ModelRequest,
+    version: int,
 ) -> tuple[int, ...]:
     """Return the blocks that the replica should save to the cache store, if any.
 
     Return none while the weights are being replaced: a prefill during which the replica
     changes weights would be stored under the old version.
     """
-    store = instance.decisions.cache_store
     target = instance.weights.target_by_model.get(request.model)
     if store is None or (target is not None and target.version != version):
         return ()
@@ -379,14 +426,15 @@
     row: UpstreamRow,
     version: int,
     saved_blocks: tuple[int, ...],
+    store: CacheStoreIndex | None,
     load: ReplicaLoad | None,
 ) -> None:
-    store = instance.decisions.cache_store
     if row.weights_version != version:
         saved_blocks = ()
     if store is not None:
         add_stored_blocks(store, version, saved_blocks)
-    message = PrefillEnded(request.id, row.incarnation, version, saved_blocks)
+    name = store.name if store is not None else ""
+    message = PrefillEnded(request.id, row.incarnation, version, saved_blocks, name)
     await broadcast(instance, add_shared_load(instance, message, load))
 
 
@@ -398,7 +446,7 @@
         decision.upstream,
         request.blocks,
         decision.uncached_tokens,
-        request.priority,
+        decision.request.priority,
         count_held_tokens(request),
         request.max_tokens,
     )
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -17,6 +17,8 @@
 from returns.result import Failure, Success
 
 from catkintrack.calls import run_ticks
+from catkintrack.decisions.admission import AdmissionTable
+from catkintrack.decisions.fleet_shares import forget_peer_totals
 from catkintrack.decisions.shedding import LateQueue
 from catkintrack.decisions.speeds import enable_speeds
 from catkintrack.fleet import Feature, Site
@@ -28,7 +30,6 @@
     Pool,
     Request,
     Server,
-    ServerLimits,
     close_unsolicited,
     disable_keep_alive,
     drain_server,
@@ -78,9 +79,11 @@
 from .replica_loads import observe_replicas
 from .replica_signals import end_returned_rests, share_limits
 from .retry_budgets import share_retry_budgets
+from .slow_readers import make_server_limits, make_slow_readers
 from .state import Instance
 from .stream_origins import run_origin_keeper
 from .weights_rollout import run_weights_rollout
+from .zone_choices import report_zone_shares, switch_on_zones
 
 logger = logging.getLogger(__name__)
 
@@ -149,9 +152,14 @@
     # An instance limits retries per service instead.
     instance.decisions.retry_budget = None
     instance.decisions.max_prefill_wait_s = MAX_PREFILL_WAIT_S
-    instance.decisions.late_queue = LateQueue()
+    switch_on_zones(instance)
     if Feature.ADMISSION in site.features:
+        instance.decisions.admission = AdmissionTable()
         enable_speeds(instance.decisions)
+    else:
+        instance.decisions.late_queue = LateQueue()
+    if Feature.SLOW_READERS in site.features:
+        instance.slow_readers = make_slow_readers(site)
     return instance
 
 
@@ -202,7 +210,7 @@
             site.callers.host,
             site.callers.port,
             handle,
-            ServerLimits(),
+            make_server_limits(site),
             respond_to_bad_request,
             cancels_on_disconnect=True,
             budget=_make_budget(site),
@@ -280,6 +288,11 @@
     instance.limits.known_instances = known_count
     instance.limits.report_delay_s = estimate_report_delay_s(instance)
     share_retry_budgets(instance, now)
+    switch_on_zones(instance)
+    report_zone_shares(instance)
+    if instance.decisions.admission is not None:
+        known = {peer.instance for peer in instance.peer_by_address.values()}
+        forget_peer_totals(instance.decisions.admission.shares, known)
     observe_replicas(instance, now)
 
 
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -17,6 +17,7 @@
 from catkintrack.decisions.quarantine import Quarantine
 from catkintrack.decisions.retries import RetryBudget
 from catkintrack.decisions.services import ServiceTables
+from catkintrack.decisions.slow_readers import SlowReaders
 from catkintrack.decisions.stream_origins import DEFAULT_LIFETIME_S, StreamOrigins
 from catkintrack.fleet import Call, Configuration, ReplicaLoad, Site, Upstream
 from catkintrack.http import Address, Connection, Pool, Server
@@ -235,6 +236,7 @@
     services: ServiceTables = field(default_factory=ServiceTables)
     quarantine: Quarantine = field(default_factory=Quarantine)
     partition: Partition = field(default_factory=Partition)
+    slow_readers: SlowReaders | None = None
     relay_refused_at_by_service: dict[str, float] = field(default_factory=dict)
     quarantine_era: int = 0
     life_by_upstream: dict[str, KnownLife] = field(default_factory=dict)
@@ -248,7 +250,7 @@
     retry_budget_by_service: dict[str, RetryBudget] = field(default_factory=dict)
     feed_by_kind: dict[str, Feed] = field(default_factory=dict)
     peer_by_address: dict[tuple[str, int], Peer] = field(default_factory=dict)
-    cache_store_address: Address | None = None
+    store_address_by_name: dict[str, Address] = field(default_factory=dict)
     max_timeouts: MaxTimeoutTable = field(default_factory=MaxTimeoutTable)
     gossiped_tables: dict[str, dict[str, Any]] = field(default_factory=dict)
     full_gossip_at: float = -1e9
