--- a/catkintrack/decisions/services.py
+++ b/catkintrack/decisions/services.py
@@ -10,7 +10,7 @@
 from .failure_detection import SUSPECT_AFTER_S, is_suspect
 from .load import estimate_running
 from .speeds import find_slowdown
-from .spreading import draw_noise
+from .spreading import choose_cost
 from .tables import UpstreamRow
 from .zones import (
     ZoneTable,
@@ -28,8 +28,10 @@
 REMOTE_FULL_FILL = 0.75
 # About a kilobyte each way, with the heads.
 PLAIN_CALL_BYTES = 2000
-# Part of a replica's slots that calls of other instances fill between two reports.
+# Calls of other instances between two reports: at most this part of a replica's slots,
+# and of the mean load.
 UNSEEN_FILL = 0.25
+UNSEEN_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -66,14 +68,25 @@
     if not eligible:
         return None
     rng.shuffle(eligible)
-    find_key = _make_sort_key(tables, service, zone, now, rng)
-    return min(
-        eligible,
-        key=lambda name: (
-            is_suspect(ensure_service_row(tables, name), now, silent_after_s),
-            *find_key(ensure_service_row(tables, name)),
-        ),
-    )
+    rows = [ensure_service_row(tables, name) for name in eligible]
+    has_speeds = any(row.speed is not None for row in rows)
+    find_key = _make_sort_key(tables, service, zone, now, rng, has_speeds)
+    keys = [(is_suspect(row, now, silent_after_s), *find_key(row)) for row in rows]
+    best = min(keys)
+    index = keys.index(best)
+    if has_speeds:
+        equals = [i for i, key in enumerate(keys) if key[:-1] == best[:-1]]
+        index = equals[_draw_load([keys[i][-1] for i in equals], rng)]
+    return rows[index].name
+
+
+def _draw_load(loads: list[float], rng: Random) -> int:
+    """Return the index of a low load, at random among almost equal ones.
+
+    Instances that share what they know of the loads would all choose the same replica.
+    """
+    mean = sum(loads) / len(loads)
+    return choose_cost(loads, min(UNSEEN_FILL, UNSEEN_SHARE * mean), rng)
 
 
 SortKey = Callable[[UpstreamRow], tuple[float, ...]]
@@ -85,11 +98,12 @@
     zone: str,
     now: float,
     rng: Random,
+    has_speeds: bool,
 ) -> SortKey:
     """Return the function that orders the replicas for one call."""
     zones = tables.zones
     if zones is None:
-        return lambda row: _sort_key(row, zone, now, rng)
+        return lambda row: _sort_key(row, zone, now, has_speeds)
     service_s = tables.service_s_by_service.get(service, DEFAULT_SERVICE_S)
     draw = rng.random()
     leaving_s_by_zone: dict[str, float] = {}
@@ -106,7 +120,7 @@
         wait_s = estimate_service_wait_s(running, slots, service_s)
         wait_s *= find_slowdown(row, now)
         cost_s = wait_s + leaving_s_by_zone[row.zone]
-        return is_full, cost_s, _estimate_load(row, fill, now, rng)
+        return is_full, cost_s, _estimate_load(row, fill, now, has_speeds)
 
     return find_key
 
@@ -167,24 +181,21 @@
 
 
 def _sort_key(
-    row: UpstreamRow, zone: str, now: float, rng: Random
+    row: UpstreamRow, zone: str, now: float, has_speeds: bool
 ) -> tuple[bool, float]:
     """Return the sort key: same zone and below capacity first, then by load."""
     fill = estimate_running(row, now) / max(1, row.max_running)
     is_local = row.zone == zone and fill < 1.0
-    return not is_local, _estimate_load(row, fill, now, rng)
+    return not is_local, _estimate_load(row, fill, now, has_speeds)
 
 
-def _estimate_load(row: UpstreamRow, fill: float, now: float, rng: Random) -> float:
-    """Return a replica's load with one more call, relative to its speed now if known.
-
-    Instances that share what they know of the loads choose at random among almost equal
-    ones, as in spreading.py.
-    """
-    if row.speed is None:
+def _estimate_load(
+    row: UpstreamRow, fill: float, now: float, has_speeds: bool
+) -> float:
+    """Return a replica's load; with one more call, relative to its speed now if known."""
+    if not has_speeds:
         return fill
-    load = (fill + 1 / max(1, row.max_running)) * find_slowdown(row, now)
-    return load - draw_noise(UNSEEN_FILL, rng)
+    return (fill + 1 / max(1, row.max_running)) * find_slowdown(row, now)
 
 
 def ensure_service_row(tables: ServiceTables, name: str) -> UpstreamRow:
--- a/catkintrack/decisions/tests/test_speeds.py
+++ b/catkintrack/decisions/tests/test_speeds.py
@@ -8,6 +8,8 @@
 from random import Random
 
 from catkintrack.decisions.load import estimate_wait_s, record_load_report
+from catkintrack.decisions.placement import place_by_cost
+from catkintrack.decisions.residency import add_cached_blocks
 from catkintrack.decisions.scheduler import put_upstream, record_remote_prefill
 from catkintrack.decisions.services import (
     ServiceTables,
@@ -29,7 +31,7 @@
     add_sent_tokens,
     estimate_spread_s,
 )
-from testkit.loads import make_site_tables
+from testkit.loads import make_long_request, make_site_tables
 from testkit.uneven_fleet import (
     TARGET_S,
     make_mixed_load,
@@ -201,6 +203,20 @@
         # Other instances choose at the same time.
         self.assertGreater(chosen["b"], 50)
 
+    def test_idle_replica_that_is_slowed_gets_few_calls_whatever_its_slots(self):
+        services = ServiceTables()
+        tables = make_tables(1)
+        for name, slowdown in (("a", 1.0), ("b", 2.5)):
+            row = ensure_service_row(services, name)
+            row.max_running = 64
+            record_load_report(tables, row, 0, 0, slowdown, 100.0)
+        rng = Random(1)
+        names = ("a", "b")
+        chosen = Counter(
+            choose_replica(services, names, 100.1, rng) for _ in range(1000)
+        )
+        self.assertGreater(chosen["a"], 3 * chosen["b"])
+
 
 class UnevenFleetTest(unittest.TestCase):
     """Replay two thirds of the fleet's capacity on replicas at 0.7, 0.7 and 1.7.
@@ -219,6 +235,20 @@
                     find_percentile(shared, 0.95), find_percentile(apart, 0.95)
                 )
 
+    def test_random_choice_leaves_no_cached_prompt_without_need(self):
+        tables = make_tables(24)
+        tables.transfer_rates = None
+        tables.router_count = 64
+        holder = tables.upstream_by_name["u0"]
+        request = make_long_request("r", 7, 10.0)
+        add_cached_blocks(tables.residency, holder.bit_index, request.blocks[:1])
+        add_sent_tokens(tables.speeds.sent, 24 * 85_000, 10.0)
+        rng = Random(1)
+        chosen = {
+            place_by_cost(tables, request, 10.0, rng).upstream.name for _ in range(200)
+        }
+        self.assertEqual(chosen, {holder.name})
+
     def test_random_term_follows_the_load_and_stays_bounded(self):
         sent = SentTokens()
         for number in range(100):
