--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -93,7 +93,7 @@
         return False
     if not has_token(row.limit, now):
         return False
-    if row.is_loading or row.name in request.excluded or now < row.rejecting_until:
+    if row.is_loading or row.name in request.excluded:
         return False
     if not may_run(row, request) or now < row.loading_until:
         return False
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -45,7 +45,6 @@
     `small_prefill_tokens` sums the prefills in progress that are too short to be
     announced to peers.  `memory_tokens` is its KV cache's capacity, 0 if unknown;
     `speed` is set while speeds are learned, `prefill_tokens_per_s` is its usual one.
-    Until `rejecting_until` it gets nothing, as it rejects requests with free slots.
     """
 
     name: str
@@ -88,7 +87,6 @@
     memory_tokens: int = 0
     memory: ReplicaMemory = field(default_factory=ReplicaMemory)
     speed: Speed | None = None
-    rejecting_until: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -11,7 +11,6 @@
 
 from catkintrack.decisions import load
 from catkintrack.decisions.leaving import forget_unknown_life
-from catkintrack.decisions.rejections import record_acceptance
 from catkintrack.decisions.scheduler import (
     drop_upstream,
     put_upstream,
@@ -199,7 +198,6 @@
         load.reset_cache(instance.decisions, row)
     row.weights_version = version
     row.loading_until = min(row.loading_until, now)
-    record_acceptance(row)
     logger.info(
         "upstream runs new weights",
         extra={"upstream": id, "version": version},
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -43,7 +43,6 @@
 
     `slowdown` is 0 if it named none.  `prefill_s` is 0 if the prefill shows no speed;
     otherwise it ran at `mean_slowdown`, whose logarithm has the standard error `error`.
-    `is_rejected` says that the replica rejected the request.
     """
 
     running: int
@@ -52,7 +51,6 @@
     prefill_s: float = 0.0
     mean_slowdown: float = 1.0
     error: float = 0.0
-    is_rejected: bool = False
 
 
 # Running and waiting calls, the slowdown (0 if none is named), and the age in ms.
--- a/catkintrack/instance/replica_loads.py
+++ b/catkintrack/instance/replica_loads.py
@@ -12,7 +12,6 @@
 
 from catkintrack.decisions.load import record_load_report
 from catkintrack.decisions.memory import estimate_memory_tokens
-from catkintrack.decisions.rejections import record_acceptance, record_rejection
 from catkintrack.decisions.scheduler import record_remote_prefill_end
 from catkintrack.decisions.speeds import (
     TimedPrefill,
@@ -22,7 +21,6 @@
 )
 from catkintrack.decisions.tables import UpstreamRow
 from catkintrack.fleet import ReplicaLoad
-from catkintrack.platform import ResponseFields
 
 from .messages import GossipedLoad, PrefillEnded, SharedLoad
 from .state import Instance
@@ -31,7 +29,6 @@
 
 # Time from a replica's response until a peer's message about it has been handled.
 MESSAGE_DELAY_S = 0.05
-SHED_STATUS = 503
 # Older loads of replicas without engines are not gossiped.
 GOSSIPED_LOAD_MAX_AGE_S = 0.5
 
@@ -80,36 +77,16 @@
             record_load(instance, row, load, now - MESSAGE_DELAY_S - age_s)
 
 
-def record_verdict(
-    instance: Instance, row: UpstreamRow, fields: ResponseFields, now: float
-) -> bool:
-    """Record whether a replica takes a request; report whether it rejected it as shed.
-
-    A replica that names a time of return, or leaves, is not asked again anyway.
-    """
-    if not fields.is_not_run:
-        record_acceptance(row)
-        return False
-    is_shed = fields.status == SHED_STATUS and fields.retry_after_s is None
-    if fields.load is None or not is_shed:
-        return False
-    record_rejection(instance.decisions, row, fields.load.running, now)
-    return True
-
-
 def add_shared_load(
     instance: Instance,
     message: PrefillEnded,
     load: ReplicaLoad | None,
-    is_rejected: bool = False,
 ) -> PrefillEnded:
     """Return the message with the load that its call has shown, and the rate sample."""
     tables = instance.decisions
     if tables.speeds is None or load is None:
         return message
-    shared = SharedLoad(
-        load.running, load.waiting, load.slowdown or 0.0, is_rejected=is_rejected
-    )
+    shared = SharedLoad(load.running, load.waiting, load.slowdown or 0.0)
     running = tables.running_by_id.get(message.id)
     timed = running.timed_prefill if running else None
     if timed is not None:
@@ -134,11 +111,6 @@
     ended_at = now - MESSAGE_DELAY_S
     load = ReplicaLoad(shared.running, shared.waiting, slowdown=shared.slowdown or None)
     record_load(instance, row, load, ended_at)
-    if shared.is_rejected:
-        record_rejection(tables, row, shared.running, now)
-        return
-    if message.incarnation:
-        record_acceptance(row)
     timed = None
     if shared.prefill_s > 0:
         timed = TimedPrefill(
