--- /dev/null
+++ b/catkintrack/rollouts/plan.py
@@ -0,0 +1,164 @@
+"""Decide the next step of a roll-out, as its one holder does.
+
+    PROVING -> MOVING -> DRAINING -> completed, and from each of them -> rolled back
+
+PROVING holds the exposure to its bound.  It lasts as long as the deadline allows, since a
+version may become bad later.  MOVING and DRAINING give the new version all new calls, by
+steps; DRAINING waits until all instances say that nothing is under way at the old one,
+because its replicas stop at once on completion.  The version is judged until the end.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum, IntEnum
+
+from .counts import VersionCounts, subtract_counts
+from .order import RolloutOrder, RolloutState
+from .verdict import Verdict, judge
+
+# A part of the bound, since replicas count as calls what never reaches them.
+EXPOSURE_MARGIN = 0.9
+# Moving takes this long, then calls end and all instances say so.
+HALF_SHARE = 0.5
+HALF_SHARE_S = 1.0
+DRAIN_RESERVE_S = 6.0
+# From the decision to the status in the store, also when one write is repeated.
+WRITE_RESERVE_S = 2.5
+# A short order still spends this part of its time on proving.
+MIN_PROVING_SHARE = 0.5
+# From the last moment to begin to move to the deadline.
+LAST_MOVE_S = 2 * HALF_SHARE_S + WRITE_RESERVE_S + 1.0
+# With little traffic fewer answers have to do then.
+MIN_LAST_ANSWERS = 20
+RECENT_S = 4.0
+SNAPSHOT_INTERVAL_S = 0.5
+
+
+class Phase(IntEnum):
+    """Enumerate the phases of a running order; they only rise."""
+
+    PROVING = 1
+    MOVING = 2
+    DRAINING = 3
+
+
+class Step(Enum):
+    """Enumerate why a phase or state was chosen, for the log."""
+
+    NONE = "none"
+    PROVED = "proved"
+    PROVED_LATE = "proved by few answers"
+    UNPROVED = "too few answers"
+    BAD = "bad"
+    ALL_MOVED = "nothing under way at the old version"
+    OUT_OF_TIME = "the time is over"
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """Hold what the holder knows of the fleet.
+
+    `has_new` and `has_old` say whether a replica of these versions takes calls; `is_drained`
+    that every instance has stopped sending to the old one and has nothing under way there.
+    """
+
+    has_new: bool
+    has_old: bool
+    is_drained: bool
+
+
+@dataclass(slots=True)
+class Plan:
+    """Hold a roll-out as its holder knows it; times in seconds of one clock."""
+
+    order: RolloutOrder
+    ordered_at: float
+    phase: Phase = Phase.PROVING
+    phase_since: float = 0.0
+    state: RolloutState = RolloutState.RUNNING
+    verdict: Verdict = Verdict.UNKNOWN
+    reason: str = ""
+    snapshots: list[tuple[float, VersionCounts]] = field(default_factory=list)
+
+
+def find_moving_at(order: RolloutOrder, ordered_at: float) -> float:
+    """Return when the version must have been proved at the latest."""
+    reserve_s = HALF_SHARE_S + DRAIN_RESERVE_S + WRITE_RESERVE_S
+    proving_s = max(MIN_PROVING_SHARE * order.duration_s, order.duration_s - reserve_s)
+    return ordered_at + proving_s
+
+
+def find_share(phase: Phase, phase_age_s: float, exposure_share: float) -> float:
+    """Return the share of new calls that the new version gets in a phase."""
+    if phase is Phase.PROVING:
+        return EXPOSURE_MARGIN * exposure_share
+    if phase is Phase.MOVING:
+        return HALF_SHARE if phase_age_s < HALF_SHARE_S else 1.0
+    return 1.0
+
+
+def review(plan: Plan, counts: VersionCounts, now: float) -> Verdict:
+    """Judge the version again; a bad one stays bad."""
+    if plan.verdict is Verdict.BAD:
+        return plan.verdict
+    plan.verdict, plan.reason = judge(counts, _find_recent(plan, counts, now))
+    return plan.verdict
+
+
+def advance(plan: Plan, counts: VersionCounts, fleet: Fleet, now: float) -> Step:
+    """Take the next step of a running order, if one is due, and return why."""
+    if plan.state is not RolloutState.RUNNING:
+        return Step.NONE
+    if review(plan, counts, now) is Verdict.BAD:
+        plan.state = RolloutState.ROLLED_BACK
+        return Step.BAD
+    deadline_at = plan.ordered_at + plan.order.duration_s
+    if plan.phase is Phase.PROVING:
+        return _end_proving(plan, counts, fleet, now)
+    if plan.phase is Phase.MOVING:
+        if now - plan.phase_since >= 2 * HALF_SHARE_S:
+            _enter(plan, Phase.DRAINING, now)
+        return Step.NONE
+    if fleet.is_drained:
+        plan.state = RolloutState.COMPLETED
+        return Step.ALL_MOVED
+    if now >= deadline_at - WRITE_RESERVE_S and now - plan.phase_since >= HALF_SHARE_S:
+        plan.state = RolloutState.COMPLETED
+        return Step.OUT_OF_TIME
+    return Step.NONE
+
+
+def _end_proving(plan: Plan, counts: VersionCounts, fleet: Fleet, now: float) -> Step:
+    """Begin to move once it is time and the version is proved.
+
+    With little traffic few answers have to do at the last moment.
+    """
+    deadline_at = plan.ordered_at + plan.order.duration_s
+    is_last = now >= deadline_at - LAST_MOVE_S
+    if fleet.has_new and now >= find_moving_at(plan.order, plan.ordered_at):
+        if plan.verdict is Verdict.GOOD:
+            _enter(plan, Phase.MOVING, now)
+            return Step.PROVED
+        answers = sum(row.total for (_, is_new), row in counts.items() if is_new)
+        if is_last and answers >= MIN_LAST_ANSWERS:
+            _enter(plan, Phase.MOVING, now)
+            return Step.PROVED_LATE
+    if now < deadline_at - WRITE_RESERVE_S:
+        return Step.NONE
+    plan.state = RolloutState.ROLLED_BACK
+    return Step.UNPROVED
+
+
+def _enter(plan: Plan, phase: Phase, now: float) -> None:
+    plan.phase, plan.phase_since = phase, now
+
+
+def _find_recent(plan: Plan, counts: VersionCounts, now: float) -> VersionCounts:
+    """Return the counts of the last RECENT_S, and remember those of now."""
+    rows = plan.snapshots
+    if not rows or now - rows[-1][0] >= SNAPSHOT_INTERVAL_S:
+        rows.append((now, subtract_counts(counts, {})))
+    while len(rows) > 1 and rows[1][0] <= now - RECENT_S:
+        rows.pop(0)
+    return subtract_counts(counts, rows[0][1])
