--- a/catkintrack/decisions/placement.py
+++ b/catkintrack/decisions/placement.py
@@ -66,8 +66,9 @@
 
 
 def may_run(row: UpstreamRow, request: ModelRequest) -> bool:
-    """Report whether the upstream has the request's model and software version."""
+    """Report whether the upstream has the request's model and an allowed version."""
     is_other = request.software_version not in (None, row.software_version)
+    is_other = is_other or row.software_version in request.barred_versions
     return request.model in row.models and not is_other
 
 
--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -88,7 +88,7 @@
     `block_ends` is the number of tokens up to the end of each block; if it is empty,
     each block has BLOCK_TOKENS.  `target_at` is when the first token is due.
     `has_started` is set if a replica may have run part of it.  `software_version` is the
-    one at which it must run, None if any.
+    one at which it must run, None if any; `barred_versions` are those at which it may not.
     """
 
     id: str
@@ -106,6 +106,7 @@
     target_at: float = math.inf
     has_started: bool = False
     software_version: str | None = None
+    barred_versions: frozenset[str] = frozenset()
 
     def count_tokens(self, depth: int) -> int:
         """Return the prompt tokens in the first `depth` blocks."""
--- a/catkintrack/fleet/__init__.py
+++ b/catkintrack/fleet/__init__.py
@@ -15,6 +15,7 @@
     build_configuration,
     choose_service,
 )
+from .rollouts import RolloutOrder, RolloutState, RolloutStatus
 from .site import Bounds, Feature, Site
 from .upstreams import (
     ModelWeights,
@@ -37,6 +38,9 @@
     "ModelWeights",
     "Prompt",
     "PromptPart",
+    "RolloutOrder",
+    "RolloutState",
+    "RolloutStatus",
     "Route",
     "Service",
     "ServiceShare",
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -37,6 +37,7 @@
 from .lives import confirm_life
 from .partitions import record_contact
 from .replica_signals import admit, apply_signals, may_send
+from .rollouts import Answer, admit_version, count_answer
 from .state import Instance
 from .stream_events import EventSplitter, open_splitter
 
@@ -181,6 +182,33 @@
     Raise ReplicaUnavailable, ReplicaRejected, UpstreamUnreachable,
     UpstreamExchangeError or, if `raises_server_errors`, ReplicaErrorResponse.
     """
+    tokens = call.prompt.prompt_tokens - progress.cached_tokens if call.prompt else 0
+    with count_answer(instance, call, upstream, tokens) as answer:
+        await _relay_attempt(
+            instance,
+            call,
+            progress,
+            upstream,
+            dispatch,
+            connection,
+            callbacks,
+            raises_server_errors,
+            answer,
+        )
+
+
+async def _relay_attempt(
+    instance: Instance,
+    call: Call,
+    progress: CallProgress,
+    upstream: Upstream,
+    dispatch: Dispatch,
+    connection: Connection,
+    callbacks: AttemptCallbacks,
+    raises_server_errors: bool,
+    answer: Answer,
+) -> None:
+    """Run a call on one replica, forward the response and note what it shows."""
     if not may_send(instance, upstream, time.monotonic()):
         raise ReplicaUnavailable("the replica accepts nothing new")
     force_new = not call.route.is_retryable
@@ -194,11 +222,14 @@
         # Another answer may have arrived while the connection was opened.
         if not admit(instance, upstream, time.monotonic()):
             raise ReplicaUnavailable("the replica accepts nothing new")
+        is_pinned = progress.software_version is not None
+        if not admit_version(instance, upstream, is_pinned, time.monotonic()):
+            raise ReplicaUnavailable("the replica's version gets no such call now")
         might_have_run = progress.may_have_run
         progress.may_have_run = True
         progress.connected_attempts += 1
         progress.has_retry = False
-        sent_at = time.monotonic()
+        answer.sent_at = sent_at = time.monotonic()
         await exchange.send(make_upstream_request(call, dispatch))
         bounds = make_stream_bounds(call, exchange.max_body_bytes)
         head = await _read_unless_abandoned(bounds, callbacks, exchange.read_head)
@@ -209,11 +240,13 @@
         apply_signals(instance, upstream, call.id, fields, sent_at, now)
         await callbacks.on_response_head(fields)
         if fields.is_not_run:
+            answer.sent_at = None
             progress.may_have_run = might_have_run
             # The head decides; a whole body lets the connection be used again.
             with contextlib.suppress(UpstreamExchangeError):
                 await exchange.discard_body(REJECTION_BODY_TIMEOUT_S)
             raise ReplicaRejected(head.status, fields)
+        answer.is_failed = head.status >= 500
         check_response(call, fields)
         has_events = call.route.is_stream and call.method != b"HEAD"
         if head.status == 200 and has_events:
--- a/catkintrack/instance/dump.py
+++ b/catkintrack/instance/dump.py
@@ -11,6 +11,7 @@
 
 from .peers import list_live_peers
 from .replica_signals import may_send
+from .rollouts import describe_rollouts
 from .state import Instance
 
 
@@ -87,6 +88,7 @@
             f"{suspect:016x}": round(row.until - now, 1)
             for suspect, row in instance.quarantine.row_by_suspect.items()
         },
+        "rollouts": describe_rollouts(instance, now),
         "is_cut_off": instance.partition.is_cut_off,
         "waiting": instance.decisions.waiting_count,
         "store_calls": dict(instance.store.count_by_call),
--- a/catkintrack/instance/feeds.py
+++ b/catkintrack/instance/feeds.py
@@ -17,6 +17,7 @@
 from catkintrack.platform import (
     CONFIG_KIND,
     CONFIG_NAME,
+    ROLLOUT_KIND,
     UPSTREAM_KIND,
     WEIGHTS_KIND,
     HistoryGone,
@@ -52,6 +53,12 @@
     UpstreamsChanged,
     encode_peer_message,
 )
+from .rollouts import (
+    apply_rollout,
+    apply_rollout_list,
+    has_rollouts,
+    withdraw_rollouts,
+)
 from .state import ConfigStamp, Feed, Instance
 from .watch_waits import choose_watch_wait_s, choose_weights_wait_s
 
@@ -210,6 +217,8 @@
         grace_s = _find_lapse_grace_s(feed, now)
         apply_upstreams(instance, specs, now, grace_s, revisions)
         return
+    if feed.kind == ROLLOUT_KIND:
+        apply_rollout_list(instance, listing, now)
     for row in listing.objects:
         is_written = feed.kind == CONFIG_KIND and _follow_listed_config(
             instance, feed, row
@@ -348,6 +357,9 @@
     if gone and feed.kind == UPSTREAM_KIND:
         grace_s = _find_lapse_grace_s(feed, now)
         remove_upstreams(instance, gone, now, grace_s)
+    if gone and feed.kind == ROLLOUT_KIND:
+        stamp = (changes.era, changes.revision)
+        withdraw_rollouts(instance, gone, stamp, now)
     for event in last_by_name.values():
         if not event.is_deleted:
             _apply_object(instance, feed.kind, event.object, now, True)
@@ -406,6 +418,12 @@
     )
 
 
+def _apply_rollout(
+    instance: Instance, row: StoredObject, now: float, is_written: bool
+) -> None:
+    apply_rollout(instance, row, now)
+
+
 Apply = Callable[[Instance, StoredObject, float, bool], Any]
 
 _APPLY_BY_KIND: dict[str, Apply] = {
@@ -415,3 +433,12 @@
 }
 
 WATCHED_KINDS = tuple(_APPLY_BY_KIND)
+
+_APPLY_BY_KIND[ROLLOUT_KIND] = _apply_rollout
+
+
+def list_watched_kinds(instance: Instance) -> tuple[str, ...]:
+    """Return the kinds that an instance watches with its settings."""
+    if has_rollouts(instance.site):
+        return (*WATCHED_KINDS, ROLLOUT_KIND)
+    return WATCHED_KINDS
--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -64,6 +64,7 @@
     PrefillEnded,
     Pull,
     ReplicaLost,
+    RolloutNews,
     StoredConfig,
     StoredUpstreams,
     UpstreamsChanged,
@@ -83,6 +84,7 @@
     handle_parts_served,
     handle_replica_lost,
 )
+from .rollouts import handle_rollout_news, send_rollout_news
 from .state import Instance, Peer
 
 logger = logging.getLogger(__name__)
@@ -116,6 +118,7 @@
 async def _run_gossip(instance: Instance) -> None:
     while True:
         await send_gossip(instance)
+        await send_rollout_news(instance)
         await curio.sleep(choose_gossip_interval_s(instance))
         remove_dead_peers(instance, time.monotonic())
 
@@ -327,6 +330,7 @@
     PrefillEnded: _handle_prefill_ended,
     ReplicaLost: handle_replica_lost,
     PartsServed: handle_parts_served,
+    RolloutNews: handle_rollout_news,
     CacheStoreCleared: _handle_cache_store_cleared,
     CacheStoreChanged: _handle_cache_store_changed,
 }
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -227,6 +227,49 @@
     blocks: tuple[int, ...]
 
 
+class RouteAnswers(msgspec.Struct, frozen=True, array_like=True):
+    """Carry the sender's answers of the new or the old version on a route.
+
+    `whole_by_bucket` counts the whole answers by their time, see rollouts/counts.py.
+    """
+
+    route: str
+    is_new: bool
+    failed: int
+    whole_by_bucket: dict[int, int]
+
+
+class RolloutRow(msgspec.Struct, frozen=True, array_like=True):
+    """Carry an order for a software version as the sender knows it.
+
+    `era` and `revision` are those at which it knows the entry.  `fencing` is its token if
+    it holds the lease, which makes `phase` a grant, else 0.  `old_in_flight` are its calls
+    under way at other versions.
+    """
+
+    service: str
+    version: str
+    duration_s: float
+    created: int
+    era: int
+    revision: int
+    age_s: float
+    state: str
+    phase: int
+    phase_age_s: float
+    fencing: int
+    old_in_flight: int
+    answers: tuple[RouteAnswers, ...]
+
+
+class RolloutNews(PeerMessage, frozen=True):
+    """Carry the orders that run or have ended lately, and what the sender's calls show."""
+
+    instance: str
+    incarnation: int
+    rows: tuple[RolloutRow, ...]
+
+
 AnyPeerMessage = (
     CacheStoreCleared
     | CacheStoreChanged
@@ -243,6 +286,7 @@
     | PrefillEnded
     | ReplicaLost
     | PartsServed
+    | RolloutNews
 )
 
 _decoder = msgspec.msgpack.Decoder(AnyPeerMessage)
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -38,6 +38,9 @@
     peers: Gauge
     relayed_calls: Counter
     is_cut_off: Gauge
+    rollout_share: Gauge
+    rollout_answers: Counter
+    rollout_steps: Counter
 
 
 def make_instance_metrics() -> InstanceMetrics:
@@ -85,4 +88,13 @@
         peers=gauge("peers_heard", "Peers heard of late."),
         relayed_calls=counter("relayed_calls_total", "Calls served through a peer."),
         is_cut_off=gauge("is_cut_off", "1 while no replica is reached."),
+        rollout_share=gauge(
+            "rollout_share", "Share of calls for an ordered version, by service."
+        ),
+        rollout_answers=counter(
+            "rollout_answers_total", "Answers during orders, by version and outcome."
+        ),
+        rollout_steps=counter(
+            "rollout_steps_total", "Steps of the holder, by service, phase and state."
+        ),
     )
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -71,6 +71,7 @@
     reserve_retry,
     take_next_attempt,
 )
+from .rollouts import choose_version, place_at, release, release_unplaced
 from .state import Instance
 from .stream_origins import (
     check_version_served,
@@ -107,11 +108,16 @@
             break
         check_quarantine(instance, call, progress)
         check_version_served(instance, call, progress.software_version, progress)
-        request = replace(request, software_version=progress.software_version)
+        choice = choose_version(
+            instance, call.service, progress.software_version, request
+        )
+        placed = place_at(request, choice)
         queued_at = time.monotonic()
-        decision = await wait_for_decision(instance.call_queue, request)
+        with release_unplaced(choice):
+            decision = await wait_for_decision(instance.call_queue, placed)
         progress.waited_s += time.monotonic() - queued_at
         if isinstance(decision, Refusal):
+            release(choice)
             progress.reason = decision.reason.value
             if progress.may_have_run:
                 break
@@ -119,7 +125,7 @@
         try:
             check_quarantine(instance, call, progress)
             start_trial(instance, call)
-            await _run(instance, call, progress, request, decision, connection)
+            await _run(instance, call, progress, placed, decision, connection)
             return
         except ReplicaRejected as error:
             progress.record_outcome(f"not run: {error}")
@@ -143,6 +149,7 @@
                 break
             await _check_origin(instance, call, progress, decision.upstream)
         finally:
+            release(choice)
             record_end(instance.decisions, request.id, time.monotonic())
             await run_tick(instance.call_queue)
         request = replace(
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -60,7 +60,7 @@
 from .dump import dump_instance
 from .ending_calls import bound_calls, end_calls
 from .eras import follow_eras
-from .feeds import WATCHED_KINDS, run_feed
+from .feeds import list_watched_kinds, run_feed
 from .fleet_state import remove_lapsed_upstreams
 from .gossip import send_gossip
 from .lease_keeper import release_lease, run_lease_keeper
@@ -76,6 +76,7 @@
 from .reload import make_site_reload
 from .replica_signals import end_returned_rests, share_limits
 from .retry_budgets import share_retry_budgets
+from .rollouts import has_rollouts, run_rollouts
 from .state import Instance
 from .stream_origins import run_origin_keeper
 from .weights_rollout import run_weights_rollout
@@ -224,7 +225,7 @@
         await send_gossip(instance)
 
     tasks: list[tuple[Any, ...]] = [
-        (run_feed, instance, kind, on_change) for kind in WATCHED_KINDS
+        (run_feed, instance, kind, on_change) for kind in list_watched_kinds(instance)
     ]
     tasks += [
         (run_mesh, instance),
@@ -237,6 +238,8 @@
         (probe_while_cut_off, instance),
         (_run_housekeeping, instance),
     ]
+    if has_rollouts(instance.site):
+        tasks.append((run_rollouts, instance))
     for task in tasks:
         await curio.spawn(run_restarting, *task, daemon=True)
 
--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -56,6 +56,7 @@
     reserve_retry,
     take_next_attempt,
 )
+from .rollouts import NO_CHOICE, VersionChoice, allows, choose_version, release
 from .state import Instance
 
 logger = logging.getLogger(__name__)
@@ -83,14 +84,17 @@
             progress.reason = "the retry budget is used up"
             break
         check_quarantine(instance, call, progress)
+        choice = choose_version(instance, call.service, None, excluded=excluded)
         upstream = choose_upstream(
             instance,
             call.service,
             excluded,
             time.monotonic(),
             _find_attempt_timeout_s(call),
+            choice,
         )
         if upstream is None:
+            release(choice)
             break
         excluded |= {upstream.id}
         start_trial(instance, call)
@@ -114,6 +118,8 @@
             progress.record_outcome(f"broken: {error}")
             if connection.has_response_started:
                 raise OutcomeUnknown("the answer was cut") from error
+        finally:
+            release(choice)
         if (
             not call.route.is_retryable
             or progress.executions >= call.route.max_attempts
@@ -143,12 +149,13 @@
     excluded: frozenset[str],
     now: float,
     silent_after_s: float = SUSPECT_AFTER_S,
+    choice: VersionChoice = NO_CHOICE,
 ) -> Upstream | None:
     """Return the replica that gets a call to a service now, if any.
 
     Those that were silent for `silent_after_s` come last.
     """
-    names = _list_replicas(instance, service, excluded, now)
+    names = _list_replicas(instance, service, excluded, now, choice)
     name = choose_replica(
         instance.services,
         names,
@@ -169,7 +176,11 @@
 
 
 def _list_replicas(
-    instance: Instance, service: str, excluded: frozenset[str], now: float
+    instance: Instance,
+    service: str,
+    excluded: frozenset[str],
+    now: float,
+    choice: VersionChoice = NO_CHOICE,
 ) -> list[str]:
     """Return the names of the replicas that may get a call, whatever their health."""
     return [
@@ -178,6 +189,7 @@
         if upstream.service == service
         and not upstream.is_draining
         and upstream.id not in excluded
+        and allows(choice, upstream)
         and may_choose(instance, upstream, now)
     ]
 
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -23,6 +23,7 @@
 from catkintrack.leases import Lease
 from catkintrack.platform import StoreClient
 from catkintrack.pooling import PooledLimits
+from catkintrack.rollouts import RolloutTables
 from catkintrack.transport import Link
 from catkintrack.weights import WeightsTables
 
@@ -231,6 +232,7 @@
     weights: WeightsTables = field(default_factory=WeightsTables)
     decisions: Tables = field(default_factory=Tables)
     services: ServiceTables = field(default_factory=ServiceTables)
+    rollouts: RolloutTables = field(default_factory=RolloutTables)
     quarantine: Quarantine = field(default_factory=Quarantine)
     partition: Partition = field(default_factory=Partition)
     relay_refused_at_by_service: dict[str, float] = field(default_factory=dict)
--- a/catkintrack/instance/stream_origins.py
+++ b/catkintrack/instance/stream_origins.py
@@ -44,6 +44,7 @@
 from .attempts import CallProgress
 from .peers import find_rank, list_live_peers
 from .refusals import NotServed, OutcomeUnknown
+from .rollouts import is_version_over
 from .state import Instance
 
 logger = logging.getLogger(__name__)
@@ -126,7 +127,7 @@
     if version is None:
         return
     upstreams = instance.upstream_by_id.values()
-    if any(
+    if not is_version_over(instance, call.service, version) and any(
         upstream.service == call.service
         and upstream.software_version == version
         and not upstream.is_draining
--- a/catkintrack/platform/entries.py
+++ b/catkintrack/platform/entries.py
@@ -28,6 +28,8 @@
     name: str = ""
     revision: int = 0
     deleting: bool = False
+    # The revision that created the object; not validated, since few readers need it.
+    create_rev: Any = 0
 
 
 class Entry(msgspec.Struct):
@@ -36,6 +38,7 @@
     metadata: Metadata
     spec: Any = None
     failure: str = ""
+    status: Any = None
 
 
 class EventRow(msgspec.Struct):
--- a/catkintrack/platform/names.py
+++ b/catkintrack/platform/names.py
@@ -73,6 +73,7 @@
 CONFIG_NAME = "main"
 UPSTREAM_KIND = "servers"
 WEIGHTS_KIND = "versions"
+ROLLOUT_KIND = "rollouts"
 
 # Values of fields in stored objects.
 UPSTREAM_STATE_READY = "ready"
--- a/catkintrack/platform/settings.py
+++ b/catkintrack/platform/settings.py
@@ -61,6 +61,10 @@
     quota_window_s: float = 8.0
     # Usage above a workspace's limit that is allowed per window, in the limit's unit.
     quota_slack: float = 0.0
+    # Share of a service's requests that an unproven software version may get.
+    exposure_share: float = 0.1
+    exposure_slack: float = 50.0
+    rollback_ms: float = 5_000.0
 
 
 class _Settings(msgspec.Struct, frozen=True):
@@ -173,6 +177,9 @@
             retry_extra=bounds.budget_extra,
             limit_window_s=bounds.quota_window_s,
             limit_slack=bounds.quota_slack,
+            exposure_share=bounds.exposure_share,
+            exposure_slack=bounds.exposure_slack,
+            rollback_s=bounds.rollback_ms / 1e3,
         ),
         features=_find_features(settings.contracts),
     )
--- a/catkintrack/platform/store.py
+++ b/catkintrack/platform/store.py
@@ -57,6 +57,7 @@
 MAX_HELD_BYTES = 40 << 20
 # A full page comes from far away, at one window a round trip.
 RECEIVE_BUFFER_BYTES = 262144
+STATUS_PATH = "/status"
 # A response of an earlier era and its repetition.
 MAX_READS = 2
 # Entries whose revision is remembered, so that it is logged once.
@@ -67,13 +68,18 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredObject:
-    """Represent an object of the store; with `is_deleting` its finalizers are pending."""
+    """Represent an object of the store; with `is_deleting` its finalizers are pending.
+
+    `created` is the revision that created it, 0 if unknown.
+    """
 
     name: str
     revision: int
     spec: Any
     is_deleting: bool = False
     era: int = 0
+    created: int = 0
+    status: Any = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -258,6 +264,15 @@
     )
 
 
+async def replace_status(
+    client: StoreClient, kind: str, name: str, status: Any, revision: int
+) -> Result[StoredObject, StoreError]:
+    """Replace an object's status; fail with StoreConflict unless it has `revision`."""
+    fields = {"metadata": {"name": name, "revision": revision}, "status": status}
+    target = _make_target(kind, name, {}) + STATUS_PATH
+    return await _send_write(client, "status", b"PUT", kind, target, fields)
+
+
 async def delete_object(
     client: StoreClient, kind: str, name: str, revision: int
 ) -> Result[StoredObject, StoreError]:
@@ -318,8 +333,15 @@
     metadata = entry.metadata
     if entry.failure:
         _record_unreadable(client, kind, entry)
+    created = metadata.create_rev if isinstance(metadata.create_rev, int) else 0
     return StoredObject(
-        metadata.name, metadata.revision, entry.spec, metadata.deleting, era
+        metadata.name,
+        metadata.revision,
+        entry.spec,
+        metadata.deleting,
+        era,
+        created,
+        entry.status,
     )
 
 
--- a/catkintrack/rollouts/__init__.py
+++ b/catkintrack/rollouts/__init__.py
@@ -6,7 +6,6 @@
     add_answer,
     merge_counts,
     subtract_counts,
-    sum_counts,
 )
 from .exposure import (
     Exposure,
@@ -16,19 +15,33 @@
     reserve,
     unreserve,
 )
-from .order import RolloutOrder, RolloutState, RolloutStatus
 from .plan import Fleet, Phase, Plan, Step, advance, find_moving_at, find_share, review
+from .tables import (
+    GRANT_S,
+    STOPPED_S,
+    Report,
+    RolloutTables,
+    ServiceRollout,
+    Stamp,
+    find_current_share,
+    is_bounded,
+    is_same_order,
+    wants_new_version,
+)
 from .verdict import Verdict, judge
 
 __all__ = [
+    "GRANT_S",
+    "STOPPED_S",
     "AnswerCounts",
     "Exposure",
     "Fleet",
     "Phase",
     "Plan",
-    "RolloutOrder",
-    "RolloutState",
-    "RolloutStatus",
+    "Report",
+    "RolloutTables",
+    "ServiceRollout",
+    "Stamp",
     "Step",
     "Verdict",
     "VersionCounts",
@@ -37,6 +50,9 @@
     "choose_first_replicas",
     "find_moving_at",
     "find_share",
+    "find_current_share",
+    "is_bounded",
+    "is_same_order",
     "judge",
     "may_expose",
     "merge_counts",
@@ -44,6 +60,6 @@
     "reserve",
     "review",
     "subtract_counts",
-    "sum_counts",
     "unreserve",
+    "wants_new_version",
 ]
--- a/catkintrack/rollouts/counts.py
+++ b/catkintrack/rollouts/counts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 # Two buckets an octave: the test for slow answers asks for a factor of 2.
@@ -56,25 +55,23 @@
         row.whole_by_bucket[find_bucket(seconds)] += 1
 
 
-def merge_counts(counts: VersionCounts, later: VersionCounts) -> None:
-    """Take over a process's counts; messages may come twice and out of order."""
+def merge_counts(
+    counts: VersionCounts, later: VersionCounts, total: VersionCounts
+) -> None:
+    """Take over a process's counts, and add what is new to those of all processes.
+
+    Messages may come twice and out of order.
+    """
     for key, found in later.items():
         row = counts.setdefault(key, AnswerCounts())
+        sums = total.setdefault(key, AnswerCounts())
+        sums.failed += max(0, found.failed - row.failed)
         row.failed = max(row.failed, found.failed)
         for bucket, count in enumerate(found.whole_by_bucket[:BUCKETS]):
-            row.whole_by_bucket[bucket] = max(row.whole_by_bucket[bucket], count)
-
-
-def sum_counts(rows: Iterable[VersionCounts]) -> VersionCounts:
-    """Return the counts of all processes together."""
-    total: VersionCounts = {}
-    for counts in rows:
-        for key, found in counts.items():
-            row = total.setdefault(key, AnswerCounts())
-            row.failed += found.failed
-            pairs = zip(row.whole_by_bucket, found.whole_by_bucket, strict=True)
-            row.whole_by_bucket = [a + b for a, b in pairs]
-    return total
+            known = row.whole_by_bucket[bucket]
+            if count > known:
+                row.whole_by_bucket[bucket] = count
+                sums.whole_by_bucket[bucket] += count - known
 
 
 def subtract_counts(counts: VersionCounts, earlier: VersionCounts) -> VersionCounts:
--- a/catkintrack/rollouts/plan.py
+++ b/catkintrack/rollouts/plan.py
@@ -13,8 +13,9 @@
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 
+from catkintrack.fleet import RolloutOrder, RolloutState
+
 from .counts import VersionCounts, subtract_counts
-from .order import RolloutOrder, RolloutState
 from .verdict import Verdict, judge
 
 # A part of the bound, since replicas count as calls what never reaches them.
--- /dev/null
+++ b/catkintrack/rollouts/tables.py
@@ -0,0 +1,123 @@
+"""Define what one process knows of the orders, its peers' counts and its permission."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+
+from catkintrack.fleet import RolloutOrder, RolloutState, RolloutStatus
+
+from .counts import VersionCounts
+from .exposure import Exposure
+from .plan import Phase, Plan, find_share
+from .verdict import Verdict
+
+# A process that has no newer grant sends an unproven version nothing.  Instances take a
+# silent peer for gone after the same time.
+GRANT_S = 1.5
+# Replicas that have stopped on completion are listed for this long at most.
+STOPPED_S = 30.0
+
+# Era and revision of the store at which an entry was seen.
+Stamp = tuple[int, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """Hold what a process last said: its phase and its calls under way at old replicas."""
+
+    incarnation: int
+    phase: Phase
+    old_in_flight: int
+    at: float
+
+
+@dataclass(slots=True)
+class ServiceRollout:
+    """Hold one order as this process knows it; times in seconds.
+
+    `stored` is the status that is known to be in the store, `stale` one of an earlier order
+    that it still shows.  `granted_at` is when the holder with the token `fencing` last
+    granted the phase of the plan.  `unlisted_at` is when a new era first lacked the entry.
+    With `is_in_place` no other version served when the order came.
+    """
+
+    plan: Plan
+    stamp: Stamp
+    stored: RolloutStatus | None = None
+    stale: RolloutStatus | None = None
+    granted_at: float = -1e9
+    fencing: int = 0
+    ended_at: float = 0.0
+    unlisted_at: float | None = None
+    is_in_place: bool = False
+    is_writing: bool = False
+    exposure: Exposure = field(default_factory=Exposure)
+    own_counts: VersionCounts = field(default_factory=dict)
+    total_counts: VersionCounts = field(default_factory=dict)
+    counts_by_process: dict[tuple[str, int], VersionCounts] = field(
+        default_factory=dict
+    )
+    report_by_instance: dict[str, Report] = field(default_factory=dict)
+
+    @property
+    def order(self) -> RolloutOrder:
+        """Return the order."""
+        return self.plan.order
+
+    @property
+    def is_completed(self) -> bool:
+        """Report whether the store has the order as completed."""
+        stored = self.stored
+        return stored is not None and stored.state is RolloutState.COMPLETED
+
+
+@dataclass(slots=True)
+class RolloutTables:
+    """Hold the newest order of each service, and the versions that earlier ones left.
+
+    The latter never proved themselves; `barred_by_service` holds them.
+    """
+
+    rollout_by_service: dict[str, ServiceRollout] = field(default_factory=dict)
+    barred_by_service: dict[str, set[str]] = field(default_factory=dict)
+
+
+def is_same_order(rollout: ServiceRollout, order: RolloutOrder, stamp: Stamp) -> bool:
+    """Report whether an entry or message is about the order that is known.
+
+    A new era of the store may have created the entry once more.
+    """
+    known = rollout.order
+    if (known.version, known.duration_s) != (order.version, order.duration_s):
+        return False
+    return known.created == order.created or rollout.stamp[0] != stamp[0]
+
+
+def find_current_share(
+    rollout: ServiceRollout, exposure_share: float, now: float
+) -> float:
+    """Return the share of new calls that this process may send to the new version."""
+    plan = rollout.plan
+    if rollout.is_completed or rollout.is_in_place:
+        return 1.0
+    is_over = plan.state in (RolloutState.ROLLED_BACK, RolloutState.WITHDRAWN)
+    if is_over or plan.verdict is Verdict.BAD:
+        return 0.0
+    # All instances have stopped sending to the old version, or are about to.
+    if plan.phase is not Phase.DRAINING and now - rollout.granted_at >= GRANT_S:
+        return 0.0
+    return find_share(plan.phase, now - plan.phase_since, exposure_share)
+
+
+def is_bounded(rollout: ServiceRollout) -> bool:
+    """Report whether the version is unproven, so that its calls are counted."""
+    plan = rollout.plan
+    if rollout.is_completed or rollout.is_in_place:
+        return False
+    return plan.phase is Phase.PROVING
+
+
+def wants_new_version(share: float, rng: Random) -> bool:
+    """Draw whether a call goes to a proved version."""
+    return share > 0 and (share >= 1.0 or rng.random() < share)
--- a/catkintrack/rollouts/tests/test_plan.py
+++ b/catkintrack/rollouts/tests/test_plan.py
@@ -8,13 +8,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from catkintrack.fleet import RolloutOrder, RolloutState
 from catkintrack.rollouts import (
     Exposure,
     Fleet,
     Phase,
     Plan,
-    RolloutOrder,
-    RolloutState,
     Verdict,
     add_answer,
     advance,
@@ -23,7 +22,6 @@
     merge_counts,
     record_sent,
     reserve,
-    sum_counts,
     unreserve,
 )
 from testkit.profiles import DETERMINISTIC
@@ -84,7 +82,7 @@
     """
     rng = Random(seed)
     processes = [Process() for _ in range(instances)]
-    known, ended = {}, []
+    known, ended, total = {}, [], {}
     order = RolloutOrder("app", "v2", DURATION_S)
     plan = Plan(order, 0.0)
     kill_at = {rng.randrange(int(DURATION_S / STEP_S)) for _ in range(kills)}
@@ -122,14 +120,12 @@
                 worst = max(worst, exposed - EXPOSURE_SHARE * sent)
         for process in processes:
             if rng.random() >= loss:
-                merge_counts(known.setdefault(id(process), {}), process.counts)
+                merge_counts(known.setdefault(id(process), {}), process.counts, total)
         if holder_gap and holder_gap[0] <= now < holder_gap[1]:
             continue
         if plan.state is RolloutState.RUNNING:
             is_drained = all(p.phase is Phase.DRAINING for p in processes)
-            advance(
-                plan, sum_counts(known.values()), Fleet(True, True, is_drained), now
-            )
+            advance(plan, total, Fleet(True, True, is_drained), now)
             is_unproven = is_unproven and plan.phase is Phase.PROVING
         if plan.state is not RolloutState.RUNNING:
             for process in processes:
@@ -231,10 +227,11 @@
         add_answer(early, "quotes", True, 0.1)
         add_answer(late, "quotes", True, 0.1)
         add_answer(late, "quotes", True, None)
-        merged = {}
+        merged, total = {}, {}
         for counts in (late, early, late):
-            merge_counts(merged, counts)
+            merge_counts(merged, counts, total)
         self.assertEqual(merged, late)
+        self.assertEqual(total, late)
 
 
 if __name__ == "__main__":
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -36,7 +36,7 @@
 SILENT_DELAY_S = 3600.0
 ERA_HEADER = b"store-era"
 # Kinds that operators and replicas write, and write again after a drill.
-OUTSIDE_KINDS = frozenset({"config", "servers", "versions"})
+OUTSIDE_KINDS = frozenset({"config", "rollouts", "servers", "versions"})
 
 
 @dataclass(slots=True)
@@ -267,6 +267,8 @@
     expected = fields.get("metadata", {}).get("revision")
     if expected and expected != found["metadata"]["revision"]:
         return 409, found
+    if request.path.endswith("/status"):
+        return 200, await write_status(store, kind, found, fields.get("status"))
     return 200, await write_object(store, kind, name, fields.get("spec"))
 
 
@@ -285,8 +287,19 @@
 
 async def write_object(store: Store, kind: str, name: str, spec: Any) -> dict[str, Any]:
     """Store an object with the next revision and return it."""
-    metadata = {"name": name, "revision": store.revision + 1, "finalizers": []}
-    row = {"metadata": metadata, "spec": spec, "status": None}
+    found = store.object_by_key.get((kind, name))
+    revision = store.revision + 1
+    metadata = {
+        "name": name,
+        "revision": revision,
+        "create_rev": found["metadata"]["create_rev"] if found else revision,
+        "finalizers": [],
+    }
+    row = {
+        "metadata": metadata,
+        "spec": spec,
+        "status": found["status"] if found else None,
+    }
     store.object_by_key[(kind, name)] = row
     if kind in OUTSIDE_KINDS:
         store.outside_by_key[kind, name] = spec
@@ -294,6 +307,17 @@
     return row
 
 
+async def write_status(
+    store: Store, kind: str, found: dict[str, Any], status: Any
+) -> dict[str, Any]:
+    """Replace an object's status and return the object."""
+    metadata = found["metadata"] | {"revision": store.revision + 1}
+    row = {"metadata": metadata, "spec": found["spec"], "status": status}
+    store.object_by_key[(kind, metadata["name"])] = row
+    await record_change(store, kind, row, False)
+    return row
+
+
 async def record_change(
     store: Store, kind: str, row: dict[str, Any], is_deleted: bool
 ) -> None:
