--- a/testkit/site.py
+++ b/testkit/site.py
@@ -57,6 +57,7 @@
     replica_port_by_id: dict[str, int] = field(default_factory=dict)
     process_by_name: dict[str, Process] = field(default_factory=dict)
     last_request_number: int = 0
+    extra_settings: tuple[str, ...] = ()
 
     def start_process(
         self, name: str, arguments: list[str], env: dict[str, str]
@@ -114,6 +115,11 @@
         fields = {"service": service, "address": address, "models": models}
         self.write_object("servers", id, make_entry_spec(**(fields | entry)))
 
+    def read_status(self, kind: str, name: str) -> Any:
+        """Return the status of an object in the store, None if it has none."""
+        found = call_json(self.store_ports[0], f"/-/objects/{kind}/{name}")
+        return found and found.get("status")
+
     def set_replica_faults(self, id: str, **faults: Any) -> None:
         """Set faults of a replica stand-in."""
         call_json(self.replica_port_by_id[id], "/faults", faults)
@@ -149,6 +155,7 @@
             "bounds.budget_extra=56",
             "bounds.quota_slack=140000",
             f"platform.address={HOST}:{store_port}",
+            *self.extra_settings,
         ]
         path = self.directory / f"{name}.conf"
         path.write_text("\n".join(lines) + "\n")
@@ -268,14 +275,19 @@
 
 @contextmanager
 def open_site(
-    nodes: int = 2, models: int = 2, apps: int = 2, zones: int | None = None
+    nodes: int = 2,
+    models: int = 2,
+    apps: int = 2,
+    zones: int | None = None,
+    extra_settings: tuple[str, ...] = (),
 ) -> Iterator[Site]:
     """Yield a running site and kill all of its processes afterwards.
 
     The instances are spread over `zones` availability zones, by default one each.
+    `extra_settings` are further lines of their settings files.
     """
     with tempfile.TemporaryDirectory(prefix="catkintrack-site-") as directory:
-        site = Site(Path(directory))
+        site = Site(Path(directory), extra_settings=extra_settings)
         try:
             site.start_store(nodes)
             site.write_object("config", "main", make_config_spec())
