--- a/catkintrack/fleet/site.py
+++ b/catkintrack/fleet/site.py
@@ -28,8 +28,8 @@
     instances can't reach the store.  `weights_s` is how long replaced weights may
     still be used.  `limit_slack` is the usage above a workspace's limit that is
     allowed per `limit_window_s`, in the limit's unit.  An unproven software version gets
-    `exposure_share` of its service's calls and `exposure_slack` more at most, and none
-    `rollback_s` after it has shown to be bad.
+    `exposure_share` of its service's calls at most, and none `rollback_s` after it has shown
+    to be bad.
     """
 
     config_apply_s: float
@@ -46,7 +46,6 @@
     limit_window_s: float
     limit_slack: float
     exposure_share: float = 0.1
-    exposure_slack: float = 50.0
     rollback_s: float = 5.0
 
 
--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -44,6 +44,7 @@
 )
 from .eras import is_after_new_era
 from .replica_signals import update_signals
+from .rollouts import observe_cold_start
 from .state import Instance, KnownLife, PendingRemoval
 
 logger = logging.getLogger(__name__)
@@ -63,6 +64,7 @@
     """Apply one discovery entry; if it is invalid, drop its upstream."""
     names = frozenset(instance.config.service_by_name) if instance.config else None
     instance.spec_by_upstream[id] = spec
+    observe_cold_start(instance, id, spec, now)
     match decode_upstream(id, spec, names or frozenset()):
         case Failure(error):
             logger.warning(
--- a/catkintrack/instance/rollouts.py
+++ b/catkintrack/instance/rollouts.py
@@ -34,7 +34,9 @@
 from catkintrack.platform import (
     ROLLOUT_KIND,
     ObjectList,
+    ObjectMissing,
     StoredObject,
+    decode_cold_s,
     decode_rollout,
     decode_rollout_status,
     encode_rollout_status,
@@ -107,6 +109,16 @@
     return Feature.VERSION_ROLLOUTS in site.features
 
 
+def observe_cold_start(instance: Instance, id: str, spec: Any, now: float) -> None:
+    """Record until when a replica is slow after its start, as its entry says."""
+    if has_rollouts(instance.site):
+        cold_until = instance.rollouts.cold_until_by_upstream
+        cold_until.pop(id, None)
+        cold_s = decode_cold_s(spec)
+        if cold_s:
+            cold_until[id] = now + cold_s
+
+
 # What is known of the orders.
 
 
@@ -178,7 +190,7 @@
             plan.order = order
             if plan.state is RolloutState.WITHDRAWN:
                 plan.state = RolloutState.RUNNING
-        _adopt_status(known, status, time.monotonic())
+        _adopt_status(known, status, stamp[0], time.monotonic())
         return known
     if known is not None and stamp < known.stamp:
         return None
@@ -195,22 +207,25 @@
     tables.rollout_by_service[order.service] = rollout
     _log(rollout, "order for a version seen", duration_s=order.duration_s)
     if rollout.stale is None:
-        _adopt_status(rollout, status, time.monotonic())
+        _adopt_status(rollout, status, stamp[0], time.monotonic())
     return rollout
 
 
 def _adopt_status(
-    rollout: ServiceRollout, status: RolloutStatus | None, now: float
+    rollout: ServiceRollout, status: RolloutStatus | None, era: int, now: float
 ) -> None:
-    """Take over the stored status of an order; what is final there stays."""
+    """Take over the stored status of an order; a completion stays."""
     if status is None or status.version != rollout.order.version:
         return
     if status == rollout.stale:
         return
     rollout.stale = None
-    rollout.stored = status
+    rollout.stored, rollout.stored_era = status, era
     plan = rollout.plan
-    if status.state is not RolloutState.RUNNING and plan.state is not status.state:
+    if status.state is RolloutState.RUNNING or rollout.is_completed:
+        return
+    rollout.is_completed = status.state is RolloutState.COMPLETED
+    if plan.state is not status.state:
         plan.state = status.state
         rollout.ended_at = now
         _log(rollout, "end of an order seen", state=status.state.value)
@@ -245,6 +260,12 @@
     return new, old
 
 
+def _find_share(instance: Instance, rollout: ServiceRollout, now: float) -> float:
+    """Return the share of new calls that may go to the new version from here now."""
+    bounds = instance.site.bounds
+    return find_current_share(rollout, bounds.exposure_share, bounds.rollback_s, now)
+
+
 def choose_version(
     instance: Instance,
     service: str,
@@ -264,19 +285,21 @@
     barred = frozenset(tables.barred_by_service.get(service, ()))
     if pinned is not None:
         return VersionChoice(pinned, barred)
-    now = time.monotonic()
     version = rollout.order.version
-    new, old = _split_replicas(instance, rollout)
     others = VersionChoice(None, barred | {version})
-    if rollout.is_completed:
-        stopped = {u.software_version for u in old}
-        is_recent = now - rollout.ended_at < STOPPED_S
-        return VersionChoice(None, barred | stopped if new and is_recent else barred)
-    if rollout.is_in_place:
+    if rollout.plan.state is RolloutState.ROLLED_BACK and not rollout.is_completed:
+        return others
+    now = time.monotonic()
+    if rollout.is_completed and now - rollout.ended_at >= STOPPED_S:
         return VersionChoice(None, barred)
-    if rollout.plan.state is RolloutState.WITHDRAWN and not old:
+    new, old = _split_replicas(instance, rollout)
+    if rollout.is_completed:
+        stopped = {u.software_version for u in old if new}
+        return VersionChoice(None, barred | stopped)
+    is_withdrawn = rollout.plan.state is RolloutState.WITHDRAWN
+    if rollout.is_in_place or (is_withdrawn and not old):
         return VersionChoice(None, barred)
-    share = find_current_share(rollout, instance.site.bounds.exposure_share, now)
+    share = _find_share(instance, rollout, now)
     if share <= 0 or not new:
         return others
     if not is_bounded(rollout):
@@ -374,7 +397,7 @@
         if is_new and plan.state is RolloutState.WITHDRAWN:
             return not _split_replicas(instance, rollout)[1]
         return not is_new
-    share = find_current_share(rollout, instance.site.bounds.exposure_share, now)
+    share = _find_share(instance, rollout, now)
     if is_new and share <= 0:
         return False
     if is_bounded(rollout):
@@ -430,6 +453,10 @@
     taken_s: float,
 ) -> None:
     is_new = _is_new(upstream, rollout.order)
+    cold_until = instance.rollouts.cold_until_by_upstream.get(upstream.id, 0.0)
+    if not answer.is_failed and answer.sent_at < cold_until:
+        # A replica that has just started is slow whatever its version.
+        return
     seconds = None if answer.is_failed else taken_s
     add_answer(rollout.own_counts, call.route.name, is_new, seconds)
     add_answer(rollout.total_counts, call.route.name, is_new, seconds)
@@ -458,8 +485,7 @@
     rows = tuple(
         _make_row(instance, rollout, now)
         for rollout in instance.rollouts.rollout_by_service.values()
-        if rollout.plan.state is RolloutState.RUNNING
-        or now - rollout.ended_at < END_RESEND_S
+        if _is_open(rollout) or now - rollout.ended_at < END_RESEND_S
     )
     if rows:
         await broadcast(
@@ -467,13 +493,17 @@
         )
 
 
+def _is_open(rollout: ServiceRollout) -> bool:
+    """Report whether an order runs; a completion is not final before it is stored."""
+    state = rollout.plan.state
+    is_unstored = state is RolloutState.COMPLETED and not rollout.is_completed
+    return state is RolloutState.RUNNING or is_unstored
+
+
 def _make_row(instance: Instance, rollout: ServiceRollout, now: float) -> RolloutRow:
     plan = rollout.plan
     order = plan.order
-    state = plan.state
-    if state is RolloutState.COMPLETED and not rollout.is_completed:
-        # Only the store's word is final.
-        state = RolloutState.RUNNING
+    state = RolloutState.RUNNING if _is_open(rollout) else plan.state
     return RolloutRow(
         service=order.service,
         version=order.version,
@@ -539,7 +569,7 @@
     if state is not RolloutState.RUNNING and not rollout.is_completed:
         status = RolloutStatus(state, row.version, row.fencing)
         if state is RolloutState.COMPLETED:
-            _adopt_status(rollout, status, now)
+            _adopt_status(rollout, status, row.era, now)
         elif plan.state is not state:
             plan.state, rollout.ended_at = state, now
             _log(rollout, "version rolled back by a peer", peer=news.instance)
@@ -583,7 +613,8 @@
     rollout = instance.rollouts.rollout_by_service[service]
     plan = rollout.plan
     if rollout.unlisted_at is not None and now - rollout.unlisted_at > ENTRY_RESTORE_S:
-        _withdraw(instance, service, (instance.store.era, 0), now)
+        stamp = max(rollout.stamp, (instance.store.era, 0))
+        _withdraw(instance, service, stamp, now)
     _forget_proved_bars(instance, service)
     is_holder = holds_lease(instance)
     if plan.state is RolloutState.RUNNING:
@@ -592,7 +623,7 @@
             await _take_step(instance, rollout, now)
         else:
             _judge(rollout, now)
-    share = find_current_share(rollout, instance.site.bounds.exposure_share, now)
+    share = _find_share(instance, rollout, now)
     instance.metrics.rollout_share.set({"service": service}, share)
     if is_holder and not rollout.is_writing and _is_write_due(instance, rollout):
         rollout.is_writing = True
@@ -675,6 +706,9 @@
     stored = rollout.stored
     if stored is None or stored.state is not state:
         return True
+    if rollout.stored_era < instance.store.era:
+        # The store may have come back from a copy that lacks the status.
+        return True
     # A status that names the new holder's token ends the conditions of an earlier one.
     is_running = state is RolloutState.RUNNING
     return is_running and stored.fencing != instance.lease.record.fencing
@@ -693,13 +727,18 @@
     match await get_object(instance.store, ROLLOUT_KIND, name):
         case Success(found):
             apply_rollout(instance, found, time.monotonic())
+        case Failure(ObjectMissing(era=era)):
+            if era == rollout.stamp[0]:
+                _withdraw(instance, name, rollout.stamp, time.monotonic())
+            return
         case Failure(error):
             _log(rollout, "order not read", reason=repr(error))
             return
     is_known = instance.rollouts.rollout_by_service.get(name) is rollout
     if not is_known or not holds_lease(instance):
         return
-    if not _is_write_due(instance, rollout):
+    is_current = decode_rollout_status(found.status) == rollout.stored
+    if is_current and not _is_write_due(instance, rollout):
         return
     status = RolloutStatus(
         rollout.plan.state, rollout.order.version, instance.lease.record.fencing
@@ -710,10 +749,11 @@
     )
     match outcome:
         case Success(written):
+            now = time.monotonic()
             rollout.stale = None
             rollout.stamp = max(rollout.stamp, (written.era, written.revision))
-            rollout.stored = status
-            rollout.ended_at = time.monotonic()
+            _adopt_status(rollout, status, written.era, now)
+            rollout.ended_at = now
             _log(
                 rollout,
                 "order's status written",
@@ -739,14 +779,13 @@
 
 def describe_rollouts(instance: Instance, now: float) -> dict[str, Any]:
     """Return the orders, their shares, verdicts and counts for the state dump."""
-    share = instance.site.bounds.exposure_share
     return {
         service: {
             "version": rollout.order.version,
             "state": rollout.plan.state.value,
             "stored": rollout.stored.state.value if rollout.stored else None,
             "phase": rollout.plan.phase.name.lower(),
-            "share": find_current_share(rollout, share, now),
+            "share": _find_share(instance, rollout, now),
             "age_s": round(now - rollout.plan.ordered_at, 3),
             "duration_s": rollout.order.duration_s,
             "verdict": rollout.plan.verdict.value,
--- a/catkintrack/platform/__init__.py
+++ b/catkintrack/platform/__init__.py
@@ -55,6 +55,7 @@
     watch_objects,
 )
 from .upstreams import (
+    decode_cold_s,
     decode_report,
     decode_upstream,
     decode_weights,
@@ -87,6 +88,7 @@
     "StoredObject",
     "create_object",
     "decode_cache_events",
+    "decode_cold_s",
     "decode_configuration",
     "decode_report",
     "decode_rollout",
--- a/catkintrack/platform/settings.py
+++ b/catkintrack/platform/settings.py
@@ -63,7 +63,6 @@
     quota_slack: float = 0.0
     # Share of a service's requests that an unproven software version may get.
     exposure_share: float = 0.1
-    exposure_slack: float = 50.0
     rollback_ms: float = 5_000.0
 
 
@@ -178,7 +177,6 @@
             limit_window_s=bounds.quota_window_s,
             limit_slack=bounds.quota_slack,
             exposure_share=bounds.exposure_share,
-            exposure_slack=bounds.exposure_slack,
             rollback_s=bounds.rollback_ms / 1e3,
         ),
         features=_find_features(settings.contracts),
--- a/catkintrack/platform/upstreams.py
+++ b/catkintrack/platform/upstreams.py
@@ -36,6 +36,8 @@
 
 # Far above any replica; larger numbers are another writer's.
 MAX_SLOTS = 1 << 20
+# Longer times are another writer's.
+MAX_COLD_S = 60.0
 
 
 class _Model(msgspec.Struct):
@@ -107,6 +109,14 @@
     )
 
 
+def decode_cold_s(spec: Any) -> float:
+    """Return for how many seconds a replica remains slow after its start."""
+    remaining_ms = spec.get("cold_remaining_ms") if isinstance(spec, dict) else None
+    if not isinstance(remaining_ms, (int, float)) or isinstance(remaining_ms, bool):
+        return 0.0
+    return min(MAX_COLD_S, max(0.0, remaining_ms / 1e3))
+
+
 def decode_weights(spec: Any) -> Result[ModelWeights, DecodingError]:
     """Return the target weights that an operator has set for a model."""
     try:
--- a/catkintrack/rollouts/__init__.py
+++ b/catkintrack/rollouts/__init__.py
@@ -17,7 +17,7 @@
 )
 from .plan import Fleet, Phase, Plan, Step, advance, find_moving_at, find_share, review
 from .tables import (
-    GRANT_S,
+    GRANT_MAX_S,
     STOPPED_S,
     Report,
     RolloutTables,
@@ -31,7 +31,7 @@
 from .verdict import Verdict, judge
 
 __all__ = [
-    "GRANT_S",
+    "GRANT_MAX_S",
     "STOPPED_S",
     "AnswerCounts",
     "Exposure",
--- a/catkintrack/rollouts/tables.py
+++ b/catkintrack/rollouts/tables.py
@@ -14,7 +14,9 @@
 
 # A process that has no newer grant sends an unproven version nothing.  Instances take a
 # silent peer for gone after the same time.
-GRANT_S = 1.5
+GRANT_MAX_S = 1.5
+# A grant has run out well before the bound of a roll-back.
+GRANT_SHARE = 1 / 3
 # Replicas that have stopped on completion are listed for this long at most.
 STOPPED_S = 30.0
 
@@ -36,8 +38,8 @@
 class ServiceRollout:
     """Hold one order as this process knows it; times in seconds.
 
-    `stored` is the status that is known to be in the store, `stale` one of an earlier order
-    that it still shows.  `granted_at` is when the holder with the token `fencing` last
+    `stored` is the status last seen in the store, in `stored_era`, `stale` one of an earlier
+    order that it still shows.  `is_completed` stays once the store has said so.  `granted_at` is when the holder with the token `fencing` last
     granted the phase of the plan.  `unlisted_at` is when a new era first lacked the entry.
     With `is_in_place` no other version served when the order came.
     """
@@ -45,7 +47,9 @@
     plan: Plan
     stamp: Stamp
     stored: RolloutStatus | None = None
+    stored_era: int = 0
     stale: RolloutStatus | None = None
+    is_completed: bool = False
     granted_at: float = -1e9
     fencing: int = 0
     ended_at: float = 0.0
@@ -65,22 +69,18 @@
         """Return the order."""
         return self.plan.order
 
-    @property
-    def is_completed(self) -> bool:
-        """Report whether the store has the order as completed."""
-        stored = self.stored
-        return stored is not None and stored.state is RolloutState.COMPLETED
-
 
 @dataclass(slots=True)
 class RolloutTables:
     """Hold the newest order of each service, and the versions that earlier ones left.
 
-    The latter never proved themselves; `barred_by_service` holds them.
+    The latter never proved themselves; `barred_by_service` holds them.  Replicas are slow
+    for some time after their start, `cold_until_by_upstream`, in seconds.
     """
 
     rollout_by_service: dict[str, ServiceRollout] = field(default_factory=dict)
     barred_by_service: dict[str, set[str]] = field(default_factory=dict)
+    cold_until_by_upstream: dict[str, float] = field(default_factory=dict)
 
 
 def is_same_order(rollout: ServiceRollout, order: RolloutOrder, stamp: Stamp) -> bool:
@@ -95,9 +95,10 @@
 
 
 def find_current_share(
-    rollout: ServiceRollout, exposure_share: float, now: float
+    rollout: ServiceRollout, exposure_share: float, rollback_s: float, now: float
 ) -> float:
     """Return the share of new calls that this process may send to the new version."""
+    grant_s = min(GRANT_MAX_S, GRANT_SHARE * rollback_s)
     plan = rollout.plan
     if rollout.is_completed or rollout.is_in_place:
         return 1.0
@@ -105,7 +106,7 @@
     if is_over or plan.verdict is Verdict.BAD:
         return 0.0
     # All instances have stopped sending to the old version, or are about to.
-    if plan.phase is not Phase.DRAINING and now - rollout.granted_at >= GRANT_S:
+    if plan.phase is not Phase.DRAINING and now - rollout.granted_at >= grant_s:
         return 0.0
     return find_share(plan.phase, now - plan.phase_since, exposure_share)
 
