--- a/catkintrack/rollouts/__init__.py
+++ b/catkintrack/rollouts/__init__.py
@@ -28,13 +28,14 @@
     is_same_order,
     wants_new_version,
 )
-from .verdict import Verdict, judge
+from .verdict import Fault, Verdict, find_fault, judge
 
 __all__ = [
     "GRANT_MAX_S",
     "STOPPED_S",
     "AnswerCounts",
     "Exposure",
+    "Fault",
     "Fleet",
     "Phase",
     "Plan",
@@ -49,6 +50,7 @@
     "advance",
     "choose_first_replicas",
     "find_moving_at",
+    "find_fault",
     "find_share",
     "find_current_share",
     "is_bounded",
--- a/catkintrack/rollouts/plan.py
+++ b/catkintrack/rollouts/plan.py
@@ -16,7 +16,7 @@
 from catkintrack.fleet import RolloutOrder, RolloutState
 
 from .counts import VersionCounts, subtract_counts
-from .verdict import Verdict, judge
+from .verdict import Fault, Verdict, find_fault, is_refuted, judge
 
 # A part of the bound, since replicas count as calls what never reaches them.
 EXPOSURE_MARGIN = 0.9
@@ -33,6 +33,10 @@
 # With little traffic fewer answers have to do then.
 MIN_LAST_ANSWERS = 20
 RECENT_S = 4.0
+# A suspicion is decided after this time, by the answers since SETTLE_S: by then what one
+# crash has cut is counted everywhere.  With gossip a roll-back stays within some 4 s.
+SETTLE_S = 1.0
+SUSPICION_S = 2.5
 SNAPSHOT_INTERVAL_S = 0.5
 
 
@@ -69,9 +73,21 @@
     is_drained: bool
 
 
+@dataclass(slots=True)
+class Suspicion:
+    """Hold a fault, when it was found, and the counts after it has settled."""
+
+    fault: Fault
+    at: float
+    settled: VersionCounts | None = None
+
+
 @dataclass(slots=True)
 class Plan:
-    """Hold a roll-out as its holder knows it; times in seconds of one clock."""
+    """Hold a roll-out as a process knows it; times in seconds of one clock.
+
+    `excused` are the new version's answers up to a suspicion that was refuted.
+    """
 
     order: RolloutOrder
     ordered_at: float
@@ -80,6 +96,8 @@
     state: RolloutState = RolloutState.RUNNING
     verdict: Verdict = Verdict.UNKNOWN
     reason: str = ""
+    suspicion: Suspicion | None = None
+    excused: VersionCounts = field(default_factory=dict)
     snapshots: list[tuple[float, VersionCounts]] = field(default_factory=list)
 
 
@@ -103,10 +121,39 @@
     """Judge the version again; a bad one stays bad."""
     if plan.verdict is Verdict.BAD:
         return plan.verdict
-    plan.verdict, plan.reason = judge(counts, _find_recent(plan, counts, now))
+    if plan.suspicion is not None:
+        _settle_suspicion(plan, plan.suspicion, counts, now)
+        return plan.verdict
+    evidence = subtract_counts(counts, plan.excused)
+    fault = find_fault(evidence, _find_recent(plan, counts, now))
+    if fault is not None:
+        plan.suspicion = Suspicion(fault, now)
+        plan.verdict, plan.reason = Verdict.UNKNOWN, f"suspected, {fault}"
+    else:
+        plan.verdict, plan.reason = judge(evidence)
     return plan.verdict
 
 
+def _settle_suspicion(
+    plan: Plan, suspicion: Suspicion, counts: VersionCounts, now: float
+) -> None:
+    """Call a suspected version bad unless its next answers refute that."""
+    age_s = now - suspicion.at
+    if suspicion.settled is None and age_s >= SETTLE_S:
+        suspicion.settled = subtract_counts(counts, {})
+    if suspicion.settled is None or age_s < SUSPICION_S:
+        return
+    later = subtract_counts(counts, suspicion.settled)
+    if is_refuted(suspicion.fault, later, counts):
+        copied = subtract_counts(counts, {})
+        plan.excused = {key: row for key, row in copied.items() if key[1]}
+        plan.snapshots.clear()
+        plan.reason = f"refuted, {suspicion.fault}"
+        plan.suspicion = None
+    else:
+        plan.verdict, plan.reason = Verdict.BAD, str(suspicion.fault)
+
+
 def advance(plan: Plan, counts: VersionCounts, fleet: Fleet, now: float) -> Step:
     """Take the next step of a running order, if one is due, and return why."""
     if plan.state is not RolloutState.RUNNING:
@@ -117,6 +164,8 @@
     deadline_at = plan.ordered_at + plan.order.duration_s
     if plan.phase is Phase.PROVING:
         return _end_proving(plan, counts, fleet, now)
+    if plan.suspicion is not None:
+        return Step.NONE
     if plan.phase is Phase.MOVING:
         if now - plan.phase_since >= 2 * HALF_SHARE_S:
             _enter(plan, Phase.DRAINING, now)
@@ -138,6 +187,8 @@
     deadline_at = plan.ordered_at + plan.order.duration_s
     is_last = now >= deadline_at - LAST_MOVE_S
     if fleet.has_new and now >= find_moving_at(plan.order, plan.ordered_at):
+        if plan.suspicion is not None:
+            return Step.NONE
         if plan.verdict is Verdict.GOOD:
             _enter(plan, Phase.MOVING, now)
             return Step.PROVED
--- a/catkintrack/rollouts/verdict.py
+++ b/catkintrack/rollouts/verdict.py
@@ -15,12 +15,15 @@
 than of the old one's is called good with probability about MISS_ERROR at most on each route:
 GOOD asks for so many answers that such a version had been called bad.
 
-A replica that is ill by itself isn't told from an ill version: ejections bound its part.
+Answers of one moment aren't independent: a crash cuts many calls at once, a pause makes many
+slow.  A finding is therefore a suspicion first, see plan.review: it stands unless the next
+answers refute it.
 """
 
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass
 from enum import Enum
 
 from .counts import BUCKETS, BUCKETS_PER_OCTAVE, AnswerCounts, VersionCounts
@@ -42,6 +45,8 @@
 # Fewer answers of the old version don't show what is usual.
 MIN_OLD_ANSWERS = 20
 MIN_BAD = 4
+# A share that had shown in so many answers is shown by none with probability 0.05.
+REFUTING_BAD = 3.0
 
 
 class Verdict(Enum):
@@ -88,18 +93,51 @@
     return is_worse(fewest_bad, total, old, 0.0, BAD_ERROR)
 
 
-def judge(counts: VersionCounts, recent: VersionCounts) -> tuple[Verdict, str]:
-    """Return the verdict on the new version, and the route and reason.
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Hold what is worse at the new version: on which route, and how many answers."""
 
-    `counts` are those since the order, `recent` those of the last seconds.  GOOD needs
-    enough answers on each route that either version has served.
+    route: str
+    name: str
+    bad: int
+    total: int
+
+    def __str__(self) -> str:
+        """Return the fault for the log."""
+        return f"{self.route}: {self.bad} of {self.total} answers {self.name}"
+
+
+def find_fault(counts: VersionCounts, recent: VersionCounts) -> Fault | None:
+    """Return what is surely worse at the new version, if anything.
+
+    `counts` are those since the order, `recent` those of the last seconds.
     """
-    routes = sorted({route for route, _ in counts})
-    for route in routes:
+    for route in sorted({route for route, _ in counts}):
         for rows, error in ((counts, BAD_ERROR), (recent, RECENT_ERROR)):
             for name, bad, total, old, min_excess in _list_shares(rows, counts, route):
                 if is_worse(bad, total, old, min_excess, error):
-                    return Verdict.BAD, f"{route}: {bad} of {total} answers {name}"
+                    return Fault(route, name, bad, total)
+    return None
+
+
+def is_refuted(fault: Fault, later: VersionCounts, counts: VersionCounts) -> bool:
+    """Report whether the answers after a fault were seen speak against it.
+
+    They do if enough came that half of its share had shown, and it has not.
+    """
+    share = fault.bad / fault.total / 2
+    for name, bad, total, _, _ in _list_shares(later, counts, fault.route):
+        if name == fault.name:
+            return total * share >= REFUTING_BAD and bad < share * total
+    return False
+
+
+def judge(counts: VersionCounts) -> tuple[Verdict, str]:
+    """Return whether a version without faults is GOOD, and the reason if not.
+
+    That needs enough answers on each route that either version has served.
+    """
+    routes = sorted({route for route, _ in counts})
     for route in routes:
         shares = _list_shares(counts, counts, route)
         if not shares:
