--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -37,9 +37,10 @@
 from .lives import confirm_life
 from .partitions import record_contact
 from .replica_signals import admit, apply_signals, may_send
-from .rollouts import Answer, admit_version, count_answer
 from .state import Instance
 from .stream_events import EventSplitter, open_splitter
+from .version_answers import Answer, count_answer
+from .version_choice import admit_version
 
 # A replica's deadline is this much before the caller's, so that it stops in time.
 DEADLINE_MARGIN_S = 0.02
@@ -222,14 +223,15 @@
         # Another answer may have arrived while the connection was opened.
         if not admit(instance, upstream, time.monotonic()):
             raise ReplicaUnavailable("the replica accepts nothing new")
+        sent_at = time.monotonic()
         is_pinned = progress.software_version is not None
-        if not admit_version(instance, upstream, is_pinned, time.monotonic()):
+        if not admit_version(instance, call.service, upstream, is_pinned, sent_at):
             raise ReplicaUnavailable("the replica's version gets no such call now")
         might_have_run = progress.may_have_run
         progress.may_have_run = True
         progress.connected_attempts += 1
         progress.has_retry = False
-        answer.sent_at = sent_at = time.monotonic()
+        answer.sent_at = sent_at
         await exchange.send(make_upstream_request(call, dispatch))
         bounds = make_stream_bounds(call, exchange.max_body_bytes)
         head = await _read_unless_abandoned(bounds, callbacks, exchange.read_head)
--- a/catkintrack/instance/feeds.py
+++ b/catkintrack/instance/feeds.py
@@ -53,7 +53,7 @@
     UpstreamsChanged,
     encode_peer_message,
 )
-from .rollouts import (
+from .rollout_orders import (
     apply_rollout,
     apply_rollout_list,
     has_rollouts,
--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -44,7 +44,7 @@
 )
 from .eras import is_after_new_era
 from .replica_signals import update_signals
-from .rollouts import observe_cold_start
+from .rollout_orders import observe_cold_start
 from .state import Instance, KnownLife, PendingRemoval
 
 logger = logging.getLogger(__name__)
--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -84,7 +84,7 @@
     handle_parts_served,
     handle_replica_lost,
 )
-from .rollouts import handle_rollout_news, send_rollout_news
+from .rollout_news import handle_rollout_news, send_rollout_news
 from .state import Instance, Peer
 
 logger = logging.getLogger(__name__)
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -71,7 +71,6 @@
     reserve_retry,
     take_next_attempt,
 )
-from .rollouts import choose_version, place_at, release, release_unplaced
 from .state import Instance
 from .stream_origins import (
     check_version_served,
@@ -80,6 +79,7 @@
     forget_origin,
     record_begun_stream,
 )
+from .version_choice import choose_version, place_at, release, release_unplaced
 
 logger = logging.getLogger(__name__)
 
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -76,7 +76,8 @@
 from .reload import make_site_reload
 from .replica_signals import end_returned_rests, share_limits
 from .retry_budgets import share_retry_budgets
-from .rollouts import has_rollouts, run_rollouts
+from .rollout_orders import has_rollouts
+from .rollouts import run_rollouts
 from .state import Instance
 from .stream_origins import run_origin_keeper
 from .weights_rollout import run_weights_rollout
--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -56,8 +56,8 @@
     reserve_retry,
     take_next_attempt,
 )
-from .rollouts import NO_CHOICE, VersionChoice, allows, choose_version, release
 from .state import Instance
+from .version_choice import NO_CHOICE, VersionChoice, allows, choose_version, release
 
 logger = logging.getLogger(__name__)
 
--- a/catkintrack/instance/stream_origins.py
+++ b/catkintrack/instance/stream_origins.py
@@ -44,8 +44,8 @@
 from .attempts import CallProgress
 from .peers import find_rank, list_live_peers
 from .refusals import NotServed, OutcomeUnknown
-from .rollouts import is_version_over
 from .state import Instance
+from .version_choice import is_version_over
 
 logger = logging.getLogger(__name__)
 
--- a/catkintrack/instance/tests/test_rollouts.py
+++ b/catkintrack/instance/tests/test_rollouts.py
@@ -9,22 +9,24 @@
 from returns.result import Failure, Success
 
 from catkintrack.fleet import Feature, RolloutState, RolloutStatus
-from catkintrack.instance import rollouts
+from catkintrack.instance import rollout_news, rollouts
 from catkintrack.instance.feeds import list_watched_kinds
 from catkintrack.instance.fleet_state import apply_upstream
 from catkintrack.instance.messages import decode_peer_message, encode_peer_message
-from catkintrack.instance.rollouts import (
-    admit_version,
-    allows,
+from catkintrack.instance.rollout_news import handle_rollout_news, send_rollout_news
+from catkintrack.instance.rollout_orders import (
     apply_rollout,
     apply_rollout_list,
+    withdraw_rollouts,
+)
+from catkintrack.instance.rollouts import tick_rollout
+from catkintrack.instance.version_choice import (
+    NO_CHOICE,
+    admit_version,
+    allows,
     choose_version,
-    handle_rollout_news,
     is_version_over,
     release,
-    send_rollout_news,
-    tick_rollout,
-    withdraw_rollouts,
 )
 from catkintrack.platform import (
     ROLLOUT_KIND,
@@ -36,7 +38,7 @@
     decode_rollout_status,
     encode_rollout_status,
 )
-from catkintrack.rollouts import AnswerCounts, Phase, Verdict
+from catkintrack.rollouts import AnswerCounts, Phase, Verdict, add_answer
 from testkit.instances import make_entry_spec
 from testkit.states import make_instance
 
@@ -81,19 +83,23 @@
             choice = choose_version(self.instance, "app", None)
             upstreams = self.instance.upstream_by_id.values()
             target = next(u for u in upstreams if allows(choice, u))
-            self.assertTrue(admit_version(self.instance, target, False, self.now))
+            self.assertTrue(
+                admit_version(self.instance, "app", target, False, self.now)
+            )
             exposed += target.software_version == "v2"
             release(choice)
         return exposed
 
     def admits(self, id, is_pinned=False):
         upstream = self.instance.upstream_by_id[id]
-        return admit_version(self.instance, upstream, is_pinned, time.monotonic())
+        return admit_version(
+            self.instance, "app", upstream, is_pinned, time.monotonic()
+        )
 
 
 class OrderTest(RolloutTest):
     def test_without_an_order_versions_serve_side_by_side(self):
-        self.assertEqual(choose_version(self.instance, "app", None), rollouts.NO_CHOICE)
+        self.assertEqual(choose_version(self.instance, "app", None), NO_CHOICE)
         self.assertTrue(self.admits("a0") and self.admits("a2"))
 
     def test_kind_is_watched_only_where_switched_on(self):
@@ -213,7 +219,7 @@
         async def record(instance, message):
             sent.append(decode_peer_message(encode_peer_message(message)))
 
-        with patch.object(rollouts, "broadcast", record):
+        with patch.object(rollout_news, "broadcast", record):
             curio.run(send_rollout_news, sender)
         for message in sent:
             curio.run(handle_rollout_news, receiver, message)
@@ -224,9 +230,9 @@
 
     def test_peer_learns_order_grant_and_counts_only_once(self):
         rollout = self.apply()
-        rollouts.add_answer(rollout.own_counts, "lookup", True, 0.02)
+        add_answer(rollout.own_counts, "lookup", True, 0.02)
         peer = make_rollout_instance("n2")
-        with patch.object(rollouts, "holds_lease", lambda instance: True):
+        with patch.object(rollout_news, "holds_lease", lambda instance: True):
             self.instance.lease.record = replace(self.instance.lease.record, fencing=4)
             self.exchange(self.instance, peer)
             self.exchange(self.instance, peer)
