--- a/catkintrack/instance/rollouts.py
+++ b/catkintrack/instance/rollouts.py
@@ -188,7 +188,8 @@
             log_rollout(rollout, "order not read", reason=repr(error))
             return
     is_known = instance.rollouts.rollout_by_service.get(name) is rollout
-    if not is_known or not holds_lease(instance):
+    is_withdrawn = rollout.plan.state is RolloutState.WITHDRAWN
+    if not is_known or is_withdrawn or not holds_lease(instance):
         return
     is_current = decode_rollout_status(found.status) == rollout.stored
     if is_current and not _is_write_due(instance, rollout):
--- a/catkintrack/instance/tests/test_rollouts.py
+++ b/catkintrack/instance/tests/test_rollouts.py
@@ -329,6 +329,12 @@
         self.assertIs(rollout.plan.state, RolloutState.ROLLED_BACK)
         self.assertEqual(self.writes, [])
 
+    def test_garbled_entry_gets_no_status(self):
+        self.apply(status={"state": "running", "to": "v2", "fence": 3})
+        self.stored = make_order(revision=11, to=7)
+        self.write()
+        self.assertEqual(self.writes, [])
+
     def test_completion_is_written_again_to_a_copy_that_lacks_it(self):
         rollout = self.apply(status={"state": "completed", "to": "v2"})
         self.instance.store.era = 2
--- a/catkintrack/rollouts/tests/test_plan.py
+++ b/catkintrack/rollouts/tests/test_plan.py
@@ -86,7 +86,7 @@
     processes = [Process() for _ in range(instances)]
     known, ended, total = {}, [], {}
     order = RolloutOrder("app", "v2", DURATION_S)
-    plan = Plan(order, 0.0)
+    plan, standby = Plan(order, 0.0), Plan(order, 0.0)
     kill_at = {rng.randrange(int(DURATION_S / STEP_S)) for _ in range(kills)}
     sent, exposed, worst, bad_at, last_new = 0, 0, -math.inf, [], -math.inf
     is_unproven = True
@@ -101,6 +101,7 @@
             process = rng.choice(processes)
             route = rng.choices(ROUTES, (10, 5, 1))[0]
             is_granted = now - process.granted_at < GRANT_S
+            is_granted = is_granted and standby.verdict is not Verdict.BAD
             age = now - process.phase_since
             share = find_share(process.phase, age, EXPOSURE_SHARE) * is_granted
             if process.phase is Phase.PROVING:
@@ -123,8 +124,14 @@
         for process in processes:
             if rng.random() >= loss:
                 merge_counts(known.setdefault(id(process), {}), process.counts, total)
+        review(standby, total, now)
         if holder_gap and holder_gap[0] <= now < holder_gap[1]:
             continue
+        if holder_gap and now == holder_gap[1]:
+            # Another process holds the lease, which has judged and been granted all along.
+            last = max(processes, key=lambda process: process.phase)
+            plan = standby
+            plan.phase, plan.phase_since = last.phase, last.phase_since
         if plan.state is RolloutState.RUNNING:
             is_drained = all(p.phase is Phase.DRAINING for p in processes)
             advance(plan, total, Fleet(True, True, is_drained), now)
@@ -167,9 +174,10 @@
         st.integers(0, 10**6),
         st.sampled_from((0.0, 0.3, 0.6)),
         st.integers(0, 4),
+        st.sampled_from(((), (2.0, 6.0), (17.0, 21.0))),
     )
-    def test_bad_version_is_rolled_back(self, kind, count, seed, loss, kills):
-        outcome = roll_out(make_bad(kind), count, 400, seed, loss, kills)
+    def test_bad_version_is_rolled_back(self, kind, count, seed, loss, kills, gap):
+        outcome = roll_out(make_bad(kind), count, 400, seed, loss, kills, gap)
         self.assertEqual(outcome.state, RolloutState.ROLLED_BACK)
         if len(outcome.bad_at) >= 50:
             self.assertLessEqual(outcome.last_new_at, outcome.bad_at[49] + ROLLBACK_S)
