--- a/catkintrack/rollouts/plan.py
+++ b/catkintrack/rollouts/plan.py
@@ -16,7 +16,7 @@
 from catkintrack.fleet import RolloutOrder, RolloutState
 
 from .counts import VersionCounts, subtract_counts
-from .verdict import Fault, Verdict, find_fault, is_refuted, judge
+from .verdict import Fault, Verdict, count_excess, find_fault, is_refuted, judge
 
 # A part of the bound, since replicas count as calls what never reaches them.
 EXPOSURE_MARGIN = 0.9
@@ -37,6 +37,10 @@
 # crash has cut is counted everywhere.  With gossip a roll-back stays within some 4 s.
 SETTLE_S = 1.0
 SUSPICION_S = 2.5
+# With few answers it takes longer, while fewer are bad than operators bound: 50, of which
+# some aren't counted yet.
+MAX_EXCESS = 25
+LONG_SUSPICION_S = 8.0
 SNAPSHOT_INTERVAL_S = 0.5
 
 
@@ -126,7 +130,9 @@
         return plan.verdict
     evidence = subtract_counts(counts, plan.excused)
     fault = find_fault(evidence, _find_recent(plan, counts, now))
-    if fault is not None:
+    if fault is not None and plan.excused:
+        plan.verdict, plan.reason = Verdict.BAD, f"again, {fault}"
+    elif fault is not None:
         plan.suspicion = Suspicion(fault, now)
         plan.verdict, plan.reason = Verdict.UNKNOWN, f"suspected, {fault}"
     else:
@@ -137,14 +143,18 @@
 def _settle_suspicion(
     plan: Plan, suspicion: Suspicion, counts: VersionCounts, now: float
 ) -> None:
-    """Call a suspected version bad unless its next answers refute that."""
+    """Call a suspected version bad unless its next answers refute that, which they may once."""
     age_s = now - suspicion.at
     if suspicion.settled is None and age_s >= SETTLE_S:
         suspicion.settled = subtract_counts(counts, {})
     if suspicion.settled is None or age_s < SUSPICION_S:
         return
     later = subtract_counts(counts, suspicion.settled)
-    if is_refuted(suspicion.fault, later, counts):
+    refuted = is_refuted(suspicion.fault, later, counts)
+    may_wait = age_s < LONG_SUSPICION_S and count_excess(counts) < MAX_EXCESS
+    if refuted is None and may_wait:
+        return
+    if refuted:
         copied = subtract_counts(counts, {})
         plan.excused = {key: row for key, row in copied.items() if key[1]}
         plan.snapshots.clear()
--- a/catkintrack/rollouts/tests/test_plan.py
+++ b/catkintrack/rollouts/tests/test_plan.py
@@ -215,8 +215,9 @@
         review(plan, counts, 11.0)
         for answer in answers:
             add_answer(counts, "quotes", True, answer)
-        review(plan, counts, 12.5)
-        return review(plan, counts, 12.75)
+        for now in (12.5, 12.75, 19.0):
+            review(plan, counts, now)
+        return plan.verdict
 
     def test_calls_that_one_crash_has_cut_are_no_reason_to_roll_back(self):
         self.assertIsNot(self.review_after([USUAL_S] * 60), Verdict.BAD)
--- a/catkintrack/rollouts/verdict.py
+++ b/catkintrack/rollouts/verdict.py
@@ -120,16 +120,34 @@
     return None
 
 
-def is_refuted(fault: Fault, later: VersionCounts, counts: VersionCounts) -> bool:
-    """Report whether the answers after a fault were seen speak against it.
+def is_refuted(
+    fault: Fault, later: VersionCounts, counts: VersionCounts
+) -> bool | None:
+    """Report whether the answers after a fault was seen speak against it.
 
-    They do if enough came that half of its share had shown, and it has not.
+    They do if harmful versions had shown more bad ones; None if they are too few for that.
+    The share at which a fault was found is mostly above the true one.
     """
-    share = fault.bad / fault.total / 2
-    for name, bad, total, _, _ in _list_shares(later, counts, fault.route):
+    for name, bad, total, (old_bad, old_total), _ in _list_shares(
+        later, counts, fault.route
+    ):
         if name == fault.name:
-            return total * share >= REFUTING_BAD and bad < share * total
-    return False
+            old_share = old_bad / old_total if old_total else 0.0
+            share = min(fault.bad / fault.total / 2, old_share + HARMFUL_SHARE)
+            return bad < share * total if total * share >= REFUTING_BAD else None
+    return None
+
+
+def count_excess(counts: VersionCounts) -> float:
+    """Return how many more answers of the new version are bad than of the old one."""
+    excess = 0.0
+    for route in {route for route, _ in counts}:
+        for _, bad, total, (old_bad, old_total), _ in _list_shares(
+            counts, counts, route
+        ):
+            usual = total * old_bad / old_total if old_total else 0.0
+            excess += max(0.0, bad - usual)
+    return excess
 
 
 def judge(counts: VersionCounts) -> tuple[Verdict, str]:
