--- a/catkintrack/instance/version_choice.py
+++ b/catkintrack/instance/version_choice.py
@@ -7,6 +7,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
 
+from catkintrack.decisions.failure_detection import SUSPECT_AFTER_S
 from catkintrack.decisions.placement import has_healthy_upstream
 from catkintrack.decisions.services import has_healthy_replica
 from catkintrack.decisions.tables import ModelRequest
@@ -27,7 +28,6 @@
     wants_new_version,
 )
 
-from .peers import PEER_TIMEOUT_S
 from .rollout_orders import is_new_version, split_replicas
 from .state import Instance
 
@@ -119,7 +119,7 @@
         placed = place_at(request, choice)
         return has_healthy_upstream(instance.decisions, placed, now)
     names = [u.id for u in new if u.id not in choice.excluded | excluded]
-    return has_healthy_replica(instance.services, names, now, PEER_TIMEOUT_S)
+    return has_healthy_replica(instance.services, names, now, SUSPECT_AFTER_S)
 
 
 def place_at(request: ModelRequest, choice: VersionChoice) -> ModelRequest:
--- a/catkintrack/rollouts/verdict.py
+++ b/catkintrack/rollouts/verdict.py
@@ -126,16 +126,17 @@
     """Report whether the answers after a fault was seen speak against it.
 
     They do if harmful versions had shown more bad ones; None if they are too few for that.
+    Without a single good one they don't: replicas that fail are ejected and get few calls.
     The share at which a fault was found is mostly above the true one.
     """
     for name, bad, total, (old_bad, old_total), _ in _list_shares(
         later, counts, fault.route
     ):
-        if name == fault.name:
+        if name == fault.name and bad < total:
             old_share = old_bad / old_total if old_total else 0.0
             share = min(fault.bad / fault.total / 2, old_share + HARMFUL_SHARE)
             return bad < share * total if total * share >= REFUTING_BAD else None
-    return None
+    return False
 
 
 def count_excess(counts: VersionCounts) -> float:
