--- a/catkintrack/instance/service_calls.py
+++ b/catkintrack/instance/service_calls.py
@@ -57,7 +57,14 @@
     take_next_attempt,
 )
 from .state import Instance
-from .version_choice import NO_CHOICE, VersionChoice, allows, choose_version, release
+from .version_choice import (
+    NO_CHOICE,
+    VersionChoice,
+    allows,
+    choose_version,
+    describe_version,
+    release,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -235,6 +242,7 @@
         in_flight=row.in_flight,
         reported=row.reported_running + row.reported_waiting,
         zone=row.zone,
+        **describe_version(instance, call.service, upstream),
     )
     sent_at = time.monotonic()
     remaining_s = call.deadline_at - sent_at - DEADLINE_MARGIN_S
--- a/catkintrack/instance/tests/test_rollouts.py
+++ b/catkintrack/instance/tests/test_rollouts.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Success
 
 from catkintrack.fleet import Feature, RolloutState, RolloutStatus
+from catkintrack.http import UpstreamDisconnected
 from catkintrack.instance import rollout_news, rollouts
 from catkintrack.instance.feeds import list_watched_kinds
 from catkintrack.instance.fleet_state import apply_upstream
@@ -20,6 +21,7 @@
     withdraw_rollouts,
 )
 from catkintrack.instance.rollouts import tick_rollout
+from catkintrack.instance.version_answers import count_answer
 from catkintrack.instance.version_choice import (
     NO_CHOICE,
     admit_version,
@@ -34,12 +36,14 @@
     StoreConflict,
     StoredObject,
     StoreUnavailable,
+    decode_cold_s,
     decode_rollout,
     decode_rollout_status,
+    decode_site,
     encode_rollout_status,
 )
 from catkintrack.rollouts import AnswerCounts, Phase, Verdict, add_answer
-from testkit.instances import make_entry_spec
+from testkit.instances import SETTINGS_LINES, make_call, make_entry_spec, make_route
 from testkit.states import make_instance
 
 OLD, NEW = ("a0", "a1"), ("a2", "a3")
@@ -202,6 +206,25 @@
         curio.run(tick_rollout, self.instance, "app", self.now + 10)
         self.assertIs(rollout.plan.state, RolloutState.WITHDRAWN)
 
+    def test_times_of_cold_replicas_do_not_count_but_failures_do(self):
+        rollout = self.apply()
+        fields = {"service": "app", "models": [], "version": "v2"}
+        spec = make_entry_spec(**fields) | {"cold_remaining_ms": 5000}
+        apply_upstream(self.instance, "a2", spec, time.monotonic())
+        call = make_call(route=make_route(name="lookup"), service="app")
+        for id in ("a2", "a3"):
+            upstream = self.instance.upstream_by_id[id]
+            with count_answer(self.instance, call, upstream, 0) as answer:
+                answer.sent_at = time.monotonic()
+            with (
+                self.assertRaises(UpstreamDisconnected),
+                count_answer(self.instance, call, upstream, 0) as answer,
+            ):
+                answer.sent_at = time.monotonic()
+                raise UpstreamDisconnected("cut")
+        found = rollout.total_counts["lookup", True]
+        self.assertEqual((found.whole, found.failed), (1, 2))
+
     def test_replica_of_an_unknown_version_counts_as_new(self):
         self.apply()
         upstream = self.instance.upstream_by_id["a0"]
@@ -365,6 +388,27 @@
         for spec in (None, [], "x", {}):
             self.assertIsInstance(decode_rollout("app", spec, 3), Failure)
 
+    def test_bounds_come_from_the_settings(self):
+        lines = (
+            "contracts=rollout\nbounds.exposure_share=0.2\nbounds.rollback_ms=4000\n"
+        )
+        site = decode_site(SETTINGS_LINES + lines).unwrap()
+        self.assertEqual(
+            (site.bounds.exposure_share, site.bounds.rollback_s), (0.2, 4.0)
+        )
+        self.assertIn(Feature.VERSION_ROLLOUTS, site.features)
+
+    def test_odd_cold_times_count_as_none(self):
+        self.assertEqual(decode_cold_s({"cold_remaining_ms": 1500}), 1.5)
+        for odd in (
+            None,
+            [],
+            {},
+            {"cold_remaining_ms": "5"},
+            {"cold_remaining_ms": -1},
+        ):
+            self.assertEqual(decode_cold_s(odd), 0.0)
+
     def test_status_is_read_as_written(self):
         status = RolloutStatus(RolloutState.ROLLED_BACK, "v2", 7)
         self.assertEqual(decode_rollout_status(encode_rollout_status(status)), status)
--- a/catkintrack/instance/version_choice.py
+++ b/catkintrack/instance/version_choice.py
@@ -150,6 +150,15 @@
     return choice.version in (None, version)
 
 
+def describe_version(
+    instance: Instance, service: str, upstream: Upstream
+) -> dict[str, str]:
+    """Return the version of an attempt's replica for the log, if there was an order."""
+    if service not in instance.rollouts.rollout_by_service:
+        return {}
+    return {"software": upstream.software_version}
+
+
 def release(choice: VersionChoice) -> None:
     """Return what a choice has reserved, once its attempt is over or never began."""
     if choice.reserved is not None:
