--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -34,7 +34,7 @@
     open_server,
 )
 from catkintrack.leases import Lease
-from catkintrack.platform import StoreClient, get_settings_path, load_site
+from catkintrack.platform import ROLLOUT_KIND, StoreClient, get_settings_path, load_site
 from catkintrack.pooling import PeerReports, PooledLimits, find_reporting
 from catkintrack.processes import (
     EXIT_BAD_SETTINGS,
@@ -76,6 +76,7 @@
 from .reload import make_site_reload
 from .replica_signals import end_returned_rests, share_limits
 from .retry_budgets import share_retry_budgets
+from .rollout_news import send_rollout_news
 from .rollout_orders import has_rollouts
 from .rollouts import run_rollouts
 from .state import Instance
@@ -224,6 +225,8 @@
     async def on_change(kind: str) -> None:
         await wake.set()
         await send_gossip(instance)
+        if kind == ROLLOUT_KIND:
+            await send_rollout_news(instance)
 
     tasks: list[tuple[Any, ...]] = [
         (run_feed, instance, kind, on_change) for kind in list_watched_kinds(instance)
--- a/catkintrack/rollouts/plan.py
+++ b/catkintrack/rollouts/plan.py
@@ -16,7 +16,7 @@
 from catkintrack.fleet import RolloutOrder, RolloutState
 
 from .counts import VersionCounts, subtract_counts
-from .verdict import Fault, Verdict, count_excess, find_fault, is_refuted, judge
+from .verdict import SLOW, Fault, Verdict, count_excess, find_fault, is_refuted, judge
 
 # A part of the bound, since replicas count as calls what never reaches them.
 EXPOSURE_MARGIN = 0.9
@@ -125,11 +125,16 @@
     """Judge the version again; a bad one stays bad."""
     if plan.verdict is Verdict.BAD:
         return plan.verdict
+    is_beside = plan.phase is Phase.PROVING
+    if plan.suspicion is not None and not is_beside:
+        # The holder has found the version good meanwhile.
+        is_slow = plan.suspicion.fault.name == SLOW
+        plan.suspicion = None if is_slow else plan.suspicion
     if plan.suspicion is not None:
         _settle_suspicion(plan, plan.suspicion, counts, now)
         return plan.verdict
     evidence = subtract_counts(counts, plan.excused)
-    fault = find_fault(evidence, _find_recent(plan, counts, now))
+    fault = find_fault(evidence, _find_recent(plan, counts, now), is_beside)
     if fault is not None and plan.excused:
         plan.verdict, plan.reason = Verdict.BAD, f"again, {fault}"
     elif fault is not None:
--- a/catkintrack/rollouts/tests/test_plan.py
+++ b/catkintrack/rollouts/tests/test_plan.py
@@ -229,6 +229,28 @@
         self.assertIs(self.review_after([]), Verdict.BAD)
 
 
+class MovingTest(unittest.TestCase):
+    """Review a version that gets all calls, so that none of the old one shows what is usual."""
+
+    def review_moving(self, answer):
+        plan = Plan(RolloutOrder("app", "v2", DURATION_S), 0.0)
+        counts = {}
+        for index in range(2000):
+            add_answer(counts, "quotes", index % 10 == 0, USUAL_S)
+        plan.phase, plan.phase_since = Phase.MOVING, 10.0
+        for now in (12.0, 13.0, 14.5, 15.0):
+            for _ in range(100):
+                add_answer(counts, "quotes", True, answer)
+            review(plan, counts, now)
+        return plan.verdict
+
+    def test_service_that_is_slow_as_a_whole_is_no_reason_to_roll_back(self):
+        self.assertIsNot(self.review_moving(4 * USUAL_S), Verdict.BAD)
+
+    def test_version_that_fails_is_rolled_back_also_then(self):
+        self.assertIs(self.review_moving(None), Verdict.BAD)
+
+
 class VerdictTest(unittest.TestCase):
     """Judge counts."""
 
--- a/catkintrack/rollouts/verdict.py
+++ b/catkintrack/rollouts/verdict.py
@@ -93,6 +93,11 @@
     return is_worse(fewest_bad, total, old, 0.0, BAD_ERROR)
 
 
+# What is bad about answers.
+FAILED = "failed"
+SLOW = "were slow"
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """Hold what is worse at the new version: on which route, and how many answers."""
@@ -107,14 +112,20 @@
         return f"{self.route}: {self.bad} of {self.total} answers {self.name}"
 
 
-def find_fault(counts: VersionCounts, recent: VersionCounts) -> Fault | None:
+def find_fault(
+    counts: VersionCounts, recent: VersionCounts, is_beside: bool = True
+) -> Fault | None:
     """Return what is surely worse at the new version, if anything.
 
-    `counts` are those since the order, `recent` those of the last seconds.
+    `counts` are those since the order, `recent` those of the last seconds.  Without the
+    old version beside it at a constant share, what slows the whole service down would
+    count against the new one: then only failures are judged.
     """
     for route in sorted({route for route, _ in counts}):
         for rows, error in ((counts, BAD_ERROR), (recent, RECENT_ERROR)):
             for name, bad, total, old, min_excess in _list_shares(rows, counts, route):
+                if name == SLOW and not is_beside:
+                    continue
                 if is_worse(bad, total, old, min_excess, error):
                     return Fault(route, name, bad, total)
     return None
@@ -188,12 +199,12 @@
     old = counts.get((route, False), usual)
     old = old if old.total >= MIN_OLD_ANSWERS else usual
     failed = (old.failed, old.total)
-    rows: list[Share] = [("failed", new.failed, new.total, failed, MIN_FAILURE_EXCESS)]
+    rows: list[Share] = [(FAILED, new.failed, new.total, failed, MIN_FAILURE_EXCESS)]
     first_slow = find_first_slow_bucket(usual)
     if first_slow is not None:
         slow = sum(new.whole_by_bucket[first_slow:])
         old_slow = (sum(old.whole_by_bucket[first_slow:]), old.whole)
-        rows.append(("were slow", slow, new.whole, old_slow, MIN_SLOW_EXCESS))
+        rows.append((SLOW, slow, new.whole, old_slow, MIN_SLOW_EXCESS))
     return rows
 
 
