--- a/catkintrack/fleet/rollouts.py
+++ b/catkintrack/fleet/rollouts.py
@@ -30,8 +30,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RolloutStatus:
-    """Hold an order's stored state; `fencing` is the token of the holder that wrote it."""
+    """Hold an order's stored state."""
 
     state: RolloutState
     version: str
-    fencing: int = 0
--- a/catkintrack/instance/rollout_news.py
+++ b/catkintrack/instance/rollout_news.py
@@ -125,8 +125,10 @@
         return
     plan = rollout.plan
     if state is not RolloutState.RUNNING and not rollout.is_completed:
-        status = RolloutStatus(state, row.version, row.fencing)
+        status = RolloutStatus(state, row.version)
         if state is RolloutState.COMPLETED:
+            # It is of this order, also if the entry still shows an equal one from before.
+            rollout.stale = None
             adopt_status(rollout, status, row.era, now)
         elif plan.state is not state:
             plan.state, rollout.ended_at = state, now
--- a/catkintrack/instance/rollouts.py
+++ b/catkintrack/instance/rollouts.py
@@ -162,9 +162,9 @@
     if rollout.stored_era < instance.store.era:
         # The store may have come back from a copy that lacks the status.
         return True
-    # A status that names the new holder's token ends the conditions of an earlier one.
+    # A new holder's write voids the condition of one that an earlier holder has under way.
     is_running = state is RolloutState.RUNNING
-    return is_running and stored.fencing != instance.lease.record.fencing
+    return is_running and rollout.written_fencing != instance.lease.record.fencing
 
 
 async def _write_status(instance: Instance, rollout: ServiceRollout) -> None:
@@ -194,9 +194,8 @@
     is_current = decode_rollout_status(found.status) == rollout.stored
     if is_current and not _is_write_due(instance, rollout):
         return
-    status = RolloutStatus(
-        rollout.plan.state, rollout.order.version, instance.lease.record.fencing
-    )
+    fencing = instance.lease.record.fencing
+    status = RolloutStatus(rollout.plan.state, rollout.order.version)
     fields = encode_rollout_status(status)
     outcome = await replace_status(
         instance.store, ROLLOUT_KIND, name, fields, found.revision
@@ -205,6 +204,7 @@
         case Success(written):
             now = time.monotonic()
             rollout.stale = None
+            rollout.written_fencing = fencing
             rollout.stamp = max(rollout.stamp, (written.era, written.revision))
             adopt_status(rollout, status, written.era, now)
             rollout.ended_at = now
@@ -212,7 +212,7 @@
                 rollout,
                 "order's status written",
                 state=status.state.value,
-                fencing=status.fencing,
+                fencing=fencing,
             )
             await send_rollout_news(instance)
         case Failure(error):
--- a/catkintrack/instance/tests/test_rollouts.py
+++ b/catkintrack/instance/tests/test_rollouts.py
@@ -301,7 +301,9 @@
         return Success(self.stored)
 
     async def put(self, store, kind, name, status, revision):
-        self.writes.append((status["state"], status["fence"], revision))
+        self.assertEqual(status, {"state": status["state"], "to": "v2"})
+        fencing = self.instance.lease.record.fencing
+        self.writes.append((status["state"], fencing, revision))
         if self.failures:
             return Failure(self.failures.pop())
         if revision != self.stored.revision:
@@ -345,7 +347,7 @@
     def test_end_that_another_holder_has_written_is_adopted(self):
         rollout = self.apply()
         rollout.plan.state = RolloutState.COMPLETED
-        status = RolloutStatus(RolloutState.ROLLED_BACK, "v2", 9)
+        status = RolloutStatus(RolloutState.ROLLED_BACK, "v2")
         fields = encode_rollout_status(status)
         self.stored = replace(self.stored, revision=15, status=fields)
         self.write()
@@ -410,7 +412,7 @@
             self.assertEqual(decode_cold_s(odd), 0.0)
 
     def test_status_is_read_as_written(self):
-        status = RolloutStatus(RolloutState.ROLLED_BACK, "v2", 7)
+        status = RolloutStatus(RolloutState.ROLLED_BACK, "v2")
         self.assertEqual(decode_rollout_status(encode_rollout_status(status)), status)
         for odd in (None, 3, {}, {"state": "odd", "to": "v2"}, {"state": "running"}):
             self.assertIsNone(decode_rollout_status(odd))
--- a/catkintrack/platform/rollouts.py
+++ b/catkintrack/platform/rollouts.py
@@ -31,8 +31,6 @@
 class _Status(msgspec.Struct):
     state: str
     to: str
-    # The fencing token of the instance that wrote the status.
-    fence: int = 0
 
 
 def decode_rollout(
@@ -58,14 +56,10 @@
         return None
     for state in _STORED_STATES:
         if row.state == state.value:
-            return RolloutStatus(state, row.to, row.fence)
+            return RolloutStatus(state, row.to)
     return None
 
 
 def encode_rollout_status(status: RolloutStatus) -> dict[str, Any]:
     """Return the status as it is stored."""
-    return {
-        "state": status.state.value,
-        "to": status.version,
-        "fence": status.fencing,
-    }
+    return {"state": status.state.value, "to": status.version}
--- a/catkintrack/rollouts/tables.py
+++ b/catkintrack/rollouts/tables.py
@@ -39,8 +39,10 @@
     """Hold one order as this process knows it; times in seconds.
 
     `stored` is the status last seen in the store, in `stored_era`, `stale` one of an earlier
-    order that it still shows.  `is_completed` stays once the store has said so.  `granted_at` is when the holder with the token `fencing` last
-    granted the phase of the plan.  `unlisted_at` is when a new era first lacked the entry.
+    order that it still shows.  `is_completed` stays once the store has said so.
+    `granted_at` is when the holder with the token `fencing` last granted the phase of the
+    plan; `written_fencing` is the token with which this process last wrote the status.
+    `unlisted_at` is when a new era first lacked the entry.
     With `is_in_place` no other version served when the order came.
     """
 
@@ -52,6 +54,7 @@
     is_completed: bool = False
     granted_at: float = -1e9
     fencing: int = 0
+    written_fencing: int = 0
     ended_at: float = 0.0
     unlisted_at: float | None = None
     is_in_place: bool = False
