--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -225,7 +225,10 @@
             raise ReplicaUnavailable("the replica accepts nothing new")
         sent_at = time.monotonic()
         is_pinned = progress.software_version is not None
-        if not admit_version(instance, call.service, upstream, is_pinned, sent_at):
+        is_first = progress.connected_attempts == 0
+        if not admit_version(
+            instance, call.service, upstream, is_pinned, sent_at, is_first
+        ):
             raise ReplicaUnavailable("the replica's version gets no such call now")
         might_have_run = progress.may_have_run
         progress.may_have_run = True
--- a/catkintrack/instance/rollout_news.py
+++ b/catkintrack/instance/rollout_news.py
@@ -43,7 +43,9 @@
     rows = tuple(
         _make_row(instance, rollout, now)
         for rollout in instance.rollouts.rollout_by_service.values()
-        if is_open(rollout) or now - rollout.ended_at < END_RESEND_S
+        if is_open(rollout)
+        or now - rollout.ended_at < END_RESEND_S
+        or _is_ended_unstored(rollout)
     )
     if rows:
         await broadcast(
@@ -58,6 +60,13 @@
     return state is RolloutState.RUNNING or is_unstored
 
 
+def _is_ended_unstored(rollout: ServiceRollout) -> bool:
+    """Report whether only instances know of a roll-back, as the store is away."""
+    state = rollout.plan.state
+    is_stored = rollout.stored is not None and rollout.stored.state is state
+    return state is RolloutState.ROLLED_BACK and not (is_stored or rollout.is_gone)
+
+
 def _make_row(instance: Instance, rollout: ServiceRollout, now: float) -> RolloutRow:
     plan = rollout.plan
     order = plan.order
--- a/catkintrack/instance/rollout_orders.py
+++ b/catkintrack/instance/rollout_orders.py
@@ -36,6 +36,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Longer than any call that was sent to a replica while it was slow.
+COLD_KEPT_S = 60.0
+
 
 def has_rollouts(site: Site) -> bool:
     """Report whether the deployment's settings switch roll-outs on."""
@@ -49,6 +52,10 @@
         cold_until.pop(id, None)
         cold_s = decode_cold_s(spec)
         if cold_s:
+            for known in [
+                k for k, until in cold_until.items() if until < now - COLD_KEPT_S
+            ]:
+                del cold_until[known]
             cold_until[id] = now + cold_s
 
 
@@ -97,6 +104,7 @@
         return
     rollout.stamp = stamp
     rollout.unlisted_at = None
+    rollout.is_gone = True
     if rollout.plan.state is not RolloutState.RUNNING:
         return
     rollout.plan.state = RolloutState.WITHDRAWN
@@ -120,6 +128,7 @@
         if stamp > known.stamp:
             known.stamp = stamp
             known.unlisted_at = None
+            known.is_gone = False
             plan.order = order
             if plan.state is RolloutState.WITHDRAWN:
                 plan.state = RolloutState.RUNNING
--- a/catkintrack/instance/rollouts.py
+++ b/catkintrack/instance/rollouts.py
@@ -68,7 +68,7 @@
     if rollout.unlisted_at is not None and now - rollout.unlisted_at > ENTRY_RESTORE_S:
         stamp = max(rollout.stamp, (instance.store.era, 0))
         withdraw_rollout(instance, service, stamp, now)
-    _forget_proved_bars(instance, service)
+    _forget_absent_bars(instance, service)
     is_holder = holds_lease(instance)
     if plan.state is RolloutState.RUNNING:
         rollout.is_in_place &= not split_replicas(instance, rollout)[1]
@@ -140,7 +140,7 @@
     return report.phase is Phase.DRAINING and report.old_in_flight == 0
 
 
-def _forget_proved_bars(instance: Instance, service: str) -> None:
+def _forget_absent_bars(instance: Instance, service: str) -> None:
     """Forget the versions of earlier orders that have no replica any more."""
     barred = instance.rollouts.barred_by_service.get(service)
     if barred:
@@ -154,7 +154,7 @@
 
 def _is_write_due(instance: Instance, rollout: ServiceRollout) -> bool:
     state = rollout.plan.state
-    if state is RolloutState.WITHDRAWN:
+    if state is RolloutState.WITHDRAWN or rollout.is_gone:
         return False
     stored = rollout.stored
     if stored is None or stored.state is not state:
@@ -183,6 +183,8 @@
         case Failure(ObjectMissing(era=era)):
             if era == rollout.stamp[0]:
                 withdraw_rollout(instance, name, rollout.stamp, time.monotonic())
+            elif rollout.unlisted_at is None:
+                rollout.unlisted_at = time.monotonic()
             return
         case Failure(error):
             log_rollout(rollout, "order not read", reason=repr(error))
--- a/catkintrack/instance/tests/test_rollouts.py
+++ b/catkintrack/instance/tests/test_rollouts.py
@@ -10,7 +10,7 @@
 
 from catkintrack.fleet import Feature, RolloutState, RolloutStatus
 from catkintrack.http import UpstreamDisconnected
-from catkintrack.instance import rollout_news, rollouts
+from catkintrack.instance import rollout_news, rollouts, version_choice
 from catkintrack.instance.feeds import list_watched_kinds
 from catkintrack.instance.fleet_state import apply_upstream
 from catkintrack.instance.messages import decode_peer_message, encode_peer_message
@@ -33,6 +33,7 @@
 from catkintrack.platform import (
     ROLLOUT_KIND,
     ObjectList,
+    ObjectMissing,
     StoreConflict,
     StoredObject,
     StoreUnavailable,
@@ -149,6 +150,36 @@
         self.assertFalse(self.admits("a0"))
         self.assertTrue(self.admits("a0", is_pinned=True))
 
+    def test_old_version_serves_on_if_no_new_replica_is_left(self):
+        self.apply()
+        self.grant(Phase.DRAINING)
+        for id in NEW:
+            del self.instance.upstream_by_id[id]
+        self.assertEqual(self.send(20), 0)
+
+    def test_calls_that_are_sent_again_do_not_widen_the_share(self):
+        rollout = self.apply()
+        self.grant()
+        old = self.instance.upstream_by_id["a0"]
+        for is_first in (True, False, False) * 20:
+            self.assertTrue(
+                admit_version(self.instance, "app", old, False, self.now, is_first)
+            )
+        self.assertEqual(rollout.exposure.sent, 20)
+        self.assertEqual([self.admits("a2") for _ in range(2)], [True, False])
+
+    def test_resting_replica_of_the_new_version_does_not_fail_calls(self):
+        self.apply()
+        self.grant()
+        self.send(50)
+        with patch.object(version_choice, "may_choose", lambda *args: False):
+            self.assertEqual(self.send(20), 0)
+
+    def test_begun_streams_do_not_go_to_stopped_replicas(self):
+        self.apply(status={"state": "completed", "to": "v2"})
+        self.assertTrue(is_version_over(self.instance, "app", "v1"))
+        self.assertFalse(is_version_over(self.instance, "app", "v2"))
+
     def test_rolled_back_version_gets_not_even_begun_streams(self):
         self.apply(status={"state": "rolled_back", "to": "v2"})
         self.grant()
@@ -287,6 +318,17 @@
         state = peer.rollouts.rollout_by_service["app"].plan.state
         self.assertIs(state, RolloutState.RUNNING)
 
+    def test_roll_back_is_repeated_until_it_is_stored(self):
+        rollout = self.apply()
+        rollout.plan.state, rollout.ended_at = RolloutState.ROLLED_BACK, self.now - 60
+        later = make_rollout_instance("n2")
+        self.exchange(self.instance, later)
+        state = later.rollouts.rollout_by_service["app"].plan.state
+        self.assertIs(state, RolloutState.ROLLED_BACK)
+        self.apply(status={"state": "rolled_back", "to": "v2"}, revision=11)
+        rollout.ended_at = self.now - 60
+        self.assertEqual(self.exchange(self.instance, later), [])
+
 
 class StatusTest(RolloutTest):
     """Write an order's status to a store that fails."""
@@ -296,8 +338,11 @@
         self.stored = make_order()
         self.writes = []
         self.failures = []
+        self.missing_era = None
 
     async def get(self, store, kind, name):
+        if self.missing_era is not None:
+            return Failure(ObjectMissing(self.missing_era))
         return Success(self.stored)
 
     async def put(self, store, kind, name, status, revision):
@@ -354,6 +399,18 @@
         self.assertIs(rollout.plan.state, RolloutState.ROLLED_BACK)
         self.assertEqual(self.writes, [])
 
+    def test_deleted_entry_of_an_ended_order_is_not_read_again(self):
+        for era in (1, 2):
+            with self.subTest(era=era):
+                rollout = self.apply(revision=10 + era, created=10 + era)
+                rollout.plan.state = RolloutState.ROLLED_BACK
+                self.missing_era = era
+                self.write()
+                curio.run(tick_rollout, self.instance, "app", time.monotonic() + 3.0)
+                self.assertFalse(rollouts._is_write_due(self.instance, rollout))
+                self.instance.store.era = 2
+        self.assertEqual(self.writes, [])
+
     def test_garbled_entry_gets_no_status(self):
         self.apply(status={"state": "running", "to": "v2", "fence": 3})
         self.stored = make_order(revision=11, to=7)
--- a/catkintrack/instance/version_answers.py
+++ b/catkintrack/instance/version_answers.py
@@ -53,8 +53,8 @@
     finally:
         if answer.sent_at is not None:
             taken_s = time.monotonic() - answer.sent_at
-            is_telling = taken_s >= GIVEN_UP_TARGETS * call.route.target_s
-            if is_whole or answer.is_failed or is_telling:
+            is_late = taken_s >= GIVEN_UP_TARGETS * call.route.target_s
+            if is_whole or answer.is_failed or is_late:
                 taken_s -= _estimate_prefill_s(instance, prefilled_tokens)
                 _count(instance, rollout, call, upstream, answer, taken_s)
 
--- a/catkintrack/instance/version_choice.py
+++ b/catkintrack/instance/version_choice.py
@@ -28,6 +28,7 @@
     wants_new_version,
 )
 
+from .replica_signals import may_choose
 from .rollout_orders import is_new_version, split_replicas
 from .state import Instance
 
@@ -118,7 +119,11 @@
     if request is not None:
         placed = place_at(request, choice)
         return has_healthy_upstream(instance.decisions, placed, now)
-    names = [u.id for u in new if u.id not in choice.excluded | excluded]
+    names = [
+        u.id
+        for u in new
+        if u.id not in choice.excluded | excluded and may_choose(instance, u, now)
+    ]
     return has_healthy_replica(instance.services, names, now, SUSPECT_AFTER_S)
 
 
@@ -138,6 +143,10 @@
     rollout = tables.rollout_by_service.get(service)
     if rollout is None or version in tables.barred_by_service.get(service, ()):
         return rollout is not None
+    if rollout.is_completed:
+        # The old replicas stop at once, before their entries go.
+        is_listed = time.monotonic() - rollout.ended_at < STOPPED_S
+        return is_listed and version != rollout.order.version
     is_rolled_back = rollout.plan.state is RolloutState.ROLLED_BACK
     return is_rolled_back and version == rollout.order.version
 
@@ -176,11 +185,16 @@
 
 
 def admit_version(
-    instance: Instance, service: str, upstream: Upstream, is_pinned: bool, now: float
+    instance: Instance,
+    service: str,
+    upstream: Upstream,
+    is_pinned: bool,
+    now: float,
+    is_first: bool = True,
 ) -> bool:
     """Report whether a call may be sent to a replica's version now, and count it if so.
 
-    The grant, the verdict or the order may have changed since the version was chosen.
+    `is_first` says whether this call hasn't been sent to any replica before.  The grant, the verdict or the order may have changed since the version was chosen.
     """
     tables = instance.rollouts
     rollout = tables.rollout_by_service.get(service)
@@ -200,7 +214,8 @@
     if is_new and share <= 0:
         return False
     if is_bounded(rollout):
-        return record_sent(rollout.exposure, is_new, share)
+        return record_sent(rollout.exposure, is_new, share, is_first)
     if not is_new and plan.phase is Phase.DRAINING and share > 0 and not is_pinned:
-        return False
-    return record_sent(rollout.exposure, is_new, 1.0)
+        # Without a new replica the old ones serve on.
+        return not split_replicas(instance, rollout)[0]
+    return record_sent(rollout.exposure, is_new, 1.0, is_first)
--- a/catkintrack/rollouts/exposure.py
+++ b/catkintrack/rollouts/exposure.py
@@ -18,6 +18,7 @@
 class Exposure:
     """Count the calls that this process has sent to a service during an order.
 
+    `sent` counts calls, `exposed` each time that one goes to the new version.
     `reserved` calls are chosen for the new version and wait to be sent.
     """
 
@@ -45,11 +46,17 @@
     exposure.reserved = max(0, exposure.reserved - 1)
 
 
-def record_sent(exposure: Exposure, is_new: bool, share: float) -> bool:
-    """Count a call that is being sent; report False if `share` forbids to send it."""
-    if is_new and exposure.exposed + 1 > share * (exposure.sent + 1):
+def record_sent(
+    exposure: Exposure, is_new: bool, share: float, is_first: bool = True
+) -> bool:
+    """Count a call that is being sent; report False if `share` forbids to send it.
+
+    A call that is sent again, not for the first time, doesn't widen the share.
+    """
+    sent = exposure.sent + is_first
+    if is_new and share < 1.0 and exposure.exposed + 1 > share * sent:
         return False
-    exposure.sent += 1
+    exposure.sent = sent
     exposure.exposed += is_new
     return True
 
--- a/catkintrack/rollouts/plan.py
+++ b/catkintrack/rollouts/plan.py
@@ -62,6 +62,7 @@
     BAD = "bad"
     ALL_MOVED = "nothing under way at the old version"
     OUT_OF_TIME = "the time is over"
+    UNSERVED = "no replica of the new version"
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,6 +186,8 @@
         if now - plan.phase_since >= 2 * HALF_SHARE_S:
             _enter(plan, Phase.DRAINING, now)
         return Step.NONE
+    if not fleet.has_new:
+        return _roll_back_unserved(plan, deadline_at, now)
     if fleet.is_drained:
         plan.state = RolloutState.COMPLETED
         return Step.ALL_MOVED
@@ -217,6 +220,14 @@
     return Step.UNPROVED
 
 
+def _roll_back_unserved(plan: Plan, deadline_at: float, now: float) -> Step:
+    """Roll a version back that has no replica at the end; it may get some before."""
+    if now < deadline_at - WRITE_RESERVE_S:
+        return Step.NONE
+    plan.state = RolloutState.ROLLED_BACK
+    return Step.UNSERVED
+
+
 def _enter(plan: Plan, phase: Phase, now: float) -> None:
     plan.phase, plan.phase_since = phase, now
 
--- a/catkintrack/rollouts/tables.py
+++ b/catkintrack/rollouts/tables.py
@@ -42,7 +42,7 @@
     order that it still shows.  `is_completed` stays once the store has said so.
     `granted_at` is when the holder with the token `fencing` last granted the phase of the
     plan; `written_fencing` is the token with which this process last wrote the status.
-    `unlisted_at` is when a new era first lacked the entry.
+    `unlisted_at` is when a new era first lacked the entry, `is_gone` whether it is deleted.
     With `is_in_place` no other version served when the order came.
     """
 
@@ -57,6 +57,7 @@
     written_fencing: int = 0
     ended_at: float = 0.0
     unlisted_at: float | None = None
+    is_gone: bool = False
     is_in_place: bool = False
     is_writing: bool = False
     exposure: Exposure = field(default_factory=Exposure)
--- a/catkintrack/rollouts/tests/test_plan.py
+++ b/catkintrack/rollouts/tests/test_plan.py
@@ -187,6 +187,13 @@
         outcome = roll_out(answer_well, 6, 12, 1)
         self.assertEqual(outcome.state, RolloutState.COMPLETED)
 
+    def test_version_whose_replicas_are_gone_is_not_completed(self):
+        plan = Plan(RolloutOrder("app", "v2", DURATION_S), 0.0, Phase.DRAINING, 20.0)
+        for now in (25.0, DURATION_S):
+            advance(plan, {}, Fleet(False, True, True), now)
+            self.assertIsNot(plan.state, RolloutState.COMPLETED)
+        self.assertIs(plan.state, RolloutState.ROLLED_BACK)
+
     def test_version_without_answers_is_rolled_back(self):
         outcome = roll_out(answer_well, 6, 0, 1)
         self.assertEqual(outcome.state, RolloutState.ROLLED_BACK)
