--- a/catkintrack/instance/tests/test_rollouts.py
+++ b/catkintrack/instance/tests/test_rollouts.py
@@ -168,6 +168,15 @@
         self.assertEqual(rollout.exposure.sent, 20)
         self.assertEqual([self.admits("a2") for _ in range(2)], [True, False])
 
+    def test_streams_of_an_unproven_version_are_taken_up_within_the_bound(self):
+        rollout = self.apply()
+        self.grant()
+        self.send(500)
+        self.assertFalse(self.admits("a2"))
+        taken = [self.admits("a2", is_pinned=True) for _ in range(40)]
+        self.assertGreaterEqual(sum(taken), 5)
+        self.assertLessEqual(rollout.exposure.exposed, 0.1 * rollout.exposure.sent)
+
     def test_resting_replica_of_the_new_version_does_not_fail_calls(self):
         self.apply()
         self.grant()
--- a/catkintrack/instance/version_choice.py
+++ b/catkintrack/instance/version_choice.py
@@ -16,6 +16,7 @@
     Upstream,
 )
 from catkintrack.rollouts import (
+    EXPOSURE_MARGIN,
     STOPPED_S,
     Phase,
     ServiceRollout,
@@ -214,7 +215,9 @@
     if is_new and share <= 0:
         return False
     if is_bounded(rollout):
-        return record_sent(rollout.exposure, is_new, share, is_first)
+        # New calls use up their share; begun streams have what is left of the bound.
+        bound = share / EXPOSURE_MARGIN if is_pinned else share
+        return record_sent(rollout.exposure, is_new, bound, is_first)
     if not is_new and plan.phase is Phase.DRAINING and share > 0 and not is_pinned:
         # Without a new replica the old ones serve on.
         return not split_replicas(instance, rollout)[0]
--- a/catkintrack/rollouts/__init__.py
+++ b/catkintrack/rollouts/__init__.py
@@ -15,7 +15,17 @@
     reserve,
     unreserve,
 )
-from .plan import Fleet, Phase, Plan, Step, advance, find_moving_at, find_share, review
+from .plan import (
+    EXPOSURE_MARGIN,
+    Fleet,
+    Phase,
+    Plan,
+    Step,
+    advance,
+    find_moving_at,
+    find_share,
+    review,
+)
 from .tables import (
     GRANT_MAX_S,
     STOPPED_S,
@@ -31,6 +41,7 @@
 from .verdict import Fault, Verdict, find_fault, judge
 
 __all__ = [
+    "EXPOSURE_MARGIN",
     "GRANT_MAX_S",
     "STOPPED_S",
     "AnswerCounts",
--- a/catkintrack/rollouts/plan.py
+++ b/catkintrack/rollouts/plan.py
@@ -18,7 +18,7 @@
 from .counts import VersionCounts, subtract_counts
 from .verdict import SLOW, Fault, Verdict, count_excess, find_fault, is_refuted, judge
 
-# A part of the bound, since replicas count as calls what never reaches them.
+# The part of the bound that new calls use; the rest is for begun streams.
 EXPOSURE_MARGIN = 0.9
 # Moving takes this long, then calls end and all instances say so.
 HALF_SHARE = 0.5
