--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -44,7 +44,7 @@
 )
 from .eras import is_after_new_era
 from .replica_signals import update_signals
-from .rollout_orders import observe_cold_start
+from .rollout_orders import observe_cold_start, observe_version
 from .state import Instance, KnownLife, PendingRemoval
 
 logger = logging.getLogger(__name__)
@@ -75,6 +75,7 @@
         case Success(upstream):
             instance.pending_removal_by_upstream.pop(id, None)
             record_unlisted(instance, id)
+            observe_version(instance, upstream, now)
             known = instance.upstream_by_id.get(id)
             if _is_of_past_life(instance, upstream):
                 return
--- a/catkintrack/instance/rollout_orders.py
+++ b/catkintrack/instance/rollout_orders.py
@@ -30,6 +30,7 @@
     ServiceRollout,
     Stamp,
     is_same_order,
+    record_seen,
 )
 
 from .state import Instance
@@ -59,6 +60,24 @@
             cold_until[id] = now + cold_s
 
 
+def observe_version(instance: Instance, upstream: Upstream, now: float) -> None:
+    """Record that an entry names a version, before the replica is put in the tables."""
+    if not has_rollouts(instance.site):
+        return
+    service, version = upstream.service, upstream.software_version
+    listed = list_versions(instance, service)
+    record_seen(instance.rollouts, service, version, listed, now)
+
+
+def list_versions(instance: Instance, service: str) -> set[str]:
+    """Return the versions of a service's listed replicas."""
+    return {
+        upstream.software_version
+        for upstream in instance.upstream_by_id.values()
+        if upstream.service == service
+    }
+
+
 def apply_rollout(instance: Instance, row: StoredObject, now: float) -> None:
     """Apply an order as it is stored; an unreadable one takes back the order before it."""
     stamp = (row.era, row.revision)
--- a/catkintrack/instance/rollouts.py
+++ b/catkintrack/instance/rollouts.py
@@ -43,6 +43,7 @@
 from .rollout_orders import (
     adopt_status,
     apply_rollout,
+    list_versions,
     log_rollout,
     split_replicas,
     withdraw_rollout,
@@ -144,12 +145,7 @@
     """Forget the versions of earlier orders that have no replica any more."""
     barred = instance.rollouts.barred_by_service.get(service)
     if barred:
-        listed = {
-            u.software_version
-            for u in instance.upstream_by_id.values()
-            if u.service == service
-        }
-        barred &= listed
+        barred &= list_versions(instance, service)
 
 
 def _is_write_due(instance: Instance, rollout: ServiceRollout) -> bool:
--- a/catkintrack/instance/tests/test_rollouts.py
+++ b/catkintrack/instance/tests/test_rollouts.py
@@ -107,6 +107,27 @@
         self.assertEqual(choose_version(self.instance, "app", None), NO_CHOICE)
         self.assertTrue(self.admits("a0") and self.admits("a2"))
 
+    def test_version_that_joins_gets_nothing_until_its_order_may_be_known(self):
+        for features, is_held in ((self.instance.site.features, True), ((), False)):
+            instance = make_rollout_instance()
+            instance.site = replace(instance.site, features=features)
+            seen_at = instance.rollouts.seen_at_by_service["app"]
+            seen_at.update({"v1": self.now - 9, "v2": self.now - 9})
+            spec = make_entry_spec(service="app", models=[], version="v3")
+            apply_upstream(instance, "a4", spec, time.monotonic())
+            upstream = instance.upstream_by_id["a4"]
+            choice = choose_version(instance, "app", None)
+            self.assertEqual(allows(choice, upstream), not is_held)
+            args = (instance, "app", upstream, False)
+            pinned = (instance, "app", upstream, True, time.monotonic())
+            self.assertTrue(admit_version(*pinned))
+            self.assertEqual(admit_version(*args, time.monotonic()), not is_held)
+            self.assertTrue(admit_version(*args, time.monotonic() + 3.0))
+            self.assertTrue(allows(choose_version(instance, "app", "v3"), upstream))
+            for id in (*OLD, *NEW):
+                del instance.upstream_by_id[id]
+            self.assertTrue(allows(choose_version(instance, "app", None), upstream))
+
     def test_kind_is_watched_only_where_switched_on(self):
         self.assertIn(ROLLOUT_KIND, list_watched_kinds(self.instance))
         self.assertNotIn(ROLLOUT_KIND, list_watched_kinds(make_instance()))
--- a/catkintrack/instance/version_choice.py
+++ b/catkintrack/instance/version_choice.py
@@ -23,6 +23,7 @@
     choose_first_replicas,
     find_current_share,
     is_bounded,
+    list_joining,
     record_sent,
     reserve,
     unreserve,
@@ -72,16 +73,16 @@
     """
     tables = instance.rollouts
     rollout = tables.rollout_by_service.get(service)
-    if rollout is None:
-        return VersionChoice(pinned) if pinned is not None else NO_CHOICE
-    barred = frozenset(tables.barred_by_service.get(service, ()))
+    now = time.monotonic()
+    barred = list_barred(instance, service, pinned is not None, now)
     if pinned is not None:
         return VersionChoice(pinned, barred)
+    if rollout is None:
+        return VersionChoice(None, barred) if barred else NO_CHOICE
     version = rollout.order.version
     others = VersionChoice(None, barred | {version})
     if rollout.plan.state is RolloutState.ROLLED_BACK and not rollout.is_completed:
         return others
-    now = time.monotonic()
     if rollout.is_completed and now - rollout.ended_at >= STOPPED_S:
         return VersionChoice(None, barred)
     new, old = split_replicas(instance, rollout)
@@ -108,6 +109,31 @@
     return choice if reserve(rollout.exposure, share) else others
 
 
+def list_barred(
+    instance: Instance, service: str, is_pinned: bool, now: float
+) -> frozenset[str]:
+    """Return the versions that get no calls, also without an order.
+
+    They are those of earlier orders and, but for begun streams, those that have joined so
+    lately that this instance may not know of their order, as long as another one serves.
+    """
+    tables = instance.rollouts
+    barred = frozenset(tables.barred_by_service.get(service, ()))
+    joining = set() if is_pinned else list_joining(tables, service, now)
+    rollout = tables.rollout_by_service.get(service)
+    if rollout is not None:
+        joining.discard(rollout.order.version)
+    if not joining:
+        return barred
+    has_others = any(
+        upstream.service == service
+        and not upstream.is_draining
+        and upstream.software_version not in barred | joining
+        for upstream in instance.upstream_by_id.values()
+    )
+    return barred | joining if has_others else barred
+
+
 def _is_usable(
     instance: Instance,
     choice: VersionChoice,
@@ -199,10 +225,10 @@
     """
     tables = instance.rollouts
     rollout = tables.rollout_by_service.get(service)
+    if upstream.software_version in list_barred(instance, service, is_pinned, now):
+        return False
     if rollout is None:
         return True
-    if upstream.software_version in tables.barred_by_service.get(service, ()):
-        return False
     if rollout.is_completed or rollout.is_in_place:
         return True
     plan = rollout.plan
--- a/catkintrack/rollouts/__init__.py
+++ b/catkintrack/rollouts/__init__.py
@@ -28,6 +28,7 @@
 )
 from .tables import (
     GRANT_MAX_S,
+    JOIN_HOLD_S,
     STOPPED_S,
     Report,
     RolloutTables,
@@ -36,6 +37,8 @@
     find_current_share,
     is_bounded,
     is_same_order,
+    list_joining,
+    record_seen,
     wants_new_version,
 )
 from .verdict import Fault, Verdict, find_fault, judge
@@ -43,6 +46,7 @@
 __all__ = [
     "EXPOSURE_MARGIN",
     "GRANT_MAX_S",
+    "JOIN_HOLD_S",
     "STOPPED_S",
     "AnswerCounts",
     "Exposure",
@@ -67,8 +71,10 @@
     "is_bounded",
     "is_same_order",
     "judge",
+    "list_joining",
     "may_expose",
     "merge_counts",
+    "record_seen",
     "record_sent",
     "reserve",
     "review",
--- a/catkintrack/rollouts/tables.py
+++ b/catkintrack/rollouts/tables.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
 from dataclasses import dataclass, field
 from random import Random
 
@@ -20,6 +21,9 @@
 # Replicas that have stopped on completion are listed for this long at most.
 STOPPED_S = 30.0
 
+# A version that joins others may be ordered: its order may become known this much later.
+JOIN_HOLD_S = 2.0
+
 # Era and revision of the store at which an entry was seen.
 Stamp = tuple[int, int]
 
@@ -80,11 +84,13 @@
 
     The latter never proved themselves; `barred_by_service` holds them.  Replicas are slow
     for some time after their start, `cold_until_by_upstream`, in seconds.
+    `seen_at_by_service` holds when each version was first seen.
     """
 
     rollout_by_service: dict[str, ServiceRollout] = field(default_factory=dict)
     barred_by_service: dict[str, set[str]] = field(default_factory=dict)
     cold_until_by_upstream: dict[str, float] = field(default_factory=dict)
+    seen_at_by_service: dict[str, dict[str, float]] = field(default_factory=dict)
 
 
 def is_same_order(rollout: ServiceRollout, order: RolloutOrder, stamp: Stamp) -> bool:
@@ -123,6 +129,29 @@
     return plan.phase is Phase.PROVING
 
 
+def record_seen(
+    tables: RolloutTables, service: str, version: str, listed: Set[str], now: float
+) -> None:
+    """Record that a replica of a version is listed, beside the `listed` versions."""
+    seen_at = tables.seen_at_by_service.setdefault(service, {})
+    for gone in seen_at.keys() - listed:
+        del seen_at[gone]
+    seen_at.setdefault(version, now)
+
+
+def list_joining(tables: RolloutTables, service: str, now: float) -> set[str]:
+    """Return the versions that have joined older ones so lately that an order may follow."""
+    seen_at = tables.seen_at_by_service.get(service)
+    if not seen_at or len(seen_at) == 1:
+        return set()
+    first_at = min(seen_at.values())
+    return {
+        version
+        for version, at in seen_at.items()
+        if now - at < JOIN_HOLD_S <= at - first_at
+    }
+
+
 def wants_new_version(share: float, rng: Random) -> bool:
     """Draw whether a call goes to a proved version."""
     return share > 0 and (share >= 1.0 or rng.random() < share)
