--- a/catkintrack/instance/rollout_news.py
+++ b/catkintrack/instance/rollout_news.py
@@ -145,9 +145,10 @@
     if row.fencing and row.fencing >= rollout.fencing:
         rollout.fencing = row.fencing
         rollout.granted_at = now
-        phase = Phase(row.phase)
-        if phase is not plan.phase:
-            plan.phase, plan.phase_since = phase, now - row.phase_age_s
+    # Each phase was granted once; a holder that has started anew learns it from its peers.
+    phase = Phase(row.phase)
+    if phase > plan.phase:
+        plan.phase, plan.phase_since = phase, now - row.phase_age_s
     rollout.report_by_instance[news.instance] = Report(
         news.incarnation, Phase(row.phase), row.old_in_flight, now
     )
--- a/catkintrack/instance/rollouts.py
+++ b/catkintrack/instance/rollouts.py
@@ -70,7 +70,9 @@
         stamp = max(rollout.stamp, (instance.store.era, 0))
         withdraw_rollout(instance, service, stamp, now)
     _forget_absent_bars(instance, service)
-    is_holder = holds_lease(instance)
+    # A later holder's grant shows that this instance's lease is over.
+    is_latest = instance.lease.record.fencing >= rollout.fencing
+    is_holder = is_latest and holds_lease(instance)
     if plan.state is RolloutState.RUNNING:
         rollout.is_in_place &= not split_replicas(instance, rollout)[1]
         if is_holder:
--- a/catkintrack/instance/tests/test_rollouts.py
+++ b/catkintrack/instance/tests/test_rollouts.py
@@ -332,6 +332,25 @@
         self.exchange(self.instance, peer)
         self.assertLess(peer.rollouts.rollout_by_service["app"].granted_at, 0)
 
+    def test_holder_that_has_started_anew_keeps_the_phase(self):
+        self.apply()
+        self.grant(Phase.DRAINING)
+        holder = make_rollout_instance("n2")
+        self.exchange(self.instance, holder)
+        with patch.object(rollout_news, "holds_lease", lambda instance: True):
+            self.exchange(holder, self.instance)
+        for instance in (holder, self.instance):
+            plan = instance.rollouts.rollout_by_service["app"].plan
+            self.assertIs(plan.phase, Phase.DRAINING)
+
+    def test_holder_that_knows_a_later_token_takes_no_step(self):
+        rollout = self.apply()
+        rollout.fencing = 7
+        self.instance.lease.record = replace(self.instance.lease.record, fencing=6)
+        with patch.object(rollouts, "holds_lease", lambda instance: True):
+            curio.run(tick_rollout, self.instance, "app", self.now)
+        self.assertEqual((rollout.fencing, rollout.is_writing), (7, False))
+
     def test_roll_back_reaches_peers_before_the_store_knows(self):
         rollout = self.apply()
         peer = make_rollout_instance("n2")
--- a/catkintrack/instance/version_choice.py
+++ b/catkintrack/instance/version_choice.py
@@ -24,6 +24,7 @@
     find_current_share,
     is_bounded,
     list_joining,
+    may_expose,
     record_sent,
     reserve,
     unreserve,
@@ -101,6 +102,8 @@
         choice = VersionChoice(version, barred)
         is_usable = share >= 1.0 or _is_usable(instance, choice, new, request, excluded)
         return choice if is_usable else others
+    if not may_expose(rollout.exposure, share):
+        return others
     first = choose_first_replicas([u.id for u in new], len(old), share)
     rest = frozenset(u.id for u in new if u.id not in first)
     choice = VersionChoice(version, barred, rest, rollout)
