--- a/catkintrack/instance/tests/test_rollouts.py
+++ b/catkintrack/instance/tests/test_rollouts.py
@@ -205,6 +205,18 @@
         with patch.object(version_choice, "may_choose", lambda *args: False):
             self.assertEqual(self.send(20), 0)
 
+    def test_other_replica_takes_the_calls_of_one_that_is_ill(self):
+        self.apply()
+        self.grant().exposure.sent = 50
+
+        def may_choose(instance, upstream, now):
+            return upstream.id != "a2"
+
+        with patch.object(version_choice, "may_choose", may_choose):
+            choice = choose_version(self.instance, "app", None)
+        upstreams = self.instance.upstream_by_id.values()
+        self.assertEqual([u.id for u in upstreams if allows(choice, u)], ["a3"])
+
     def test_begun_streams_do_not_go_to_stopped_replicas(self):
         self.apply(status={"state": "completed", "to": "v2"})
         self.assertTrue(is_version_over(self.instance, "app", "v1"))
--- a/catkintrack/instance/version_choice.py
+++ b/catkintrack/instance/version_choice.py
@@ -104,12 +104,16 @@
         return choice if is_usable else others
     if not may_expose(rollout.exposure, share):
         return others
-    first = choose_first_replicas([u.id for u in new], len(old), share)
-    rest = frozenset(u.id for u in new if u.id not in first)
-    choice = VersionChoice(version, barred, rest, rollout)
-    if not _is_usable(instance, choice, new, request, excluded):
-        return others
-    return choice if reserve(rollout.exposure, share) else others
+    names = frozenset(u.id for u in new)
+    rest = names
+    while rest:
+        first = choose_first_replicas(rest, len(old), share)
+        choice = VersionChoice(version, barred, names - first, rollout)
+        if _is_usable(instance, choice, new, request, excluded):
+            return choice if reserve(rollout.exposure, share) else others
+        # One that has crashed must not keep a good version from being proved.
+        rest -= first
+    return others
 
 
 def list_barred(
