--- a/catkintrack/instance/version_choice.py
+++ b/catkintrack/instance/version_choice.py
@@ -232,7 +232,8 @@
     """
     tables = instance.rollouts
     rollout = tables.rollout_by_service.get(service)
-    if upstream.software_version in list_barred(instance, service, is_pinned, now):
+    barred = list_barred(instance, service, is_pinned, now)
+    if barred and upstream.software_version in barred:
         return False
     if rollout is None:
         return True
