--- a/catkintrack/rollouts/plan.py
+++ b/catkintrack/rollouts/plan.py
@@ -23,6 +23,8 @@
 # Moving takes this long, then calls end and all instances say so.
 HALF_SHARE = 0.5
 HALF_SHARE_S = 1.0
+# A suspicion that is refuted late leaves less time; all instances know a phase after this.
+MIN_MOVING_S = 0.5
 DRAIN_RESERVE_S = 6.0
 # From the decision to the status in the store, also when one write is repeated.
 WRITE_RESERVE_S = 2.5
@@ -183,7 +185,9 @@
     if plan.suspicion is not None:
         return Step.NONE
     if plan.phase is Phase.MOVING:
-        if now - plan.phase_since >= 2 * HALF_SHARE_S:
+        is_late = now >= deadline_at - WRITE_RESERVE_S
+        moving_s = MIN_MOVING_S if is_late else 2 * HALF_SHARE_S
+        if now - plan.phase_since >= moving_s:
             _enter(plan, Phase.DRAINING, now)
         return Step.NONE
     if not fleet.has_new:
--- a/catkintrack/rollouts/tests/test_plan.py
+++ b/catkintrack/rollouts/tests/test_plan.py
@@ -187,6 +187,14 @@
         outcome = roll_out(answer_well, 6, 12, 1)
         self.assertEqual(outcome.state, RolloutState.COMPLETED)
 
+    def test_version_that_moves_late_is_completed_in_time(self):
+        """A suspicion of 2.5 s delayed the move, and a peer has been silent since."""
+        began_at = DURATION_S - 3.0
+        plan = Plan(RolloutOrder("app", "v2", DURATION_S), 0.0, Phase.MOVING, began_at)
+        for step in range(math.floor(2.0 / STEP_S) + 1):
+            advance(plan, {}, Fleet(True, True, False), began_at + step * STEP_S)
+        self.assertIs(plan.state, RolloutState.COMPLETED)
+
     def test_version_whose_replicas_are_gone_is_not_completed(self):
         plan = Plan(RolloutOrder("app", "v2", DURATION_S), 0.0, Phase.DRAINING, 20.0)
         for now in (25.0, DURATION_S):
