--- a/catkintrack/instance/rollouts.py
+++ b/catkintrack/instance/rollouts.py
@@ -73,12 +73,18 @@
     # A later holder's grant shows that this instance's lease is over.
     is_latest = instance.lease.record.fencing >= rollout.fencing
     is_holder = is_latest and holds_lease(instance)
+    suspicion = plan.suspicion
     if plan.state is RolloutState.RUNNING:
         rollout.is_in_place &= not split_replicas(instance, rollout)[1]
         if is_holder:
             await _take_step(instance, rollout, now)
         else:
             _judge(rollout, now)
+    if plan.suspicion is not suspicion:
+        message = (
+            "version suspected" if plan.suspicion else "suspicion of a version ended"
+        )
+        log_rollout(rollout, message, reason=plan.reason)
     share = find_share_now(instance, rollout, now)
     instance.metrics.rollout_share.set({"service": service}, share)
     if is_holder and not rollout.is_writing and _is_write_due(instance, rollout):
