--- a/catkintrack/cli/explain_commands.py
+++ b/catkintrack/cli/explain_commands.py
@@ -23,6 +23,9 @@
         "lease lost",
         "lease taken",
         "log lines left out",
+        "order for a version seen",
+        "order for a version withdrawn",
+        "roll-out step",
         "silent upstream unreachable",
         "slow reader closed",
         "store lost",
@@ -30,6 +33,8 @@
         "upstream draining",
         "upstream gone",
         "upstream restarted",
+        "version found to be bad",
+        "version rolled back by a peer",
         "weights named",
         "weights ordered",
     }
--- a/catkintrack/fleet/__init__.py
+++ b/catkintrack/fleet/__init__.py
@@ -15,6 +15,7 @@
     build_configuration,
     choose_service,
 )
+from .rollouts import RolloutOrder, RolloutState, RolloutStatus
 from .site import Bounds, Feature, Site
 from .upstreams import (
     ModelWeights,
@@ -39,6 +40,9 @@
     "Prompt",
     "PromptPart",
     "ReplicaLoad",
+    "RolloutOrder",
+    "RolloutState",
+    "RolloutStatus",
     "Route",
     "Service",
     "ServiceShare",
--- a/catkintrack/instance/attempts.py
+++ b/catkintrack/instance/attempts.py
@@ -42,6 +42,8 @@
 from .slow_readers import has_room_for_request, hold_request, read_from
 from .state import Instance
 from .stream_events import EventSplitter, open_splitter
+from .version_answers import Answer, count_answer
+from .version_choice import admit_version
 
 # Interval at which an attempt that receives no data is checked for abandonment.
 ABANDON_CHECK_INTERVAL_S = 0.2
@@ -191,6 +193,33 @@
     sent if the caller has closed or the deadline has passed: raise CallerDisconnected,
     Expired or TimedOut.
     """
+    tokens = call.prompt.prompt_tokens - progress.cached_tokens if call.prompt else 0
+    with count_answer(instance, call, upstream, tokens) as answer:
+        await _relay_attempt(
+            instance,
+            call,
+            progress,
+            upstream,
+            dispatch,
+            connection,
+            callbacks,
+            raises_server_errors,
+            answer,
+        )
+
+
+async def _relay_attempt(
+    instance: Instance,
+    call: Call,
+    progress: CallProgress,
+    upstream: Upstream,
+    dispatch: Dispatch,
+    connection: Connection,
+    callbacks: AttemptCallbacks,
+    raises_server_errors: bool,
+    answer: Answer,
+) -> None:
+    """Run a call on one replica, forward the response and note what it shows."""
     if not may_send(instance, upstream, time.monotonic()):
         raise ReplicaUnavailable("the replica accepts nothing new")
     # No connection is opened for a request that finds no room.
@@ -214,13 +243,20 @@
         # Another answer may have arrived while the connection was opened.
         if not admit(instance, upstream, time.monotonic()):
             raise ReplicaUnavailable("the replica accepts nothing new")
+        sent_at = time.monotonic()
+        is_pinned = progress.software_version is not None
+        is_first = progress.connected_attempts == 0
+        if not admit_version(
+            instance, call.service, upstream, is_pinned, sent_at, is_first
+        ):
+            raise ReplicaUnavailable("the replica's version gets no such call now")
         might_have_run = progress.may_have_run
         progress.may_have_run = True
         progress.connected_attempts += 1
         progress.has_retry = False
-        sent_at = time.monotonic()
         dispatch = bound_dispatch(dispatch, call, sent_at)
         read_from(instance, progress.reader, upstream.id)
+        answer.sent_at = sent_at
         await exchange.send(make_upstream_request(call, dispatch))
         bounds = make_stream_bounds(call, exchange.max_body_bytes)
         head = await _read_unless_abandoned(bounds, callbacks, exchange.read_head)
@@ -231,11 +267,13 @@
         apply_signals(instance, upstream, call.id, fields, sent_at, now)
         await callbacks.on_response_head(fields)
         if fields.is_not_run:
+            answer.sent_at = None
             progress.may_have_run = might_have_run
             # The head decides; a whole body lets the connection be used again.
             with contextlib.suppress(UpstreamExchangeError):
                 await exchange.discard_body(REJECTION_BODY_TIMEOUT_S)
             raise ReplicaRejected(head.status, fields)
+        answer.is_failed = head.status >= 500
         check_response(call, fields)
         has_events = call.route.is_stream and call.method != b"HEAD"
         if head.status == 200 and has_events:
--- a/catkintrack/instance/dump.py
+++ b/catkintrack/instance/dump.py
@@ -15,6 +15,7 @@
 from .peers import list_live_peers
 from .replica_loads import describe_replica
 from .replica_signals import may_send
+from .rollouts import describe_rollouts
 from .state import Instance
 
 
@@ -126,6 +127,7 @@
             for suspect, row in instance.quarantine.row_by_suspect.items()
         },
         "zones": describe_table(zones) if zones is not None else None,
+        "rollouts": describe_rollouts(instance, now),
         "is_cut_off": instance.partition.is_cut_off,
         "waiting": instance.decisions.waiting_count,
         "admission": _describe_admission(instance, now),
--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -45,6 +45,7 @@
 )
 from .eras import is_after_new_era
 from .replica_signals import update_signals
+from .rollout_orders import observe_cold_start, observe_version
 from .state import Instance, KnownLife, PendingRemoval
 
 logger = logging.getLogger(__name__)
@@ -64,6 +65,7 @@
     """Apply one discovery entry; if it is invalid, drop its upstream."""
     names = frozenset(instance.config.service_by_name) if instance.config else None
     instance.spec_by_upstream[id] = spec
+    observe_cold_start(instance, id, spec, now)
     match decode_upstream(id, spec, names or frozenset()):
         case Failure(error):
             logger.warning(
@@ -74,6 +76,7 @@
         case Success(upstream):
             instance.pending_removal_by_upstream.pop(id, None)
             record_unlisted(instance, id)
+            observe_version(instance, upstream, now)
             known = instance.upstream_by_id.get(id)
             if _is_of_past_life(instance, upstream):
                 return
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -46,6 +46,9 @@
     admission_refusals: Counter
     prefill_rates: Gauge
     held_memory: Gauge
+    rollout_share: Gauge
+    rollout_answers: Counter
+    rollout_steps: Counter
 
 
 def make_instance_metrics() -> InstanceMetrics:
@@ -124,4 +127,13 @@
             "held_memory_ratio",
             "Part of the replicas' memory that requests hold: mean, max.",
         ),
+        rollout_share=gauge(
+            "rollout_share", "Share of calls for an ordered version, by service."
+        ),
+        rollout_answers=counter(
+            "rollout_answers_total", "Answers during orders, by version and outcome."
+        ),
+        rollout_steps=counter(
+            "rollout_steps_total", "Steps of the holder, by service, phase and state."
+        ),
     )
--- a/catkintrack/instance/model_calls.py
+++ b/catkintrack/instance/model_calls.py
@@ -92,6 +92,7 @@
     forget_origin,
     record_begun_stream,
 )
+from .version_choice import choose_version, place_at, release, release_unplaced
 from .zone_choices import record_zone_answer, record_zone_choice, record_zone_loss
 
 logger = logging.getLogger(__name__)
@@ -121,11 +122,16 @@
             break
         check_quarantine(instance, call, progress)
         check_version_served(instance, call, progress.software_version, progress)
-        request = replace(request, software_version=progress.software_version)
+        choice = choose_version(
+            instance, call.service, progress.software_version, request
+        )
+        placed = place_at(request, choice)
         queued_at = time.monotonic()
-        decision = await wait_for_decision(instance.call_queue, request)
+        with release_unplaced(choice):
+            decision = await wait_for_decision(instance.call_queue, placed)
         progress.waited_s += time.monotonic() - queued_at
         if isinstance(decision, Refusal):
+            release(choice)
             progress.reason = decision.reason.value
             progress.expected_wait_s = decision.wait_s
             _count_admission_refusal(instance, call, decision)
@@ -135,7 +141,7 @@
         try:
             check_quarantine(instance, call, progress)
             start_trial(instance, call)
-            await _run(instance, call, progress, request, decision, connection)
+            await _run(instance, call, progress, placed, decision, connection)
             return
         except ReplicaRejected as error:
             progress.record_outcome(f"not run: {error}")
@@ -159,6 +165,7 @@
                 break
             await _check_origin(instance, call, progress, decision.upstream)
         finally:
+            release(choice)
             record_end(instance.decisions, request.id, time.monotonic())
             await run_tick(instance.call_queue)
         request = replace(
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -36,7 +36,7 @@
     open_server,
 )
 from catkintrack.leases import Lease
-from catkintrack.platform import StoreClient, get_settings_path, load_site
+from catkintrack.platform import ROLLOUT_KIND, StoreClient, get_settings_path, load_site
 from catkintrack.pooling import PeerReports, PooledLimits, find_reporting
 from catkintrack.processes import (
     EXIT_BAD_SETTINGS,
@@ -62,7 +62,7 @@
 from .dump import dump_instance
 from .ending_calls import bound_calls, end_calls
 from .eras import follow_eras
-from .feeds import WATCHED_KINDS, run_feed
+from .feeds import list_watched_kinds, run_feed
 from .fleet_state import remove_lapsed_upstreams
 from .gossip import send_gossip
 from .lease_keeper import release_lease, run_lease_keeper
@@ -79,6 +79,9 @@
 from .replica_loads import observe_replicas
 from .replica_signals import end_returned_rests, share_limits
 from .retry_budgets import share_retry_budgets
+from .rollout_news import send_rollout_news
+from .rollout_orders import has_rollouts
+from .rollouts import run_rollouts
 from .slow_readers import make_server_limits, make_slow_readers
 from .state import Instance
 from .stream_origins import run_origin_keeper
@@ -234,9 +237,11 @@
     async def on_change(kind: str) -> None:
         await wake.set()
         await send_gossip(instance)
+        if kind == ROLLOUT_KIND:
+            await send_rollout_news(instance)
 
     tasks: list[tuple[Any, ...]] = [
-        (run_feed, instance, kind, on_change) for kind in WATCHED_KINDS
+        (run_feed, instance, kind, on_change) for kind in list_watched_kinds(instance)
     ]
     tasks += [
         (run_mesh, instance),
@@ -249,6 +254,8 @@
         (probe_while_cut_off, instance),
         (_run_housekeeping, instance),
     ]
+    if has_rollouts(instance.site):
+        tasks.append((run_rollouts, instance))
     for task in tasks:
         await curio.spawn(run_restarting, *task, daemon=True)
 
--- a/catkintrack/instance/stream_origins.py
+++ b/catkintrack/instance/stream_origins.py
@@ -45,6 +45,7 @@
 from .peers import find_rank, list_live_peers
 from .refusals import NotServed, OutcomeUnknown
 from .state import Instance
+from .version_choice import is_version_over
 
 logger = logging.getLogger(__name__)
 
@@ -126,7 +127,7 @@
     if version is None:
         return
     upstreams = instance.upstream_by_id.values()
-    if any(
+    if not is_version_over(instance, call.service, version) and any(
         upstream.service == call.service
         and upstream.software_version == version
         and not upstream.is_draining
