--- a/catkintrack/instance/weights_rollout.py
+++ b/catkintrack/instance/weights_rollout.py
@@ -32,8 +32,8 @@
 logger = logging.getLogger(__name__)
 
 TICK_S = 0.1
-# Part of the usual time of a load after which the replica's report is polled.
-FIRST_POLL_SHARE = 0.9
+# A load that has ended at its first poll may have taken less time than measured.
+LOAD_TIME_DECAY = 0.98
 REPORT_POLL_INTERVAL_S = 0.1
 # Time for a message to reach all instances: the batching delay of two hubs and transit.
 HUB_RELAY_S = 0.12
@@ -165,8 +165,8 @@
     """Poll the replica's report until the load has succeeded or failed; announce that."""
     ordered_at = time.monotonic()
     if accepted:
-        await curio.sleep(FIRST_POLL_SHARE * instance.weights.load_time_s)
-    for _ in range(MAX_REPORT_POLLS):
+        await curio.sleep(instance.weights.load_time_s)
+    for polls in range(1, MAX_REPORT_POLLS + 1):
         if _has_weights(instance, planned):
             break
         report = await refresh_report(instance, upstream)
@@ -176,7 +176,9 @@
     if not _has_weights(instance, planned):
         record_load_ended(instance.weights, upstream.id)
     elif accepted:
-        record_load_time(instance.weights, time.monotonic() - ordered_at)
+        duration_s = time.monotonic() - ordered_at
+        decay = LOAD_TIME_DECAY if polls == 1 else 1.0
+        record_load_time(instance.weights, decay * duration_s)
     await _announce_load_end(instance, upstream, planned)
 
 
