--- a/catkintrack/instance/weights_rollout.py
+++ b/catkintrack/instance/weights_rollout.py
@@ -166,18 +166,20 @@
     ordered_at = time.monotonic()
     if accepted:
         await curio.sleep(instance.weights.load_time_s)
-    for polls in range(1, MAX_REPORT_POLLS + 1):
+    is_first_poll = True
+    for _ in range(MAX_REPORT_POLLS):
         if _has_weights(instance, planned):
             break
         report = await refresh_report(instance, upstream)
         if report is not None and not report.is_busy:
             break
+        is_first_poll = False
         await curio.sleep(REPORT_POLL_INTERVAL_S)
     if not _has_weights(instance, planned):
         record_load_ended(instance.weights, upstream.id)
     elif accepted:
         duration_s = time.monotonic() - ordered_at
-        decay = LOAD_TIME_DECAY if polls == 1 else 1.0
+        decay = LOAD_TIME_DECAY if is_first_poll else 1.0
         record_load_time(instance.weights, decay * duration_s)
     await _announce_load_end(instance, upstream, planned)
 
