--- a/catkintrack/decisions/tables.py
+++ b/catkintrack/decisions/tables.py
@@ -60,6 +60,7 @@
     limit: NamedLimit | None = None
     is_loading: bool = False
     loading_until: float = -1e9
+    load_fencing: int = 0
     weights_version: int = 0
     software_version: str = ""
     incarnation: str = ""
--- a/catkintrack/instance/fleet_state.py
+++ b/catkintrack/instance/fleet_state.py
@@ -208,12 +208,17 @@
 
 
 def record_load_result(
-    instance: Instance, id: str, weights: ModelWeights, now: float
+    instance: Instance, id: str, weights: ModelWeights, fencing: int, now: float
 ) -> None:
-    """Record that a replica has ended a load of weights, and which ones it runs."""
+    """Record that a replica has ended a load of weights, and which ones it runs.
+
+    One without effect does not end the load that a later holder has begun meanwhile.
+    """
     apply_replica_weights(instance, id, weights, now)
     row = instance.decisions.upstream_by_name.get(id)
-    if row is not None and row.weights_version <= weights.version:
+    if row is None or fencing < row.load_fencing:
+        return
+    if row.weights_version <= weights.version:
         row.loading_until = min(row.loading_until, now)
 
 
--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -287,11 +287,13 @@
     row = instance.decisions.upstream_by_name.get(message.upstream)
     if row is not None and row.weights_version < message.version:
         row.loading_until = time.monotonic() + message.ready_in_s
+        row.load_fencing = message.fencing
 
 
 async def _handle_load_ended(instance: Instance, message: LoadEnded) -> None:
     weights = ModelWeights(message.model, message.version)
-    record_load_result(instance, message.upstream, weights, time.monotonic())
+    now = time.monotonic()
+    record_load_result(instance, message.upstream, weights, message.fencing, now)
 
 
 async def _handle_prefill_begun(instance: Instance, message: PrefillBegun) -> None:
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -188,20 +188,26 @@
     """Announce that a replica will be ordered to load weights.
 
     It takes no calls until LoadEnded, or for `ready_in_s` if that message is lost.
+    `fencing` is the token of the holder that orders it.
     """
 
     upstream: str
     model: str
     version: int
     ready_in_s: float
+    fencing: int = 0
 
 
 class LoadEnded(PeerMessage, frozen=True):
-    """Announce that a replica takes calls again, and the weights that it runs."""
+    """Announce that a replica takes calls again, and the weights that it runs.
+
+    `fencing` is that of the load's LoadBegun.
+    """
 
     upstream: str
     model: str
     version: int
+    fencing: int = 0
 
 
 class PrefillBegun(PeerMessage, frozen=True):
--- a/catkintrack/instance/tests/test_weights_rollout.py
+++ b/catkintrack/instance/tests/test_weights_rollout.py
@@ -11,6 +11,7 @@
 from catkintrack.instance.config_state import apply_configuration
 from catkintrack.instance.fleet_state import apply_replica_weights, apply_upstream
 from catkintrack.instance.messages import LoadBegun, LoadEnded
+from catkintrack.weights import record_load_sent
 from catkintrack.weights.plan import INITIAL_LOAD_S, PlannedLoad
 from testkit.instances import make_config_spec, make_entry_spec
 from testkit.states import make_instance
@@ -71,7 +72,11 @@
     def test_no_order_after_the_lease_is_lost_during_the_announcement(self):
         answers = iter([True, False])
         self.run_load(holds_lease=lambda instance: next(answers))
-        self.assertEqual([recipient for recipient, *_ in self.events], ["peers"])
+        (_, begun, _), (_, ended, _) = self.events
+        self.assertIsInstance(begun, LoadBegun)
+        self.assertEqual(ended, LoadEnded("i1", "m1", 1, begun.fencing))
+        row = self.instance.decisions.upstream_by_name["i1"]
+        self.assertLessEqual(row.loading_until, time.monotonic())
 
     def test_load_that_takes_longer_than_usual_keeps_calls_away(self):
         """Replays loads of 0.8 s, of which instances had assumed 0.3 s.
@@ -97,6 +102,8 @@
 
         async def send_report(instance, upstream):
             report = reports.pop(0)
+            if callable(report):
+                report = report()
             for weights in report.weights if report else ():
                 apply_replica_weights(instance, "i1", weights, time.monotonic())
             return report
@@ -131,6 +138,44 @@
         self.assertEqual(self.run_polls(reports), [LoadEnded("i1", "m1", 1)])
         self.assertLessEqual(row.loading_until, time.monotonic())
 
+    def test_load_that_a_later_order_replaced_is_not_announced(self):
+        """The first poll shows the old weights while a second order is under way."""
+        loads = self.instance.weights
+        record_load_sent(loads, "i1", self.planned.weights, 0.0)
+
+        def order_again():
+            record_load_sent(loads, "i1", ModelWeights("m1", 3), 2.0)
+            return self.make_report(2, True)
+
+        self.assertEqual(self.run_polls([order_again]), [])
+        self.assertFalse(loads.load_by_upstream["i1"].has_ended)
+
+    def test_end_from_an_earlier_holder_leaves_the_load_of_the_next(self):
+        begun = LoadBegun("i1", "m1", 2, 1.5, 8)
+        row = self.instance.decisions.upstream_by_name["i1"]
+        curio.run(mesh._handle_load_begun, self.instance, begun)
+        curio.run(mesh._handle_load_ended, self.instance, LoadEnded("i1", "m1", 1, 7))
+        self.assertGreater(row.loading_until, time.monotonic() + 1)
+        curio.run(mesh._handle_load_ended, self.instance, LoadEnded("i1", "m1", 1, 8))
+        self.assertLessEqual(row.loading_until, time.monotonic())
+
+    def test_replica_that_sends_no_report_stays_in_use(self):
+        """Answers a replica dark to the holder only: each order kept all calls away."""
+        self.instance.weights.order_count_by_upstream.clear()
+
+        async def send_no_report(instance, upstream):
+            return None
+
+        with patch.object(weights_rollout, "refresh_report", send_no_report):
+            self.run_load()
+        self.assertEqual(self.events, [])
+
+    def test_usual_time_falls_after_a_slow_load(self):
+        """A poll that finds the load ended does not show when it ended."""
+        self.instance.weights.load_time_s = 0.4
+        self.run_polls([self.make_report(2, False)])
+        self.assertLess(self.instance.weights.load_time_s, 0.36)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/catkintrack/instance/weights_rollout.py
+++ b/catkintrack/instance/weights_rollout.py
@@ -17,7 +17,12 @@
     record_load_sent,
     record_load_time,
 )
-from catkintrack.weights.plan import LOAD_TIMEOUT_S, PlannedLoad, find_version
+from catkintrack.weights.plan import (
+    LOAD_TIMEOUT_S,
+    PlannedLoad,
+    WeightsLoad,
+    find_version,
+)
 
 from .broadcasting import broadcast
 from .fleet_state import record_load_result
@@ -81,13 +86,19 @@
     if upstream is None:
         return
     tables = instance.weights
-    if upstream.id not in tables.order_count_by_upstream:
-        await refresh_report(instance, upstream)
+    is_known = upstream.id in tables.order_count_by_upstream
+    # An order that may not arrive would keep the calls of all instances away.
+    if not is_known and await refresh_report(instance, upstream) is None:
+        record_load_ended(tables, upstream.id)
+        return
     is_due = not _has_weights(instance, planned) and holds_lease(instance)
+    fencing = instance.lease.record.fencing
     if is_due:
         await _announce_load(instance, planned)
     if not is_due or not holds_lease(instance):
         record_load_ended(tables, upstream.id)
+        if is_due:
+            await _announce_load_end(instance, upstream, planned, fencing)
         return
     status = await _send_order(instance, upstream, planned)
     instance.metrics.orders.inc({"outcome": str(status)})
@@ -102,7 +113,8 @@
         },
     )
     _apply_order_status(instance, upstream, status)
-    await _await_load(instance, upstream, planned, status == ACCEPTED_STATUS)
+    accepted = status == ACCEPTED_STATUS
+    await _await_load(instance, upstream, planned, accepted, fencing)
 
 
 def _has_weights(instance: Instance, planned: PlannedLoad) -> bool:
@@ -142,7 +154,7 @@
 
 
 async def _announce_load(instance: Instance, planned: PlannedLoad) -> None:
-    """Tell all instances to stop sending to a replica, before it is ordered to load.
+    """Stop all instances from sending to a replica before it is ordered to load.
 
     A replica rejects all requests while it loads.  How long that takes is not known
     before, so the announcement holds until LoadEnded.
@@ -152,40 +164,70 @@
     load_s = relay_s + LOAD_TIMEOUT_S
     if row is not None:
         row.loading_until = time.monotonic() + load_s
+        row.load_fencing = instance.lease.record.fencing
     weights = planned.weights
-    message = LoadBegun(planned.upstream, weights.model, weights.version, load_s)
+    message = LoadBegun(
+        planned.upstream,
+        weights.model,
+        weights.version,
+        load_s,
+        instance.lease.record.fencing,
+    )
     await broadcast(instance, message)
     if relay_s:
         await curio.sleep(relay_s)
 
 
 async def _await_load(
-    instance: Instance, upstream: Upstream, planned: PlannedLoad, accepted: bool
+    instance: Instance,
+    upstream: Upstream,
+    planned: PlannedLoad,
+    accepted: bool,
+    fencing: int = 0,
 ) -> None:
-    """Poll the replica's report until the load has succeeded or failed; announce that."""
+    """Poll the replica's report until the load has succeeded or failed; announce that.
+
+    Nothing is announced once a later order to the same replica has replaced this one.
+    """
+    tables = instance.weights
+    load = tables.load_by_upstream.get(upstream.id)
     ordered_at = time.monotonic()
+    loading_s = 0.0
     if accepted:
-        await curio.sleep(FIRST_POLL_SHARE * instance.weights.load_time_s)
+        await curio.sleep(FIRST_POLL_SHARE * tables.load_time_s)
     for _ in range(MAX_REPORT_POLLS):
-        if _has_weights(instance, planned):
+        if _has_weights(instance, planned) or _is_replaced(instance, upstream, load):
             break
         report = await refresh_report(instance, upstream)
         if report is not None and not report.is_busy:
             break
+        loading_s = time.monotonic() - ordered_at
         await curio.sleep(REPORT_POLL_INTERVAL_S)
+    if _is_replaced(instance, upstream, load):
+        return
     if not _has_weights(instance, planned):
-        record_load_ended(instance.weights, upstream.id)
+        record_load_ended(tables, upstream.id)
     elif accepted:
-        record_load_time(instance.weights, time.monotonic() - ordered_at)
-    await _announce_load_end(instance, upstream, planned)
+        # The load ended between the last two polls.
+        ended_s = time.monotonic() - ordered_at
+        record_load_time(tables, (loading_s + ended_s) / 2)
+    await _announce_load_end(instance, upstream, planned, fencing)
+
+
+def _is_replaced(
+    instance: Instance, upstream: Upstream, load: WeightsLoad | None
+) -> bool:
+    """Report whether a replica has been sent another order since `load`."""
+    current = instance.weights.load_by_upstream.get(upstream.id)
+    return current is not None and current is not load
 
 
 async def _announce_load_end(
-    instance: Instance, upstream: Upstream, planned: PlannedLoad
+    instance: Instance, upstream: Upstream, planned: PlannedLoad, fencing: int
 ) -> None:
     """Let all instances send to a replica again, with the weights that it runs."""
     model = planned.weights.model
     version = find_version(instance.weights, upstream.id, model)
     weights = ModelWeights(model, version)
-    record_load_result(instance, upstream.id, weights, time.monotonic())
-    await broadcast(instance, LoadEnded(upstream.id, model, version))
+    record_load_result(instance, upstream.id, weights, fencing, time.monotonic())
+    await broadcast(instance, LoadEnded(upstream.id, model, version, fencing))
