--- a/catkintrack/decisions/cache_store.py
+++ b/catkintrack/decisions/cache_store.py
@@ -25,11 +25,12 @@
 
 @dataclass(slots=True)
 class CacheStoreIndex:
-    """Hold the blocks that the store is believed to hold, the last recorded at the end.
+    """Hold the blocks that the store is known to hold, the last recorded at the end.
 
     `version_blocks` has keys (weights version, block); `token_s` is the fetch time per
     token.  Nothing is fetched or saved while `is_leaving`, as the store says itself, or
-    while `is_absent`, since another server answers at its address.
+    while `is_absent`, since another server answers at its address.  `incarnation` is the
+    one whose events were read last, None if none is known.
     """
 
     name: str
@@ -40,6 +41,7 @@
     )
     is_leaving: bool = False
     is_absent: bool = False
+    incarnation: int | None = None
 
 
 def choose_store(tables: Tables, request: ModelRequest) -> CacheStoreIndex | None:
@@ -52,9 +54,12 @@
 
 
 def find_store(tables: Tables, name: str) -> CacheStoreIndex | None:
-    """Return the store of that name; without a name the first one, if any."""
+    """Return the store of that name; without a name the only one, if there is one.
+
+    Messages of older builds have no name, so among several their store is unknown.
+    """
     if not name:
-        return tables.cache_store
+        return tables.cache_store if len(tables.cache_stores) == 1 else None
     return next((s for s in tables.cache_stores if s.name == name), None)
 
 
--- a/catkintrack/instance/cache_store_feed.py
+++ b/catkintrack/instance/cache_store_feed.py
@@ -91,7 +91,9 @@
             await curio.sleep(RETRY_S)
             continue
         if address != cursor.address:
-            cursor = Cursor(address)
+            store = find_store(instance.decisions, name)
+            # A restart may fall into the time between two readers.
+            cursor = Cursor(address, store.incarnation if store else None)
         changes = await _fetch(instance, address, cursor)
         if changes is None:
             await curio.sleep(max(RETRY_S, cursor.rest_s))
@@ -113,9 +115,12 @@
 def _find_store_at(
     instance: Instance, address: Address | None
 ) -> CacheStoreIndex | None:
-    """Return the store at an address, or else the first one."""
-    store = find_store(instance.decisions, str(address) if address else "")
-    return store or instance.decisions.cache_store
+    """Return the store at an address, or else the only one, if there is one.
+
+    One that the configuration has removed meanwhile is none of several.
+    """
+    tables = instance.decisions
+    return find_store(tables, str(address or "")) or find_store(tables, "")
 
 
 async def _fetch(
@@ -199,7 +204,7 @@
         # The events of the restarted store are read from the first one.
         cursor.incarnation, cursor.next_number = changes.incarnation, 0
         return
-    cursor.incarnation = changes.incarnation
+    cursor.incarnation = store.incarnation = changes.incarnation
     cursor.next_number = changes.next_number
     is_stored_by_version_block: dict[tuple[int, int], bool] = {}
     for change in changes.changes:
@@ -221,5 +226,7 @@
     for (version, is_stored), blocks in blocks_by_change.items():
         apply_change = add_stored_blocks if is_stored else remove_stored_blocks
         apply_change(store, version, blocks)
-        message = CacheStoreChanged(version, is_stored, tuple(blocks), store.name)
+        message = CacheStoreChanged(
+            version, is_stored, tuple(blocks), store.name, store.incarnation
+        )
         await broadcast(instance, message)
--- a/catkintrack/instance/config_state.py
+++ b/catkintrack/instance/config_state.py
@@ -167,16 +167,20 @@
     """Use the cache stores that the configuration names."""
     services = instance.config.service_by_name.values() if instance.config else ()
     stores = [s.cache_store for s in services if s.cache_store is not None]
+    # Several services may name the same store.
+    store_by_name = {str(store.address): store for store in stores}
     known_by_name = {index.name: index for index in instance.decisions.cache_stores}
-    instance.decisions.cache_stores = [
-        known_by_name.get(str(store.address)) or _make_index(store, profile)
-        for store in sorted(stores, key=lambda store: str(store.address))
-    ]
-    instance.store_address_by_name = {str(s.address): s.address for s in stores}
-
-
-def _make_index(store: CacheStore, profile: EngineProfile) -> CacheStoreIndex:
-    """Return an empty index; each transfer crosses two links, one after the other."""
+    indexes = []
+    for name, store in sorted(store_by_name.items()):
+        index = known_by_name.get(name) or CacheStoreIndex(name, store.zone, 0.0)
+        index.zone = store.zone
+        index.token_s = _find_store_token_s(store, profile)
+        indexes.append(index)
+    instance.decisions.cache_stores = indexes
+    instance.store_address_by_name = {n: s.address for n, s in store_by_name.items()}
+
+
+def _find_store_token_s(store: CacheStore, profile: EngineProfile) -> float:
+    """Return the seconds for one token; it crosses two links, one after the other."""
     token_s = _find_token_s(profile, profile.link_mbps)
-    token_s += _find_token_s(profile, store.link_mbps or profile.link_mbps)
-    return CacheStoreIndex(str(store.address), store.zone, token_s)
+    return token_s + _find_token_s(profile, store.link_mbps or profile.link_mbps)
--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -334,6 +334,8 @@
     if store is not None:
         apply_change = add_stored_blocks if message.is_stored else remove_stored_blocks
         apply_change(store, message.version, message.blocks)
+        if message.incarnation is not None:
+            store.incarnation = message.incarnation
         # Its events have been read, which may show its return.
         store.is_absent = False
 
--- a/catkintrack/instance/messages.py
+++ b/catkintrack/instance/messages.py
@@ -272,6 +272,7 @@
     is_stored: bool
     blocks: tuple[int, ...]
     store: str = ""
+    incarnation: int | None = None
 
 
 class RouteAnswers(msgspec.Struct, frozen=True, array_like=True):
--- a/catkintrack/weights/plan.py
+++ b/catkintrack/weights/plan.py
@@ -172,7 +172,7 @@
 ) -> list[PlannedLoad]:
     """Return the loads to order now for the replicas of one service.
 
-    `work_by_upstream` tells how busy each replica is, in any unit.
+    `work_by_upstream` says how busy each replica is, in any unit.
     """
     target = tables.target_by_model.get(model)
     if target is None:
