--- a/catkintrack/weights/tests/test_plan.py
+++ b/catkintrack/weights/tests/test_plan.py
@@ -52,6 +52,32 @@
         planned = plan_loads(tables, "m1", WORK_BY_UPSTREAM, 10.2)
         self.assertEqual([row.upstream for row in planned], ["u2"])
 
+    def test_all_replicas_have_the_weights_within_the_bound(self):
+        """Replays loads of 0.2 and 0.8 s, each with its relay and its last poll."""
+        for load_s in (0.2, 0.8):
+            for count in (1, 3, 4, 9, 32):
+                with self.subTest(load_s=load_s, count=count):
+                    self.assertLess(self.load_all(count, 0.12 + load_s + 0.2), 6.0)
+
+    def load_all(self, count, busy_s):
+        """Return when the last of `count` replicas has loaded, from the new target on."""
+        work = {f"u{number}": 0.0 for number in range(count)}
+        tables = WeightsTables()
+        target = ModelWeights("m1", 2)
+        record_target_weights(tables, target, 0.0)
+        ended_at_by_upstream = {}
+        for tick in range(200):
+            now = tick / 10
+            for upstream, ended_at in ended_at_by_upstream.items():
+                if now >= ended_at:
+                    record_replica_version(tables, upstream, target)
+            for planned in plan_loads(tables, "m1", work, now):
+                self.assertNotIn(planned.upstream, ended_at_by_upstream)
+                record_load_sent(tables, planned.upstream, planned.weights, now)
+                ended_at_by_upstream[planned.upstream] = now + busy_s
+        self.assertEqual(len(ended_at_by_upstream), count)
+        return max(ended_at_by_upstream.values())
+
     def test_failed_load_is_retried_after_an_interval(self):
         tables = make_tables()
         record_load_sent(tables, "u0", ModelWeights("m1", 2), 10.0)
