--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -287,11 +287,13 @@
     row = instance.decisions.upstream_by_name.get(message.upstream)
     if row is not None and row.weights_version < message.version:
         row.loading_until = time.monotonic() + message.ready_in_s
+        row.load_fencing = message.fencing
 
 
 async def _handle_load_ended(instance: Instance, message: LoadEnded) -> None:
     weights = ModelWeights(message.model, message.version)
-    record_load_result(instance, message.upstream, weights, time.monotonic())
+    now = time.monotonic()
+    record_load_result(instance, message.upstream, weights, message.fencing, now)
 
 
 async def _handle_prefill_begun(instance: Instance, message: PrefillBegun) -> None:
@@ -332,6 +334,8 @@
     if store is not None:
         apply_change = add_stored_blocks if message.is_stored else remove_stored_blocks
         apply_change(store, message.version, message.blocks)
+        if message.incarnation is not None:
+            store.incarnation = message.incarnation
         # Its events have been read, which may show its return.
         store.is_absent = False
 
