--- a/catkintrack/instance/feeds.py
+++ b/catkintrack/instance/feeds.py
@@ -279,7 +279,7 @@
     now = time.monotonic()
     bounds = instance.site.bounds
     is_heard = feed.last_success_at > max(0.0, feed.last_failure_at)
-    if feed.kind == WEIGHTS_KIND:
+    if feed.kind in (WEIGHTS_KIND, ROLLOUT_KIND):
         return choose_weights_wait_s(bounds, is_heard)
     is_serving_peers = is_hub(instance, now) and not is_joining_fleet(instance, now)
     return choose_watch_wait_s(bounds, is_heard, is_serving_peers)
