--- a/catkintrack/calls/waiting.py
+++ b/catkintrack/calls/waiting.py
@@ -39,7 +39,7 @@
     """Hold the queued calls, keyed by request id, and the scheduler's state.
 
     `record_waiting` is called with the queue length at each tick that finds calls
-    queued.
+    queued; such ticks come each `tick_s`, in seconds, beside those at each event.
     """
 
     tables: Tables
@@ -47,6 +47,7 @@
     policy: str
     record_waiting: Callable[[int], None]
     waiter_by_id: dict[str, Waiter] = field(default_factory=dict)
+    tick_s: float = TICK_S
 
 
 async def wait_for_decision(
@@ -96,7 +97,7 @@
     """Run scheduler ticks while calls are queued, until cancelled."""
     while True:
         waiting = queue.tables.waiting_count
-        await curio.sleep(TICK_S if waiting else IDLE_TICK_S)
+        await curio.sleep(queue.tick_s if waiting else IDLE_TICK_S)
         if waiting:
             queue.record_waiting(waiting)
             await run_tick(queue)
--- a/catkintrack/decisions/rendezvous.py
+++ b/catkintrack/decisions/rendezvous.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import hashlib
+from functools import lru_cache
 
 from .prefix import find_affinity_depth
 from .tables import ModelRequest
@@ -20,6 +21,11 @@
     return request.blocks[depth - 1] if depth else 0
 
 
+# A queued request is placed again and again: some keys with the names of a fleet.
+SCORES_KEPT = 8192
+
+
+@lru_cache(maxsize=SCORES_KEPT)
 def score_rendezvous(key: int, name: str) -> int:
     """Return the score of `name` for `key` in rendezvous hashing."""
     data = key.to_bytes(8, "big") + name.encode()
--- a/catkintrack/instance/process.py
+++ b/catkintrack/instance/process.py
@@ -95,6 +95,9 @@
 # the instance, where more urgent ones can overtake them.
 MAX_PREFILL_WAIT_S = 0.2
 CONNECT_TIMEOUT_S = 0.15
+# Many calls wait in an instance where engines' queues are kept short, and each is placed
+# again at each tick: longer than the default, and far below the shortest target.
+ADMISSION_TICK_S = 0.03
 # Share of the memory limit that one complete response may take.
 MAX_BODY_MEMORY_SHARE = 1 / 32
 # Share of the memory limit that all responses together may take, and all requests.  A
@@ -158,6 +161,7 @@
     switch_on_zones(instance)
     if Feature.ADMISSION in site.features:
         instance.decisions.admission = AdmissionTable()
+        instance.call_queue.tick_s = ADMISSION_TICK_S
         enable_speeds(instance.decisions)
     else:
         instance.decisions.late_queue = LateQueue()
