--- a/catkintrack/instance/tests/test_unanswered_watches.py
+++ b/catkintrack/instance/tests/test_unanswered_watches.py
@@ -109,13 +109,21 @@
 class WatchWaitTest(unittest.TestCase):
     def test_waits_follow_the_bounds_within_limits(self):
         bounds = make_instance().site.bounds
-        for stable_s, waits in (
-            (3.0, (1.5, 1.5)),
-            (5.0, (3.5, 2.0)),
-            (0.0, (0.5, 0.5)),
-            (60.0, (8.0, 2.0)),
+        for stable_s, apply_s, drain_s, waits in (
+            (3.0, 60.0, 60.0, (1.5, 1.5)),
+            (5.0, 60.0, 60.0, (3.5, 2.0)),
+            (0.0, 60.0, 60.0, (0.5, 0.5)),
+            (60.0, 60.0, 60.0, (8.0, 2.0)),
+            (5.0, 3.0, 4.0, (3.5, 1.0)),
+            (5.0, 4.0, 3.5, (3.5, 1.5)),
+            (5.0, 2.0, 2.0, (3.5, 0.5)),
         ):
-            row = replace(bounds, stable_window_s=stable_s)
+            row = replace(
+                bounds,
+                stable_window_s=stable_s,
+                config_apply_s=apply_s,
+                drain_s=drain_s,
+            )
             found = tuple(choose_watch_wait_s(row, True, hub) for hub in (False, True))
             self.assertEqual(found, waits)
             self.assertEqual(choose_watch_wait_s(row, False, False), 0.05)
--- a/catkintrack/instance/watch_waits.py
+++ b/catkintrack/instance/watch_waits.py
@@ -14,7 +14,9 @@
 RELIST_RESERVE_S = 0.5
 # Wait of a watch that shows whether the store answers, in seconds.
 PROBE_WAIT_S = 0.05
-# Peers of a hub get no changes while its watch hangs, which is a second delay.
+# Peers of a hub get no changes while its watch hangs.  From its failure until another
+# hub has read the changes and sent them to all.
+TAKEOVER_S = 1.0
 HUB_WAIT_MAX_S = 2.0
 WAIT_MAX_S = 8.0
 # Short bounds must not turn watches into a load on the store.
@@ -25,12 +27,17 @@
     """Return how long a watch of configuration or discovery may wait, in seconds.
 
     An instance has to know all changes `stable_window_s` after the end of a disruption.
+    A hub's peers have no disruption of their own while its watch hangs, so they have to
+    know them within the operators' bound on a change.
     Until the store has answered, watches are short, since it may answer none of them.
     """
     if not is_store_heard:
         return PROBE_WAIT_S
     wait_s = bounds.stable_window_s - WATCH_MARGIN_S - RELIST_RESERVE_S
-    longest_s = HUB_WAIT_MAX_S if is_hub else WAIT_MAX_S
+    longest_s = WAIT_MAX_S
+    if is_hub:
+        bound_s = min(bounds.config_apply_s, bounds.drain_s)
+        longest_s = min(HUB_WAIT_MAX_S, bound_s - WATCH_MARGIN_S - TAKEOVER_S)
     return max(WAIT_MIN_S, min(longest_s, wait_s))
 
 
