--- a/catkintrack/instance/anti_entropy.py
+++ b/catkintrack/instance/anti_entropy.py
@@ -27,7 +27,7 @@
     UpstreamsChanged,
     encode_peer_message,
 )
-from .peers import get_or_add_peer, send_to
+from .peers import get_or_add_peer, send_when_connected
 from .state import ConfigStamp, Feed, Instance, Peer
 
 # Long enough for a few batches of the hub, one of which may carry the change.
@@ -59,7 +59,7 @@
     if wants_config or wants_upstreams:
         mesh = instance.site.mesh
         pull = Pull(mesh.host, mesh.port, wants_config, wants_upstreams)
-        await send_to(instance, peer, encode_peer_message(pull))
+        await send_when_connected(instance, peer, encode_peer_message(pull))
 
 
 def _may_be_newer(instance: Instance, gossip: GossipMessage) -> bool:
@@ -97,11 +97,11 @@
         return
     if pull.wants_config and instance.config is not None:
         message = make_stored_config(instance)
-        await send_to(instance, peer, encode_peer_message(message))
+        await send_when_connected(instance, peer, encode_peer_message(message))
     feed = instance.feed_by_kind.get(UPSTREAM_KIND)
     if pull.wants_upstreams and feed is not None:
         answer = make_stored_upstreams(instance, feed)
-        await send_to(instance, peer, encode_peer_message(answer))
+        await send_when_connected(instance, peer, encode_peer_message(answer))
 
 
 async def handle_stored_config(instance: Instance, message: StoredConfig) -> None:
--- a/catkintrack/instance/mesh.py
+++ b/catkintrack/instance/mesh.py
@@ -80,6 +80,7 @@
     list_live_peers,
     remove_dead_peers,
     send_to,
+    send_when_connected,
 )
 from .quarantining import (
     adopt_gossiped_quarantine,
@@ -248,7 +249,7 @@
         is_responsible = not gossip.peers or gossip.zone == instance.site.zone
     if gossip.is_asking or is_responsible:
         full = make_gossip(instance, now, True)
-        await send_to(instance, peer, encode_peer_message(full))
+        await send_when_connected(instance, peer, encode_peer_message(full))
 
 
 def _apply_gossiped_state(
--- a/catkintrack/instance/peers.py
+++ b/catkintrack/instance/peers.py
@@ -2,16 +2,24 @@
 
 from __future__ import annotations
 
+import logging
 import time
 import zlib
 from collections import defaultdict
 
+import curio
+
 from catkintrack.transport import connect_link
 
 from .state import Instance, Peer
 
+logger = logging.getLogger(__name__)
+
 PEER_TIMEOUT_S = 1.5
 PEER_REMOVAL_S = 15.0
+# Longer than a link pauses before it connects again.
+CONNECT_WAIT_S = 0.6
+CONNECT_CHECK_S = 0.02
 
 
 def get_or_add_peer(
@@ -28,8 +36,11 @@
     return peer
 
 
-async def send_to(instance: Instance, peer: Peer, data: bytes) -> None:
-    """Send an encoded message to a peer, connecting first if necessary."""
+async def send_to(instance: Instance, peer: Peer, data: bytes) -> bool:
+    """Send an encoded message to a peer, connecting first if necessary.
+
+    Return False if it was dropped, which includes the first message on a new link.
+    """
     if peer.link is None:
 
         async def ignore(identity: bytes, data: bytes) -> None:
@@ -38,7 +49,22 @@
         peer.link = connect_link(
             instance.context, None, b"", peer.host, peer.port, ignore
         )
-    await peer.link.send(data)
+    return await peer.link.send(data)
+
+
+async def send_when_connected(instance: Instance, peer: Peer, data: bytes) -> None:
+    """Send a message that nothing repeats, in the background if the link has to connect."""
+    if not await send_to(instance, peer, data):
+        await curio.spawn(_send_after_connecting, instance, peer, data, daemon=True)
+
+
+async def _send_after_connecting(instance: Instance, peer: Peer, data: bytes) -> None:
+    ends_at = time.monotonic() + CONNECT_WAIT_S
+    while time.monotonic() < ends_at:
+        await curio.sleep(CONNECT_CHECK_S)
+        if await send_to(instance, peer, data):
+            return
+    logger.info("message to a peer dropped", extra={"peer": peer.instance})
 
 
 def list_live_peers(instance: Instance, now: float) -> list[Peer]:
