--- a/catkintrack/instance/feeds.py
+++ b/catkintrack/instance/feeds.py
@@ -44,7 +44,13 @@
     apply_upstreams,
     remove_upstreams,
 )
-from .hubs import has_watching_hub, is_hub, is_joining_fleet, queue_for_batch
+from .hubs import (
+    has_hubs,
+    has_watching_hub,
+    is_hub,
+    is_joining_fleet,
+    queue_for_batch,
+)
 from .messages import (
     BatchedMessage,
     PeerMessage,
@@ -276,13 +282,12 @@
 
 def _choose_watch_wait_s(instance: Instance, feed: Feed) -> float:
     """Return how long a watch of a kind may wait for changes, in seconds."""
-    now = time.monotonic()
     bounds = instance.site.bounds
     is_heard = feed.last_success_at > max(0.0, feed.last_failure_at)
     if feed.kind in (WEIGHTS_KIND, ROLLOUT_KIND):
         return choose_weights_wait_s(bounds, is_heard)
-    is_serving_peers = is_hub(instance, now) and not is_joining_fleet(instance, now)
-    return choose_watch_wait_s(bounds, is_heard, is_serving_peers)
+    # Any peer that watches is enough for the others to leave the store to it.
+    return choose_watch_wait_s(bounds, is_heard, has_hubs(instance))
 
 
 def _queue_for_fleet(
--- a/testkit/config_fleet.py
+++ b/testkit/config_fleet.py
@@ -313,7 +313,7 @@
 
 def _make_site(number: int) -> Site:
     site = make_instance().site
-    bounds = replace(site.bounds, stable_window_s=4.0, config_apply_s=3.0)
+    bounds = replace(site.bounds, stable_window_s=4.0, config_apply_s=3.0, drain_s=3.0)
     return replace(
         site,
         bounds=bounds,
