--- a/catkintrack/instance/anti_entropy.py
+++ b/catkintrack/instance/anti_entropy.py
@@ -83,10 +83,10 @@
         return True
     if feed.stale_since is None:
         feed.stale_since = now
-    if now - feed.stale_since < PULL_DELAY_S:
-        return False
     # Another peer is asked only if this one does not answer within the delay.
-    feed.stale_since = now
+    if now - max(feed.stale_since, feed.pulled_at) < PULL_DELAY_S:
+        return False
+    feed.pulled_at = now
     return True
 
 
@@ -116,12 +116,12 @@
         message.is_written,
         ConfigStamp(*message.replaced),
     )
+    feed = instance.feed_by_kind.get(CONFIG_KIND)
     if is_applied:
         history = instance.config_history
         merge_superseded(history, message.superseded, message.spec)
-    feed = instance.feed_by_kind.get(CONFIG_KIND)
-    if feed is not None:
-        feed.stale_since = None
+        if feed is not None:
+            feed.stale_since = None
 
 
 async def handle_stored_upstreams(instance: Instance, message: StoredUpstreams) -> None:
--- a/catkintrack/instance/feeds.py
+++ b/catkintrack/instance/feeds.py
@@ -72,6 +72,9 @@
 
 # Interval at which a feed that is left to the hub checks that the hub still watches.
 DELEGATED_CHECK_S = 0.2
+# How long an instance waits for changes that it knows of before it reads them itself; by
+# then it has pulled them from two peers.
+MAX_STALE_S = 0.8
 # Pause between watches of a joining instance, so that changes come in batches.
 JOIN_PAUSE_S = 1.0
 BACKOFF_S = 0.25
@@ -93,7 +96,7 @@
     is_listed = False
     while True:
         asked_at = time.monotonic()
-        if is_listed and has_watching_hub(instance, asked_at):
+        if is_listed and _may_delegate(instance, feed, asked_at):
             _delegate_to_hub(feed)
             await curio.sleep(DELEGATED_CHECK_S)
             continue
@@ -130,6 +133,13 @@
     )
 
 
+def _may_delegate(instance: Instance, feed: Feed, now: float) -> bool:
+    """Report whether others watch a kind, and no change from them is overdue."""
+    if feed.stale_since is not None and now - feed.stale_since > MAX_STALE_S:
+        return False
+    return has_watching_hub(instance, now)
+
+
 def _delegate_to_hub(feed: Feed) -> None:
     """Leave a kind to the hub; the feed is not current until its next own success."""
     feed.is_delegated = True
@@ -142,6 +152,7 @@
     if feed.regained_at is None:
         feed.regained_at = now
     feed.last_success_at = now
+    feed.stale_since = None
 
 
 def _record_failure(
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -72,9 +72,9 @@
 
     The store's `revision` grows with each change of any kind within an `era`,
     `changed_revision` is that of this kind's last change.  While `is_delegated` other instances watch the
-    kind instead.  `stale_since` is when a peer first reported a newer revision, or was last
-    asked for it; None if no peer has a newer one.  `asked_at` is when the last call was
-    sent, `regained_at` when the store first answered after its last failure, None if it
+    kind instead.  `stale_since` is when a peer first reported a newer revision, None if no
+    peer has a newer one; `pulled_at` is when a peer was last asked for it.  `asked_at` is
+    when the last call was sent, `regained_at` when the store first answered after its last failure, None if it
     has not yet.
     """
 
@@ -85,6 +85,7 @@
     last_failure_at: float = -1e9
     is_delegated: bool = False
     stale_since: float | None = None
+    pulled_at: float = -1e9
     era: int = 0
     asked_at: float = -1e9
     regained_at: float | None = -1e9
--- a/catkintrack/instance/tests/test_late_configuration.py
+++ b/catkintrack/instance/tests/test_late_configuration.py
@@ -9,10 +9,12 @@
 from catkintrack.instance.anti_entropy import PULL_DELAY_S, pull_newer
 from catkintrack.instance.config_state import apply_configuration
 from catkintrack.instance.gossip import make_gossip
+from catkintrack.instance.hubs import BATCH_INTERVAL_S
 from catkintrack.instance.peers import get_or_add_peer
 from catkintrack.platform import CONFIG_KIND
 from testkit.config_faults import find_late_members
 from testkit.config_fleet import (
+    TRANSIT_S,
     Path,
     cancel_tasks,
     list_stale,
@@ -85,6 +87,25 @@
 
         run_virtually(run)
 
+    def test_missed_change_is_read_from_the_store_if_no_peer_answers(self):
+        """Guards against instances that reach their hub and the store, and only pull."""
+
+        async def check(fleet):
+            names = set(fleet.member_by_name)
+            hub_by_name = {name: fleet.find_hub(name) for name in names}
+            members = names - set(hub_by_name.values())
+            for name in members:
+                fleet.cut_off(name)
+            version = await fleet.change_config()
+            await curio.sleep(2 * BATCH_INTERVAL_S + TRANSIT_S)
+            for name in members:
+                fleet.cut_pairs.discard(frozenset((name, hub_by_name[name])))
+            bounds = fleet.member_by_name["n00"].site.bounds
+            await curio.sleep(bounds.config_apply_s)
+            self.assertEqual(list_stale(fleet, members, version), {})
+
+        run_in_fleet(check)
+
     def test_sound_instances_are_in_time_whatever_happens_to_others(self):
         for seed in RANDOM_SEEDS:
             with self.subTest(seed=seed):
