--- a/catkintrack/instance/anti_entropy.py
+++ b/catkintrack/instance/anti_entropy.py
@@ -56,6 +56,12 @@
         and not is_current(feed, now, STORE_STALENESS_S)
         and _is_pull_due(instance, UPSTREAM_KIND, now)
     )
+    for kind, is_wanted in (
+        (CONFIG_KIND, wants_config),
+        (UPSTREAM_KIND, wants_upstreams),
+    ):
+        if is_wanted:
+            instance.metrics.pulls.inc({"kind": kind})
     if wants_config or wants_upstreams:
         mesh = instance.site.mesh
         pull = Pull(mesh.host, mesh.port, wants_config, wants_upstreams)
--- a/catkintrack/instance/feeds.py
+++ b/catkintrack/instance/feeds.py
@@ -97,10 +97,10 @@
     while True:
         asked_at = time.monotonic()
         if is_listed and _may_delegate(instance, feed, asked_at):
-            _delegate_to_hub(feed)
+            _delegate_to_hub(instance, feed)
             await curio.sleep(DELEGATED_CHECK_S)
             continue
-        feed.is_delegated = False
+        _take_back(instance, feed)
         feed.asked_at = asked_at
         is_listed = is_listed and feed.era == instance.store.era
         if not is_listed:
@@ -140,12 +140,23 @@
     return has_watching_hub(instance, now)
 
 
-def _delegate_to_hub(feed: Feed) -> None:
+def _delegate_to_hub(instance: Instance, feed: Feed) -> None:
     """Leave a kind to the hub; the feed is not current until its next own success."""
+    if not feed.is_delegated:
+        instance.metrics.watched_kinds.set({"kind": feed.kind}, 0)
     feed.is_delegated = True
     feed.last_success_at = -1e9
 
 
+def _take_back(instance: Instance, feed: Feed) -> None:
+    """Watch a kind that was left to the hub, and record a change that is overdue."""
+    if feed.is_delegated and feed.stale_since is not None:
+        instance.metrics.overdue_changes.inc({"kind": feed.kind})
+        logger.info("change overdue", extra={"kind": feed.kind})
+    instance.metrics.watched_kinds.set({"kind": feed.kind}, 1)
+    feed.is_delegated = False
+
+
 def _record_success(feed: Feed, now: float) -> None:
     if feed.last_failure_at >= feed.last_success_at > 0:
         logger.info("store regained", extra={"kind": feed.kind})
--- a/catkintrack/instance/metrics.py
+++ b/catkintrack/instance/metrics.py
@@ -39,6 +39,9 @@
     waiting_calls: Gauge
     quarantined_parts: Gauge
     config_revision: Gauge
+    watched_kinds: Gauge
+    overdue_changes: Counter
+    pulls: Counter
     config_held_back: Gauge
     store_era: Gauge
     peers: Gauge
@@ -114,6 +117,13 @@
         quarantined_parts=gauge("quarantined_parts", "Quarantined contents and parts."),
         waiting_calls=gauge("waiting_calls", "Model calls that wait."),
         config_revision=gauge("config_revision", "Configuration in force."),
+        watched_kinds=gauge(
+            "watched_kinds", "1 while this instance watches the store, by kind."
+        ),
+        overdue_changes=counter(
+            "overdue_changes_total", "Changes that peers did not send in time, by kind."
+        ),
+        pulls=counter("pulls_total", "Requests to peers for changes, by kind."),
         config_held_back=gauge(
             "config_held_back", "1 while the store has an older one than is in force."
         ),
