--- a/catkintrack/instance/anti_entropy.py
+++ b/catkintrack/instance/anti_entropy.py
@@ -113,6 +113,7 @@
 async def handle_stored_config(instance: Instance, message: StoredConfig) -> None:
     """Apply a configuration from a peer if it is newer."""
     observe_era(instance.store, message.era, "peer")
+    known_stamp = instance.config_stamp
     is_applied = apply_configuration(
         instance,
         message.revision,
@@ -126,8 +127,8 @@
     if is_applied:
         history = instance.config_history
         merge_superseded(history, message.superseded, message.spec)
-        if feed is not None:
-            feed.stale_since = None
+    if feed is not None and instance.config_stamp > known_stamp:
+        feed.stale_since = None
 
 
 async def handle_stored_upstreams(instance: Instance, message: StoredUpstreams) -> None:
--- a/catkintrack/instance/feeds.py
+++ b/catkintrack/instance/feeds.py
@@ -96,11 +96,16 @@
     is_listed = False
     while True:
         asked_at = time.monotonic()
-        if is_listed and _may_delegate(instance, feed, asked_at):
+        is_overdue = _is_change_overdue(feed, asked_at)
+        if is_listed and not is_overdue and has_watching_hub(instance, asked_at):
             _delegate_to_hub(instance, feed)
             await curio.sleep(DELEGATED_CHECK_S)
             continue
-        _take_back(instance, feed)
+        if is_overdue and feed.is_delegated:
+            instance.metrics.overdue_changes.inc({"kind": kind})
+            logger.info("change overdue", extra={"kind": kind})
+        instance.metrics.watched_kinds.set({"kind": kind}, 1)
+        feed.is_delegated = False
         feed.asked_at = asked_at
         is_listed = is_listed and feed.era == instance.store.era
         if not is_listed:
@@ -133,11 +138,9 @@
     )
 
 
-def _may_delegate(instance: Instance, feed: Feed, now: float) -> bool:
-    """Report whether others watch a kind, and no change from them is overdue."""
-    if feed.stale_since is not None and now - feed.stale_since > MAX_STALE_S:
-        return False
-    return has_watching_hub(instance, now)
+def _is_change_overdue(feed: Feed, now: float) -> bool:
+    """Report whether others have not sent a change of a kind that is left to them."""
+    return feed.stale_since is not None and now - feed.stale_since > MAX_STALE_S
 
 
 def _delegate_to_hub(instance: Instance, feed: Feed) -> None:
@@ -148,15 +151,6 @@
     feed.last_success_at = -1e9
 
 
-def _take_back(instance: Instance, feed: Feed) -> None:
-    """Watch a kind that was left to the hub, and record a change that is overdue."""
-    if feed.is_delegated and feed.stale_since is not None:
-        instance.metrics.overdue_changes.inc({"kind": feed.kind})
-        logger.info("change overdue", extra={"kind": feed.kind})
-    instance.metrics.watched_kinds.set({"kind": feed.kind}, 1)
-    feed.is_delegated = False
-
-
 def _record_success(feed: Feed, now: float) -> None:
     if feed.last_failure_at >= feed.last_success_at > 0:
         logger.info("store regained", extra={"kind": feed.kind})
@@ -308,7 +302,7 @@
     is_heard = feed.last_success_at > max(0.0, feed.last_failure_at)
     if feed.kind in (WEIGHTS_KIND, ROLLOUT_KIND):
         return choose_weights_wait_s(bounds, is_heard)
-    # Any peer that watches is enough for the others to leave the store to it.
+    # Peers leave the store to any instance that watches it, hub or not.
     return choose_watch_wait_s(bounds, is_heard, has_hubs(instance))
 
 
--- a/catkintrack/instance/state.py
+++ b/catkintrack/instance/state.py
@@ -74,8 +74,8 @@
     `changed_revision` is that of this kind's last change.  While `is_delegated` other instances watch the
     kind instead.  `stale_since` is when a peer first reported a newer revision, None if no
     peer has a newer one; `pulled_at` is when a peer was last asked for it.  `asked_at` is
-    when the last call was sent, `regained_at` when the store first answered after its last failure, None if it
-    has not yet.
+    when the last call was sent, `regained_at` when the store first answered after its last
+    failure, None if it has not yet.
     """
 
     kind: str
--- a/catkintrack/instance/watch_waits.py
+++ b/catkintrack/instance/watch_waits.py
@@ -14,7 +14,8 @@
 RELIST_RESERVE_S = 0.5
 # Wait of a watch that shows whether the store answers, in seconds.
 PROBE_WAIT_S = 0.05
-# From the failure of a watch on which peers rely until they have the changes from others.
+# From the failure of a watch on which peers rely until they have the changes from others,
+# in seconds.
 TAKEOVER_S = 1.0
 RELIED_WAIT_MAX_S = 2.0
 WAIT_MAX_S = 8.0
