--- a/testkit/config_faults.py
+++ b/testkit/config_faults.py
@@ -22,13 +22,13 @@
 class Faults:
     """Hold the faulty members, and since when each other one is sound again.
 
-    `latest_s_by_name` is how old a change was that a sound member had not applied.
+    `lateness_s_by_name` is how old a change was that a sound member had not applied.
     """
 
     fleet: ConfigFleet
     fault_by_name: dict[str, str] = field(default_factory=dict)
     sound_since_by_name: dict[str, float] = field(default_factory=dict)
-    latest_s_by_name: dict[str, float] = field(default_factory=dict)
+    lateness_s_by_name: dict[str, float] = field(default_factory=dict)
 
     def list_sound(self) -> list[str]:
         """Return the members without a fault of their own for the stable window.
@@ -81,8 +81,8 @@
                 for name in list_stale(self.fleet, sound, version):
                     bounds = self.fleet.member_by_name[name].site.bounds
                     if age_s > bounds.config_apply_s:
-                        known_s = self.latest_s_by_name.get(name, 0.0)
-                        self.latest_s_by_name[name] = max(known_s, round(age_s, 2))
+                        known_s = self.lateness_s_by_name.get(name, 0.0)
+                        self.lateness_s_by_name[name] = max(known_s, round(age_s, 2))
 
 
 async def begin_fault(fleet: ConfigFleet, name: str, fault: str) -> None:
@@ -122,4 +122,4 @@
             await fleet.change_config()
             await curio.sleep(rng.uniform(4, 8))
         await curio.sleep(SETTLE_S / 2)
-        return faults.latest_s_by_name
+        return faults.lateness_s_by_name
