--- a/review/harness-2/replica.py
+++ b/review/harness-2/replica.py
@@ -31,7 +31,8 @@
     """Hold what a replica does beside serving.
 
     `crashes` tells whether it ends as it begins to write an answer to a request, of
-    whose head `head_share` has left then.  `headers` are added to each answer.  With
+    whose head `head_share` has left then.  `headers` are added to each answer.  It starts
+    again `down_s` after its end and writes its entry `beat_after_s` later.  With
     `is_unframed` answers have no length and end with their connection.  From
     `rests_from` on, of the case's clock, it turns away all requests until `rests_until`.
     """
@@ -40,6 +41,7 @@
     head_share: float = 0.5
     headers: dict[str, str] = field(default_factory=dict)
     down_s: float = 2.0
+    beat_after_s: float = 0.0
     run_s: float = 0.05
     events: int = 8
     event_s: float = EVENT_INTERVAL_S
@@ -145,6 +147,8 @@
 
     async def _beat(self) -> None:
         born = self.born
+        if self.crashed_at:
+            await asyncio.sleep(self.behaviour.beat_after_s)
         while self.is_up and self.born == born:
             if not self.store.is_away:
                 self.sequence += 1
--- a/review/harness-2/taken_up.py
+++ b/review/harness-2/taken_up.py
@@ -129,13 +129,18 @@
                 try:
                     line = "POST /lepu270/2f HTTP/1.1"
                     writer.write(encode(line, fields, parts[-1].encode()))
-                    return await self.read_answer(reader, last_event)
+                    return await self.read_answer(reader, last_event, parts[-1])
                 finally:
                     writer.transport.abort()
         except (OSError, TimeoutError):
             return "no answer", last_event, 0.1
 
-    async def read_answer(self, reader, last_event: int) -> tuple[str, int, float]:
+    def note_event(self, stream: str, event: bytes) -> None:
+        """Note an event of a stream; nothing is noted here."""
+
+    async def read_answer(
+        self, reader, last_event: int, stream: str
+    ) -> tuple[str, int, float]:
         """Return the outcome of an answer, its last event and the time to wait."""
         head = await read_head(reader)
         if head is None:
@@ -159,6 +164,7 @@
             if number != last_event + 1:
                 return "events out of order", last_event, 0.1
             last_event = number
+            self.note_event(stream, event)
         return outcome, last_event, 0.1
 
     def judge(self) -> int:
