--- a/review/harness-2/crashing_part.py
+++ b/review/harness-2/crashing_part.py
@@ -51,7 +51,7 @@
         )
         self.replicas = [
             Replica(
-                f"i-{number:08x}",
+                f"i-{number:04x}",
                 "lm-pool",
                 deployment.store,
                 deployment.record,
--- a/review/harness-2/cut_off.py
+++ b/review/harness-2/cut_off.py
@@ -39,7 +39,7 @@
         self.cut_at = 0.0
         self.replicas = [
             Replica(
-                f"i-{number:08x}",
+                f"i-{number:04x}",
                 "lm-pool",
                 deployment.store,
                 deployment.record,
--- a/review/harness-2/leaving.py
+++ b/review/harness-2/leaving.py
@@ -37,7 +37,7 @@
         self.cut_off = ""
         self.replicas = [
             Replica(
-                f"i-{number:08x}",
+                f"i-{number:04x}",
                 "shop-app",
                 deployment.store,
                 deployment.record,
--- a/review/harness-2/replica.py
+++ b/review/harness-2/replica.py
@@ -6,6 +6,7 @@
 import hashlib
 import json
 import math
+import os
 import socket
 import struct
 import time
@@ -74,7 +75,10 @@
         slots: int = 32,
         version: str = "v1",
     ) -> None:
-        self.id, self.service, self.store, self.record = id, service, store, record
+        # Unlike those of another case that runs beside this one.
+        self.id = f"{id}{os.getpid() % 65536:04x}"
+        self.service, self.store, self.record = service, store, record
+        self.placeholder: socket.socket | None = None
         self.behaviour, self.zone, self.model = behaviour, zone, model
         self.slots, self.version = slots, version
         self.port = 0
@@ -96,6 +100,8 @@
         """Begin a life at the same address; register at once."""
         self.born = max(self.born + 1, time.time_ns() // 1_000_000)
         self.sequence = 0
+        if self.placeholder is not None:
+            self.placeholder.close()
         self.server = await asyncio.start_server(
             self._serve, "127.0.0.1", self.port, reuse_address=True
         )
@@ -116,11 +122,18 @@
         self.crashed_at.append(now_s())
         self.record("replica crashes", replica=self.id)
         self.server.close()
+        self._keep_port()
         for writer in list(self.writers):
             reset(writer)
         self.running = 0
         asyncio.ensure_future(self._return())
 
+    def _keep_port(self) -> None:
+        """Keep the port from other processes; connections to it are refused."""
+        self.placeholder = socket.socket()
+        self.placeholder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.placeholder.bind(("127.0.0.1", self.port))
+
     async def _return(self) -> None:
         await asyncio.sleep(self.behaviour.down_s)
         await self.start()
--- a/review/harness-2/rest.py
+++ b/review/harness-2/rest.py
@@ -39,7 +39,7 @@
         self.node_by_request: dict[str, str] = {}
         self.replicas = [
             Replica(
-                f"i-{number:08x}",
+                f"i-{number:04x}",
                 "lm-pool",
                 deployment.store,
                 deployment.record,
--- a/review/harness-2/taken_up.py
+++ b/review/harness-2/taken_up.py
@@ -44,7 +44,7 @@
         self.rng = random.Random(61)
         self.replicas = [
             Replica(
-                f"i-{number:08x}",
+                f"i-{number:04x}",
                 "lm-pool",
                 deployment.store,
                 deployment.record,
--- a/review/harness-2/two_versions.py
+++ b/review/harness-2/two_versions.py
@@ -42,7 +42,7 @@
         self.versions: dict[str, list[str]] = defaultdict(list)
         self.replicas = [
             Replica(
-                f"i-{number:08x}",
+                f"i-{number:04x}",
                 "lm-pool",
                 deployment.store,
                 deployment.record,
