--- a/review/harness-2/two_versions.py
+++ b/review/harness-2/two_versions.py
@@ -28,6 +28,7 @@
 # Less than the pause between two heartbeats.
 BEAT_AFTER_S = 1.1
 KILL_AFTER_S = 2.2
+AWAY_S = 3.0
 # The rule's figure.
 MAX_MIXED = 2
 
@@ -86,6 +87,9 @@
         if self.has_trouble:
             deployment.record("machine is killed", node=killed.name)
             killed.stop()
+            await asyncio.sleep(AWAY_S)
+            killed.start()
+            deployment.record("machine starts again", node=killed.name)
         await asyncio.gather(*loads)
         return self.judge()
 
